Serve callers on a platform with a shared store

Cause: nothing of the product spoke the platform's protocols. A turn's end is told only after its commit; absence of a turn is proved by a condition, since readings may be behind; budgets are granted in slices.

--- /dev/null
+++ b/internal/backend/choose.go
@@ -0,0 +1,130 @@
+package backend
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	Affinity string // requests with the same text share prefixes; empty: none
+	Prefix   []PromptPart
+	Zone     string // of this process
+	Slots    int    // of the service's engines, if declared
+	Excluded []string
+	Random   uint64
+	// LeavingAllowed is how long an instance that is gone may still be used
+	// when there is no other: its entry may have lapsed while it serves on.
+	LeavingAllowed time.Duration
+	Now            time.Time
+}
+
+// Choose picks an instance, or nil if none is fit. It is a pure function of
+// the request and what is known of the instances.
+//
+// Order: instances that are healthy and stay; then ejected ones (better a try
+// than a refusal); then those that left a moment ago. Within an order the
+// lowest cost wins.
+func Choose(instances []*Instance, request *Request) *Instance {
+	var best *Instance
+	bestClass, bestCost := classUnfit, math.Inf(1)
+	for _, instance := range instances {
+		class := classOf(instance, request)
+		if class == classUnfit || class > bestClass {
+			continue
+		}
+		cost := costOf(instance, request)
+		if class < bestClass || cost < bestCost {
+			best, bestClass, bestCost = instance, class, cost
+		}
+	}
+	return best
+}
+
+// class orders instances by fitness; smaller is better.
+type class uint8
+
+const (
+	classReady class = iota
+	classEjected
+	classLeft
+	classUnfit
+)
+
+func classOf(instance *Instance, request *Request) class {
+	for _, excluded := range request.Excluded {
+		if instance.ID == excluded {
+			return classUnfit
+		}
+	}
+	if since, leaving := instance.Leaving(); leaving {
+		if request.Now.Sub(since) < request.LeavingAllowed {
+			return classLeft
+		}
+		return classUnfit
+	}
+	if instance.health.ejected(request.Now) {
+		return classEjected
+	}
+	return classReady
+}
+
+// The weights of the cost, in tokens that an engine would have to read.
+const (
+	fullEngineCost  = 4096.0 // an engine whose slots are all taken from here
+	affinityCost    = 256.0  // spread of the affinity's order of preference
+	otherZoneCost   = 48.0
+	defaultSlots    = 4
+	referenceAnswer = 50 * time.Millisecond
+)
+
+// costOf adds what must be read anew, the load from here, and the preference
+// that all processes share without a message: a hash of affinity and instance.
+func costOf(instance *Instance, request *Request) float64 {
+	total := 0
+	for _, part := range request.Prefix {
+		total += part.Tokens
+	}
+	cost := float64(total - instance.prefixes.cached(request.Prefix))
+	cost += loadCost(instance, request)
+	cost += affinityCost * preference(instance, request)
+	if instance.Zone != request.Zone {
+		cost += otherZoneCost
+	}
+	return cost
+}
+
+func loadCost(instance *Instance, request *Request) float64 {
+	slots := instance.Slots
+	if slots == 0 {
+		slots = request.Slots
+	}
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	share := float64(instance.InFlight()) / float64(slots)
+	cost := fullEngineCost * share * share
+	if request.Affinity == "" {
+		// Without prefixes only time counts: load and measured speed.
+		slowness := float64(instance.latency.value()) / float64(referenceAnswer)
+		cost = affinityCost * float64(instance.InFlight()) * max(slowness, 0.5)
+	}
+	return cost
+}
+
+// preference is a number from 0 to 1, the same at every process for requests
+// with an affinity, and random for others.
+func preference(instance *Instance, request *Request) float64 {
+	text := request.Affinity
+	seed := uint64(0)
+	if text == "" {
+		seed = request.Random
+	}
+	digest := xxhash.NewWithSeed(seed)
+	_, _ = digest.WriteString(text)
+	_, _ = digest.WriteString(instance.ID)
+	const bits = 53
+	return float64(digest.Sum64()>>(64-bits)) / (1 << bits)
+}
--- /dev/null
+++ b/internal/backend/instance.go
@@ -0,0 +1,126 @@
+// Package backend knows the engines and services behind the system: which
+// instances stand ready, how loaded they are as far as this process knows,
+// and how one request is exchanged with one of them.
+package backend
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Declaration is what an instance says of itself, or that its entry is gone.
+type Declaration struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	Gone     bool
+	Version  uint64 // of the entry
+}
+
+// Instance is one start of an engine or service.
+type Instance struct {
+	Declaration
+	pool     *pool
+	inFlight atomic.Int64
+	latency  average // to the first byte of an answer
+	health   health
+	prefixes *prefixes
+	leftAt   atomic.Int64 // unix nanoseconds since when it is draining or gone; 0: it is not
+}
+
+// InFlight is how many requests of this process the instance works on.
+func (i *Instance) InFlight() int { return int(i.inFlight.Load()) }
+
+// Leaving tells whether the instance is draining or gone, and since when.
+func (i *Instance) Leaving() (since time.Time, leaving bool) {
+	at := i.leftAt.Load()
+	return time.Unix(0, at), at != 0
+}
+
+// Begin counts a request in; the returned function counts it out.
+func (i *Instance) Begin() (end func()) {
+	i.inFlight.Add(1)
+	var once sync.Once
+	return func() { once.Do(func() { i.inFlight.Add(-1) }) }
+}
+
+// ObserveFirstByte notes how long an answer took to begin.
+func (i *Instance) ObserveFirstByte(took time.Duration) { i.latency.add(took) }
+
+// Succeeded notes that the instance answered.
+func (i *Instance) Succeeded() { i.health.succeeded() }
+
+// Failed notes that the instance could not be reached or broke off. It tells
+// whether the instance was ejected for it, and for how long.
+func (i *Instance) Failed(now time.Time) (time.Duration, bool) { return i.health.failed(now) }
+
+// Remember notes that the instance has read these parts of a prompt.
+func (i *Instance) Remember(parts []PromptPart) { i.prefixes.add(parts) }
+
+// average is an exponentially weighted mean of durations.
+type average struct {
+	nanoseconds atomic.Int64
+}
+
+// averageWeight is the share of a new value, as one part in so many.
+const averageWeight = 8
+
+func (a *average) add(value time.Duration) {
+	for {
+		old := a.nanoseconds.Load()
+		next := old + (int64(value)-old)/averageWeight
+		if old == 0 {
+			next = int64(value)
+		}
+		if a.nanoseconds.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+func (a *average) value() time.Duration { return time.Duration(a.nanoseconds.Load()) }
+
+// health ejects an instance that fails several times in a row, and lets
+// requests try it again after a pause that grows.
+type health struct {
+	mutex        sync.Mutex
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+}
+
+const (
+	failuresUntilEjected = 2
+	firstEjection        = 500 * time.Millisecond
+	longestEjection      = 4 * time.Second
+)
+
+func (h *health) succeeded() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.failures, h.ejections = 0, 0
+	h.ejectedUntil = time.Time{}
+}
+
+func (h *health) failed(now time.Time) (time.Duration, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.failures++
+	if h.failures < failuresUntilEjected {
+		return 0, false
+	}
+	wait := min(firstEjection<<min(h.ejections, 8), longestEjection)
+	h.ejections++
+	h.ejectedUntil = now.Add(wait)
+	return wait, true
+}
+
+func (h *health) ejected(now time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return now.Before(h.ejectedUntil)
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,296 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/pause"
+	"github.com/thymeloft/thymeloft/internal/routetable"
+)
+
+// Bounds of the search for an instance.
+const (
+	mostOffers    = 4 // instances that a request is offered to
+	engineRecheck = 40 * time.Millisecond
+	// mostBuffered is how much of a plain answer is read before its head is
+	// passed on, so that one that breaks off can still be repeated.
+	mostBuffered = 64 << 10
+	firstRead    = 4 << 10
+)
+
+// ready is an answer whose first bytes arrived.
+type ready struct {
+	*backend.Reply
+	first []byte // bytes of the body read so far
+	whole bool   // the body ends with them
+	end   func() // counts the request out at the instance
+}
+
+// close ends the attempt; an answer not read to its end takes its connection along.
+func (r *ready) close() {
+	_ = r.Body.Close()
+	r.end()
+}
+
+// obtain finds an instance that begins to answer the request.
+func (e *execution) obtain(ctx context.Context) (*ready, error) {
+	var excluded []string
+	var last error
+	for {
+		instance, err := e.place(ctx, excluded, last)
+		if err != nil {
+			return nil, err
+		}
+		e.tries++
+		excluded = append(excluded, instance.ID)
+		reply, err := e.offer(ctx, instance)
+		if err == nil {
+			return reply, nil
+		}
+		if ctx.Err() != nil {
+			return nil, e.ended(ctx, err)
+		}
+		if !e.mayOfferAgain(err) {
+			return nil, e.exhausted(err)
+		}
+		e.gateway.Log.Info("request: offered again.",
+			zap.String("request", e.call.ID), zap.String("engine", instance.ID), zap.Int("tries", e.tries), zap.NamedError("cause", err))
+		last = err
+	}
+}
+
+// place chooses an instance; it waits while there is none at all.
+func (e *execution) place(ctx context.Context, excluded []string, last error) (*backend.Instance, error) {
+	request := &backend.Request{
+		Prefix:         e.call.Prefix,
+		Zone:           e.gateway.Zone,
+		Slots:          e.service.Slots,
+		Excluded:       excluded,
+		Random:         rand.Uint64(),
+		LeavingAllowed: e.gateway.InstanceGrace,
+	}
+	if e.service.Model {
+		request.Affinity = e.affinity()
+	}
+	for {
+		if e.remaining() < marginToRun {
+			return nil, e.ended(ctx, eris.New("no time left to run"))
+		}
+		request.Now = time.Now()
+		if chosen := backend.Choose(e.gateway.Fleet.Of(e.service.Name), request); chosen != nil {
+			return chosen, nil
+		}
+		if last != nil {
+			return nil, e.exhausted(last)
+		}
+		if time.Since(e.arrived) > e.storePatience() || !pause.For(ctx, engineRecheck) {
+			return nil, notRun(ReasonNoEngine, comeBackStore, eris.Errorf("no instance of %s", e.service.Name))
+		}
+	}
+}
+
+// affinity names what requests share their prefixes by.
+func (e *execution) affinity() string {
+	if e.call.Program != "" {
+		return e.call.Program
+	}
+	if len(e.call.Prefix) > 0 {
+		return e.call.Prefix[0].Name
+	}
+	return e.call.ID
+}
+
+// rejectedError says that an instance promised not to run the request.
+type rejectedError struct{ status int }
+
+// Error implements error.
+func (r *rejectedError) Error() string { return http.StatusText(r.status) + ", not run" }
+
+// offer sends the request to one instance.
+func (e *execution) offer(ctx context.Context, instance *backend.Instance) (*ready, error) {
+	attempt, cancel := e.attemptContext(ctx)
+	end := instance.Begin()
+	finish := func() { end(); cancel() }
+	sent := time.Now()
+	e.instance = instance
+	reply, err := instance.Exchange(attempt, e.outgoing(instance))
+	if err != nil {
+		finish()
+		e.noteFailure(instance, err)
+		return nil, err
+	}
+	answered, err := e.examine(instance, reply)
+	if err != nil {
+		_ = reply.Body.Close()
+		finish()
+		return nil, err
+	}
+	e.firstByte = time.Since(sent)
+	instance.ObserveFirstByte(e.firstByte)
+	instance.Succeeded()
+	instance.Remember(e.call.Prefix)
+	answered.end = finish
+	return answered, nil
+}
+
+// attemptContext bounds an attempt that may be repeated elsewhere, so that an
+// instance that is silent leaves time for another.
+func (e *execution) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	left := e.route.MaxAttempts - e.runs
+	if e.route.Repeat != routetable.Any || left <= 1 {
+		return context.WithCancel(ctx)
+	}
+	const targetsPerAttempt = 2
+	bound := max(e.remaining()/time.Duration(left), targetsPerAttempt*e.route.Target)
+	return context.WithTimeout(ctx, bound)
+}
+
+// outgoing is the request as the instance gets it.
+func (e *execution) outgoing(instance *backend.Instance) *backend.Outgoing {
+	header := e.request.Header.Clone()
+	dropConnectionHeaders(header)
+	e.gateway.Wire.Forward(header, Forwarded{Instance: instance.ID, Remaining: e.remaining()})
+	outgoing := &backend.Outgoing{
+		Method: e.request.Method,
+		Target: e.request.RequestURI,
+		Host:   e.request.Host,
+		Header: header,
+		Belongs: func(answer http.Header) bool {
+			return e.gateway.Wire.Answer(0, answer).ID == e.call.ID
+		},
+	}
+	if len(e.history.History) > 0 {
+		outgoing.Body = append(outgoing.Body, e.history.History)
+	}
+	if len(e.input) > 0 {
+		outgoing.Body = append(outgoing.Body, e.input)
+	}
+	return outgoing
+}
+
+// examine reads the first bytes of an answer and tells whether it is one that
+// may be passed on.
+func (e *execution) examine(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
+	answer := e.gateway.Wire.Answer(reply.Status, reply.Header)
+	if answer.NotRun {
+		if answer.Moved {
+			e.gateway.Fleet.Displace(instance)
+		}
+		_, _ = io.CopyN(io.Discard, reply.Body, mostBuffered)
+		return nil, &rejectedError{status: reply.Status}
+	}
+	e.runs++
+	if !answer.Signed && reply.Status < http.StatusMultipleChoices || reply.Header.Get("Content-Encoding") != "" {
+		return nil, &backend.LostError{Peer: instance.Address, Step: "examine answer", Err: eris.New("the answer is not the instance's own")}
+	}
+	if e.route.Streaming && reply.Status == http.StatusOK {
+		return readFirst(instance, reply)
+	}
+	return readWhole(instance, reply)
+}
+
+// readFirst waits for the first bytes of a stream.
+func readFirst(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
+	buffer := make([]byte, firstRead)
+	count, err := reply.Body.Read(buffer)
+	for count == 0 && err == nil {
+		count, err = reply.Body.Read(buffer)
+	}
+	if err != nil && err != io.EOF {
+		return nil, &backend.LostError{Peer: instance.Address, Step: "read first event", Err: err}
+	}
+	return &ready{Reply: reply, first: buffer[:count], whole: err == io.EOF}, nil
+}
+
+// readWhole reads a plain answer up to a bound.
+func readWhole(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
+	content, err := io.ReadAll(io.LimitReader(reply.Body, mostBuffered))
+	if err != nil {
+		return nil, &backend.LostError{Peer: instance.Address, Step: "read answer", Err: err}
+	}
+	return &ready{Reply: reply, first: content, whole: len(content) < mostBuffered}, nil
+}
+
+func (e *execution) noteFailure(instance *backend.Instance, err error) {
+	var lost *backend.LostError
+	if errors.As(err, &lost) {
+		e.runs++
+	}
+	if e.request.Context().Err() != nil {
+		return
+	}
+	wait, ejected := instance.Failed(time.Now())
+	if ejected {
+		e.gateway.Log.Warn("engine: ejected.", zap.String("engine", instance.ID), zap.Duration("for", wait), zap.NamedError("cause", err))
+	}
+}
+
+// mayOfferAgain tells whether the error proves that nothing ran, or the
+// request may be repeated, and the bounds allow it.
+func (e *execution) mayOfferAgain(err error) bool {
+	if e.tries >= mostOffers {
+		return false
+	}
+	var lost *backend.LostError
+	if !errors.As(err, &lost) {
+		return true
+	}
+	repeatable := e.route.Repeat == routetable.Any || e.route.Resumable
+	return repeatable && e.runs < e.route.MaxAttempts
+}
+
+// exhausted is the final answer after the last attempt.
+func (e *execution) exhausted(err error) error {
+	var rejected *rejectedError
+	var notSent *backend.NotSentError
+	switch {
+	case e.runs > 0:
+		return unknown(ReasonLost, err)
+	case errors.As(err, &rejected):
+		return notRun(ReasonEnginesFull, comeBackSoon, err)
+	case errors.As(err, &notSent):
+		return notRun(ReasonUnreachable, comeBackSoon, err)
+	default:
+		return unknown(ReasonLost, err)
+	}
+}
+
+// ended is the final answer when the time is over or the caller left.
+func (e *execution) ended(ctx context.Context, err error) error {
+	if e.request.Context().Err() != nil {
+		return &CutError{Reason: ReasonCallerLeft, Err: err}
+	}
+	if e.runs == 0 {
+		var lost *backend.LostError
+		if !errors.As(err, &lost) {
+			return notRun(ReasonDeadline, 0, err)
+		}
+	}
+	return unknown(ReasonDeadline, err)
+}
+
+// dropConnectionHeaders removes what concerns one connection only.
+func dropConnectionHeaders(header http.Header) {
+	for _, named := range header["Connection"] {
+		for name := range strings.SplitSeq(named, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,74 @@
+package gateway
+
+import "bytes"
+
+// eventReader follows an event stream that is relayed: it counts events and
+// collects their data, each followed by a line feed.
+type eventReader struct {
+	collect bool
+	line    []byte
+	data    []byte // of the event under way
+	started bool   // the event under way has data
+	count   int
+	output  []byte
+}
+
+var dataField = []byte("data:")
+
+// write takes the next bytes of the stream in.
+func (e *eventReader) write(chunk []byte) {
+	for len(chunk) > 0 {
+		end := bytes.IndexByte(chunk, '\n')
+		if end < 0 {
+			e.line = append(e.line, chunk...)
+			return
+		}
+		e.line = append(e.line, chunk[:end]...)
+		e.endLine()
+		chunk = chunk[end+1:]
+	}
+}
+
+func (e *eventReader) endLine() {
+	line := bytes.TrimSuffix(e.line, []byte("\r"))
+	e.line = e.line[:0]
+	if len(line) == 0 {
+		e.endEvent()
+		return
+	}
+	value, isData := bytes.CutPrefix(line, dataField)
+	if !isData {
+		return
+	}
+	if e.collect {
+		if e.started {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(e.data, bytes.TrimPrefix(value, []byte(" "))...)
+	}
+	e.started = true
+}
+
+func (e *eventReader) endEvent() {
+	if !e.started {
+		return
+	}
+	e.count++
+	if e.collect {
+		e.output = append(e.output, e.data...)
+		e.output = append(e.output, '\n')
+	}
+	e.data = e.data[:0]
+	e.started = false
+}
+
+// partial tells whether an event was begun and not ended.
+func (e *eventReader) partial() bool { return e.started || len(e.line) > 0 }
+
+// begun counts events, also one that was begun.
+func (e *eventReader) begun() int {
+	if e.partial() {
+		return e.count + 1
+	}
+	return e.count
+}
--- /dev/null
+++ b/internal/gateway/execution.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/budget"
+	"github.com/thymeloft/thymeloft/internal/routetable"
+	"github.com/thymeloft/thymeloft/internal/turn"
+)
+
+// execution is one request's way through the gateway.
+type execution struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+
+	table       *routetable.Table
+	route       *routetable.Route
+	service     *routetable.Service
+	call        Call
+	input       []byte
+	history     turn.Record
+	reservation *budget.Reservation
+
+	instance  *backend.Instance
+	tries     int // instances that the request was offered to
+	runs      int // those that may have begun to run it
+	firstByte time.Duration
+	waited    time.Duration // for the store
+	headSent  bool
+	status    int
+	events    eventReader
+}
+
+// When callers are asked to come back.
+const (
+	comeBackSoon  = 100 * time.Millisecond
+	comeBackStore = 400 * time.Millisecond
+	// marginToRun is the least time left for which a request is still sent.
+	marginToRun = 30 * time.Millisecond
+	// marginToTell is kept so that a final answer arrives within a caller's patience.
+	marginToTell = 250 * time.Millisecond
+)
+
+// serve runs the steps; each returns *Refusal or *CutError when it fails.
+func (e *execution) serve() error {
+	if err := e.admit(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(e.request.Context(), e.arrived.Add(e.allowed()))
+	defer cancel()
+	if err := e.prepare(ctx); err != nil {
+		return err
+	}
+	if e.reservation != nil {
+		defer e.settle()
+	}
+	reply, err := e.obtain(ctx)
+	if err != nil {
+		return err
+	}
+	defer reply.close()
+	return e.relay(ctx, reply)
+}
+
+// admit finds the route and reads the request.
+func (e *execution) admit() error {
+	var err error
+	e.call, err = e.gateway.Wire.Call(e.request.Header)
+	e.table = e.gateway.Routes.Current()
+	if e.table == nil {
+		return notRun(ReasonNoConfiguration, comeBackStore, eris.New("no configuration was read yet"))
+	}
+	route, found := e.table.Find(e.request.Host, e.request.URL.Path)
+	if !found {
+		return &Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute, Err: eris.New("no route for host and path")}
+	}
+	e.route = route
+	if err != nil {
+		return &Refusal{Status: http.StatusBadRequest, Reason: ReasonMalformed, Err: err}
+	}
+	e.service = e.table.Service(route.NextService())
+	e.events.collect = route.Recorded
+	return e.readInput()
+}
+
+// readInput reads the whole body: it is sent on only when it is complete.
+func (e *execution) readInput() error {
+	body := e.request.Body
+	if limit := int64(e.table.Limits.BodyBytes); limit > 0 {
+		if e.request.ContentLength > limit {
+			return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: eris.New("body over the limit")}
+		}
+		body = http.MaxBytesReader(e.writer, body, limit)
+	}
+	input, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: err}
+	}
+	if err != nil {
+		return &CutError{Reason: ReasonCallerLeft, Err: eris.Wrap(err, "read request")}
+	}
+	e.input = input
+	return nil
+}
+
+// allowed is how long the request may take from its arrival.
+func (e *execution) allowed() time.Duration {
+	allowed := e.route.Timeout
+	if e.call.Deadline > 0 && (allowed <= 0 || e.call.Deadline < allowed) {
+		allowed = e.call.Deadline
+	}
+	if allowed <= 0 {
+		const unlimited = time.Hour
+		allowed = unlimited
+	}
+	return allowed
+}
+
+func (e *execution) remaining() time.Duration { return e.allowed() - time.Since(e.arrived) }
+
+// prepare gets what the turn needs of the store before it may run: its
+// history, and a reservation of its program's budget.
+func (e *execution) prepare(ctx context.Context) error {
+	wait, cancel := context.WithTimeout(ctx, e.storePatience())
+	defer cancel()
+	start := time.Now()
+	defer func() {
+		if waited := time.Since(start); waited > time.Millisecond {
+			e.waited = waited
+		}
+	}()
+	if e.route.Recorded {
+		// A turn that cannot be recorded is not begun.
+		if err := e.gateway.Availability.Wait(wait); err != nil {
+			return e.unprepared(ctx, eris.Wrap(err, "wait for the store"))
+		}
+	}
+	if err := e.loadHistory(wait); err != nil {
+		return e.unprepared(ctx, err)
+	}
+	if err := e.reserve(wait); err != nil {
+		return e.unprepared(ctx, err)
+	}
+	return nil
+}
+
+// storePatience is how long a request may wait for the store before it runs.
+func (e *execution) storePatience() time.Duration {
+	patience := e.remaining() - marginToTell
+	if e.route.Streaming && e.route.Patience > 0 {
+		patience = min(patience, e.route.Patience-marginToTell)
+	}
+	return max(patience, 0)
+}
+
+func (e *execution) loadHistory(ctx context.Context) error {
+	if !e.route.Recorded || e.call.Previous == "" {
+		return nil
+	}
+	history, err := e.gateway.Turns.Load(ctx, e.call.Previous)
+	e.history = history
+	return err
+}
+
+func (e *execution) reserve(ctx context.Context) error {
+	if e.call.Program == "" || e.call.Budget <= 0 || e.call.MostTokens <= 0 {
+		return nil
+	}
+	reservation, err := e.gateway.Budgets.Reserve(ctx, e.call.Program, e.call.Budget, e.call.MostTokens)
+	e.reservation = reservation
+	return err
+}
+
+// settle gives back what the turn did not generate.
+func (e *execution) settle() {
+	e.reservation.Settle(int64(e.events.begun() * e.service.TokensPerEvent))
+}
+
+// unprepared turns an error before the request was sent into a final answer.
+func (e *execution) unprepared(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(err, turn.ErrNotFound):
+		return &Refusal{Status: http.StatusNotFound, Reason: ReasonUnknownTurn, Err: err}
+	case errors.Is(err, turn.ErrUnsure):
+		return notRun(ReasonUnsureTurn, comeBackStore, err)
+	case errors.Is(err, budget.ErrSpent):
+		return &Refusal{Status: http.StatusPaymentRequired, Reason: ReasonBudget, Err: err}
+	case e.request.Context().Err() != nil:
+		return &CutError{Reason: ReasonCallerLeft, Err: err}
+	case ctx.Err() != nil:
+		return notRun(ReasonDeadline, 0, err)
+	default:
+		return notRun(ReasonStore, comeBackStore, err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts requests by outcome and times their steps.
+type Metrics struct {
+	underWay prometheus.Gauge
+	requests *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+	record   *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics of a gateway.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	buckets := []float64{0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8}
+	metrics := &Metrics{
+		underWay: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "thymeloft_requests_under_way", Help: "Requests that are being served.",
+		}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "thymeloft_requests_total", Help: "Requests by status and reason.",
+		}, []string{"status", "reason"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "thymeloft_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: buckets,
+		}, []string{"reason"}),
+		record: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "thymeloft_record_seconds", Help: "Time to record a turn.", Buckets: buckets,
+		}, []string{"result"}),
+	}
+	registry.MustRegister(metrics.underWay, metrics.requests, metrics.duration, metrics.record)
+	return metrics
+}
+
+func (m *Metrics) ended(_ string, status int, reason Reason, took time.Duration) {
+	m.requests.WithLabelValues(strconv.Itoa(status), string(reason)).Inc()
+	m.duration.WithLabelValues(string(reason)).Observe(took.Seconds())
+}
+
+func (m *Metrics) recorded(took time.Duration, err error) {
+	result := "done"
+	if err != nil {
+		result = "failed"
+	}
+	m.record.WithLabelValues(result).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,222 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/budget"
+	"github.com/thymeloft/thymeloft/internal/gateway"
+	"github.com/thymeloft/thymeloft/internal/pause"
+	"github.com/thymeloft/thymeloft/internal/routetable"
+	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/turn"
+	"github.com/thymeloft/thymeloft/internal/watch"
+)
+
+// Options are what a Server is made of.
+type Options struct {
+	Settings  Settings
+	Store     state.Store
+	Wire      gateway.Wire
+	Rows      Rows
+	ReadyPath string
+	Log       *zap.Logger
+	Registry  *prometheus.Registry
+}
+
+// Server is one process that serves callers.
+type Server struct {
+	Options
+	routes    *routetable.Holder
+	fleet     *backend.Fleet
+	front     *front
+	metrics   *gateway.Metrics
+	stopping  atomic.Bool
+	fleetRead atomic.Bool
+	underWay  atomic.Int64
+}
+
+// How much is kept in memory.
+const (
+	turnsCached     = 2048
+	turnsCachedFor  = 90 * time.Second
+	programsKept    = 8192
+	programsKeptFor = 3 * time.Minute
+)
+
+// How the store's tables are followed.
+const (
+	configurationWait = 1500 * time.Millisecond
+	instancesWait     = 1500 * time.Millisecond
+	instancesPause    = 300 * time.Millisecond
+)
+
+// New makes a server.
+func New(options Options) *Server {
+	return &Server{
+		Options: options,
+		routes:  &routetable.Holder{},
+		fleet:   backend.NewFleet(time.Now),
+		metrics: gateway.NewMetrics(options.Registry),
+	}
+}
+
+// Run serves until the context ends, and then until a planned stop is over.
+func (s *Server) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", s.Settings.Listen.Callers)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	s.front = newFront(callers, s.handler(), zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.follow(background)
+	for _, endpoint := range s.endpoints() {
+		if err := endpoint.serve(background); err != nil {
+			return err
+		}
+	}
+	s.Log.Info("server: started.", zap.String("machine", s.Settings.Machine), zap.String("zone", s.Settings.Zone),
+		zap.String("callers", callers.Addr().String()), zap.String("store", s.Settings.Store.Address))
+	<-ctx.Done()
+	return s.stop()
+}
+
+// handler counts requests under way around the gateway.
+func (s *Server) handler() http.Handler {
+	availability := state.NewAvailability(time.Now, s.noteStore)
+	store := state.NewPersistent(s.Store, availability)
+	s.Store = store
+	served := gateway.New(gateway.Options{
+		Zone:   s.Settings.Zone,
+		Wire:   s.Wire,
+		Routes: s.routes,
+		Fleet:  s.fleet,
+		Turns: turn.NewRecords(turn.Options{
+			Store: store, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
+		}),
+		Budgets:       budget.NewLedger(store, programsKept, programsKeptFor),
+		Availability:  availability,
+		Log:           s.Log,
+		Metrics:       s.metrics,
+		InstanceGrace: s.instanceGrace(),
+	})
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		s.underWay.Add(1)
+		defer s.underWay.Add(-1)
+		served.ServeHTTP(writer, request)
+	})
+}
+
+// instanceGrace leaves a margin before an instance that left must get nothing.
+func (s *Server) instanceGrace() time.Duration {
+	const margin = 2
+	return s.Settings.drain() / margin
+}
+
+func (s *Server) noteStore(available bool, lasted time.Duration) {
+	if available {
+		s.Log.Info("store: answers again.", zap.Duration("after", lasted))
+		return
+	}
+	s.Log.Warn("store: does not answer.")
+}
+
+// follow keeps configuration and instances up to date.
+func (s *Server) follow(ctx context.Context) {
+	configuration := &configurationFollower{
+		rows: s.Rows, holder: s.routes, log: s.Log,
+		onChange: func(table *routetable.Table) { s.front.Limit(table.Limits) },
+	}
+	instances := &instanceFollower{
+		rows: s.Rows, fleet: s.fleet, log: s.Log,
+		keep:   s.Settings.grace(),
+		onRead: func() { s.fleetRead.Store(true) },
+	}
+	go watch.Run(ctx, watch.Options{
+		Store: s.Store, Table: s.Rows.ConfigurationKey().Table, Wait: configurationWait, Log: s.Log,
+	}, configuration)
+	go watch.Run(ctx, watch.Options{
+		Store: s.Store, Table: s.Rows.InstancesTable(), Wait: instancesWait, Pause: instancesPause, Log: s.Log,
+	}, instances)
+}
+
+// ready tells whether callers should be sent here.
+func (s *Server) ready() bool {
+	return !s.stopping.Load() && s.fleetRead.Load() && s.routes.Current() != nil
+}
+
+// endpoint is a small listener beside the callers'.
+type endpoint struct {
+	name    string
+	address string
+	handler http.Handler
+}
+
+func (s *Server) endpoints() []endpoint {
+	readiness := http.NewServeMux()
+	readiness.HandleFunc(s.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
+		if !s.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	endpoints := []endpoint{{"ready", s.Settings.Listen.Ready, readiness}}
+	if s.Settings.Listen.Metrics != "" {
+		metrics := http.NewServeMux()
+		metrics.Handle("/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
+		endpoints = append(endpoints, endpoint{"metrics", s.Settings.Listen.Metrics, metrics})
+	}
+	return endpoints
+}
+
+func (e endpoint) serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for %s", e.name)
+	}
+	const headerTimeout = 3 * time.Second
+	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return nil
+}
+
+// The course of a planned stop.
+const (
+	// noticed is how long it takes until callers are no longer sent here.
+	noticed = 2500 * time.Millisecond
+	// endMargin is kept before the end by force.
+	endMargin = 500 * time.Millisecond
+	recheck   = 50 * time.Millisecond
+)
+
+// stop tells that this process is not ready, answers what still comes, and
+// returns when nothing is under way.
+func (s *Server) stop() error {
+	start := time.Now()
+	s.stopping.Store(true)
+	s.Log.Info("server: stopping.", zap.Int64("underWay", s.underWay.Load()))
+	s.front.CloseIdle()
+	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.grace()-endMargin)
+	defer cancel()
+	pause.For(ctx, noticed)
+	for s.underWay.Load() > 0 && ctx.Err() == nil && time.Since(start) < s.Settings.grace()/2 {
+		pause.For(ctx, recheck)
+	}
+	err := s.front.Stop(ctx)
+	s.Log.Info("server: stopped.", zap.Duration("took", time.Since(start)), zap.Int64("cut", s.underWay.Load()))
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/server/settings.go
@@ -0,0 +1,96 @@
+// Package server is the process of a gateway: its settings, listeners,
+// readiness, what it follows in the store, its planned stop, logs and metrics.
+package server
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+)
+
+// Settings are what one process is told by its file.
+type Settings struct {
+	Machine string `yaml:"machine"`
+	Zone    string `yaml:"zone"`
+	Listen  Listen `yaml:"listen"`
+	Store   Store  `yaml:"store"`
+	// Grace is the time from a planned stop to the end by force, in seconds.
+	GraceSeconds float64 `yaml:"grace_seconds"`
+	// HeartbeatMillis is how often an instance renews its entry in the store.
+	HeartbeatMillis float64 `yaml:"heartbeat_millis"`
+	// DrainMillis is how long after its entry changed an instance may get work.
+	DrainMillis float64 `yaml:"drain_millis"`
+	MemoryMB    int     `yaml:"memory_mb"`
+	// LogSuccessesPerSecond bounds the lines about requests that went well; 0: no bound.
+	LogSuccessesPerSecond int `yaml:"log_successes_per_second"`
+}
+
+// Listen holds the addresses on which a process is called.
+type Listen struct {
+	Callers string `yaml:"callers"`
+	Ready   string `yaml:"ready"`
+	Metrics string `yaml:"metrics"` // empty: none
+}
+
+// Store tells where the store is and what it takes.
+type Store struct {
+	Address  string `yaml:"address"`
+	RowBytes int    `yaml:"row_bytes"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read settings")
+	}
+	return parse(path, content)
+}
+
+func parse(path string, content []byte) (Settings, error) {
+	var settings Settings
+	if err := yaml.UnmarshalWithOptions(content, &settings, yaml.Strict()); err != nil {
+		return Settings{}, eris.Errorf("settings %s: %s", path, yaml.FormatError(err, false, true))
+	}
+	if err := settings.check(); err != nil {
+		return Settings{}, eris.Errorf("settings %s: %v", path, err)
+	}
+	return settings, nil
+}
+
+// check lists all that is wrong at once.
+func (s *Settings) check() error {
+	var faults []error
+	demand := func(holds bool, fault string) {
+		if !holds {
+			faults = append(faults, errors.New(fault))
+		}
+	}
+	demand(s.Machine != "", "machine: missing")
+	demand(s.Zone != "", "zone: missing")
+	demand(s.Listen.Callers != "", "listen.callers: missing, expected IP:PORT")
+	demand(s.Listen.Ready != "", "listen.ready: missing, expected IP:PORT")
+	demand(s.Store.Address != "", "store.address: missing, expected IP:PORT")
+	demand(s.Store.RowBytes > 0, "store.row_bytes: expected a number above 0")
+	demand(s.GraceSeconds > 0, "grace_seconds: expected a number above 0")
+	demand(s.HeartbeatMillis > 0, "heartbeat_millis: expected a number above 0")
+	demand(s.DrainMillis > 0, "drain_millis: expected a number above 0")
+	demand(s.MemoryMB >= 0, "memory_mb: expected a number, 0 or above")
+	demand(s.LogSuccessesPerSecond >= 0, "log_successes_per_second: expected a number, 0 or above")
+	return errors.Join(faults...)
+}
+
+func (s *Settings) grace() time.Duration {
+	return time.Duration(s.GraceSeconds * float64(time.Second))
+}
+
+func (s *Settings) heartbeat() time.Duration {
+	return time.Duration(s.HeartbeatMillis * float64(time.Millisecond))
+}
+
+func (s *Settings) drain() time.Duration {
+	return time.Duration(s.DrainMillis * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/turn/turn.go
@@ -0,0 +1,185 @@
+// Package turn keeps the turns of conversations whose history the system
+// holds: each turn that was answered whole, with the history up to its end,
+// found by its identifier alone. A turn may be gone on from by several others.
+//
+// Guarantee: a turn whose Save returned nil is found by Load at every process
+// until its retention is over, whatever processes are lost.
+package turn
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/golang-lru/v2/expirable"
+	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+// Errors of Load.
+var (
+	// ErrNotFound says that there is no such turn.
+	ErrNotFound = errors.New("no such turn")
+	// ErrUnsure says that the store could not tell for certain.
+	ErrUnsure = errors.New("it is not certain whether the turn exists")
+	// ErrTooLarge says that a history is larger than one commit can hold.
+	ErrTooLarge = errors.New("the history is too large to be kept")
+)
+
+// Record is one finished turn.
+type Record struct {
+	History []byte `cbor:"h"` // inputs and outputs of the chain, up to the end of this turn
+	Engine  string `cbor:"e"` // the instance that ran it; a hint where its prefix lies
+}
+
+const (
+	table          = "turns"
+	partitions     = 256
+	maxRowsPerTurn = 11 // a commit holds 1 MB of base64 text
+	separator      = "/"
+	afterSeparator = "0" // the byte after the separator: the end of a turn's rows
+)
+
+// Options of a Records.
+type Options struct {
+	Store        state.Store
+	RowBytes     int           // most bytes of a value
+	CacheEntries int           // recent turns kept in memory
+	CacheFor     time.Duration // how long
+}
+
+// Records loads and saves turns. It is safe for concurrent use.
+type Records struct {
+	options Options
+	cache   *expirable.LRU[string, Record]
+}
+
+// NewRecords makes the repository.
+func NewRecords(options Options) *Records {
+	return &Records{
+		options: options,
+		cache:   expirable.NewLRU[string, Record](options.CacheEntries, nil, options.CacheFor),
+	}
+}
+
+// Cached tells whether Load needs no store.
+func (r *Records) Cached(identifier string) bool { return r.cache.Contains(identifier) }
+
+// Load returns a turn that was saved by any process.
+func (r *Records) Load(ctx context.Context, identifier string) (Record, error) {
+	if record, cached := r.cache.Get(identifier); cached {
+		return record, nil
+	}
+	page, err := r.options.Store.Read(ctx, state.Range{
+		Table:     table,
+		Partition: partitionOf(identifier),
+		From:      identifier,
+		To:        identifier + afterSeparator,
+	})
+	if err != nil {
+		return Record{}, eris.Wrap(err, "read turn")
+	}
+	record, err := decode(identifier, page.Rows)
+	if errors.Is(err, ErrNotFound) {
+		return Record{}, r.confirmAbsence(ctx, identifier)
+	}
+	if err != nil {
+		return Record{}, err
+	}
+	r.remember(identifier, record)
+	return record, nil
+}
+
+// confirmAbsence is ErrNotFound if a condition proves that the turn is not
+// there: readings may be behind, conditions never are.
+func (r *Records) confirmAbsence(ctx context.Context, identifier string) error {
+	key := state.Key{Table: table, Partition: partitionOf(identifier), Name: identifier}
+	_, err := r.options.Store.Commit(ctx, state.Commit{Conditions: []state.Condition{{Key: key}}})
+	var conflict *state.ConflictError
+	switch {
+	case err == nil:
+		return ErrNotFound
+	case errors.As(err, &conflict):
+		return ErrUnsure
+	default:
+		return eris.Wrap(err, "confirm that the turn is absent")
+	}
+}
+
+// Save commits a turn. It may be called again with the same turn after any
+// error, since the rows are the same.
+func (r *Records) Save(ctx context.Context, identifier string, record Record) error {
+	puts, err := encode(identifier, record, r.options.RowBytes)
+	if err != nil {
+		return err
+	}
+	if _, err := r.options.Store.Commit(ctx, state.Commit{Puts: puts}); err != nil {
+		return eris.Wrap(err, "save turn")
+	}
+	r.remember(identifier, record)
+	return nil
+}
+
+// remember caches turns that are small enough to be worth it.
+func (r *Records) remember(identifier string, record Record) {
+	const largestCached = 1 << 17
+	if len(record.History) <= largestCached {
+		r.cache.Add(identifier, record)
+	}
+}
+
+// encode cuts a record into rows: NAME, NAME/1, NAME/2 and so on.
+func encode(identifier string, record Record, rowBytes int) ([]state.Put, error) {
+	value, err := cbor.Marshal(record)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode turn")
+	}
+	partition := partitionOf(identifier)
+	var puts []state.Put
+	for piece := range slices.Chunk(value, rowBytes) {
+		name := identifier
+		if len(puts) > 0 {
+			name += separator + strconv.Itoa(len(puts))
+		}
+		puts = append(puts, state.Put{Key: state.Key{Table: table, Partition: partition, Name: name}, Value: piece})
+	}
+	if len(puts) > maxRowsPerTurn {
+		return nil, eris.Wrapf(ErrTooLarge, "encode turn of %d bytes", len(value))
+	}
+	return puts, nil
+}
+
+// decode joins the rows of a record.
+func decode(identifier string, rows []state.Row) (Record, error) {
+	pieces := make(map[string][]byte, len(rows))
+	for _, row := range rows {
+		pieces[row.Key.Name] = row.Value
+	}
+	value, found := pieces[identifier]
+	if !found {
+		return Record{}, ErrNotFound
+	}
+	for number := 1; ; number++ {
+		piece, more := pieces[identifier+separator+strconv.Itoa(number)]
+		if !more {
+			break
+		}
+		value = append(slices.Clip(value), piece...)
+	}
+	var record Record
+	if err := cbor.Unmarshal(value, &record); err != nil {
+		return Record{}, eris.Wrap(err, "decode turn")
+	}
+	return record, nil
+}
+
+// partitionOf spreads turns over the partitions, since the store commits
+// within one partition in turn.
+func partitionOf(identifier string) string {
+	return strconv.FormatUint(xxhash.Sum64String(identifier)%partitions, 16)
+}
