Test the store port, budgets, turns and watches on a stand-in

Cause: the new packages had no tests of their own. A random play of processes that die shows that a budget is never exceeded.

--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,152 @@
+package budget
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+func TestBudget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "budget")
+}
+
+func newLedger(store state.Store) *Ledger { return NewLedger(store, 64, time.Hour) }
+
+var _ = Describe("Ledger", func() {
+	var store *memorystore.Store
+
+	BeforeEach(func() { store = memorystore.New() })
+
+	It("grants a slice once and spends it without the store", func(ctx SpecContext) {
+		ledger := newLedger(store)
+		for range 3 {
+			reservation, err := ledger.Reserve(ctx, "p", 1300, 288)
+			Expect(err).NotTo(HaveOccurred())
+			reservation.Settle(72)
+		}
+		Expect(store.Calls("commit")).To(Equal(1))
+	})
+
+	It("leaves enough to other processes, though none gives back what it holds", func(ctx SpecContext) {
+		for process := range 3 {
+			_, err := newLedger(store).Reserve(ctx, "p", 1300, 288)
+			Expect(err).NotTo(HaveOccurred(), "process %d", process)
+		}
+	})
+
+	It("never grants more than the budget, and says what decided", func(ctx SpecContext) {
+		first, second := newLedger(store), newLedger(store)
+		_, err := first.Reserve(ctx, "p", 576, 288)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = second.Reserve(ctx, "p", 576, 288)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = second.Reserve(expired(ctx), "p", 576, 288)
+		Expect(err).To(MatchError(ErrSpent))
+		_, err = newLedger(store).Reserve(ctx, "p", 576, 288)
+		var spent *SpentError
+		Expect(err).To(BeAssignableToTypeOf(spent))
+		Expect(err.Error()).To(ContainSubstring("576 of 576 tokens granted, 288 more needed"))
+	})
+
+	It("waits for turns under way here before it says that the budget is spent", func(ctx SpecContext) {
+		ledger := newLedger(store)
+		running, err := ledger.Reserve(ctx, "p", 288, 288)
+		Expect(err).NotTo(HaveOccurred())
+		next := make(chan error, 1)
+		go func() {
+			_, err := ledger.Reserve(ctx, "p", 288, 200)
+			next <- err
+		}()
+		Consistently(next, "50ms").ShouldNot(Receive())
+		running.Settle(10)
+		Eventually(next).Should(Receive(BeNil()))
+	})
+
+	It("recognizes its own grant that was done without an answer", func(ctx SpecContext) {
+		calls := 0
+		store.Misbehave(func(memorystore.Call) memorystore.Fault {
+			calls++
+			if calls == 1 {
+				return memorystore.Lost
+			}
+			return memorystore.None
+		})
+		persistent := state.NewPersistent(store, state.NewAvailability(time.Now, func(bool, time.Duration) {}))
+		_, err := newLedger(persistent).Reserve(ctx, "p", 576, 288)
+		Expect(err).NotTo(HaveOccurred())
+		store.Misbehave(nil)
+		_, err = newLedger(store).Reserve(ctx, "p", 576, 288)
+		Expect(err).NotTo(HaveOccurred(), "the repeated grant was counted once")
+	})
+})
+
+func expired(ctx context.Context) context.Context {
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	return ended
+}
+
+// TestNeverExceeded plays processes that reserve, settle, die and start again
+// on a store that refuses, loses answers and does commits late. Whatever they
+// generated stays within the budget.
+func TestNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		generated, total := play(t)
+		if generated > total {
+			t.Fatalf("%d tokens generated of a budget of %d", generated, total)
+		}
+	})
+}
+
+const most = 100
+
+type running struct{ reservation *Reservation }
+
+// play returns what was generated and the budget.
+func play(t *rapid.T) (generated, total int64) {
+	store := memorystore.New()
+	total = rapid.Int64Range(most, 20*most).Draw(t, "total")
+	ledgers := []*Ledger{newLedger(store), newLedger(store), newLedger(store)}
+	turns := make([][]running, len(ledgers))
+	faults := []memorystore.Fault{memorystore.None, memorystore.None, memorystore.Refused, memorystore.Lost, memorystore.Late}
+	steps := rapid.IntRange(1, 60).Draw(t, "steps")
+	for step := range steps {
+		process := rapid.IntRange(0, len(ledgers)-1).Draw(t, fmt.Sprintf("process %d", step))
+		fault := rapid.SampledFrom(faults).Draw(t, fmt.Sprintf("fault %d", step))
+		store.Misbehave(func(memorystore.Call) memorystore.Fault { return fault })
+		switch rapid.IntRange(0, 3).Draw(t, fmt.Sprintf("action %d", step)) {
+		case 0, 1:
+			ended, cancel := context.WithCancel(context.Background())
+			cancel() // never wait for turns under way
+			if reservation, err := ledgers[process].Reserve(ended, "p", total, most); err == nil {
+				turns[process] = append(turns[process], running{reservation})
+			}
+		case 2:
+			for _, turn := range turns[process] {
+				tokens := rapid.Int64Range(0, most).Draw(t, "tokens")
+				generated += tokens
+				turn.reservation.Settle(tokens)
+			}
+			turns[process] = nil
+		case 3: // the process dies; what it had running was handed out whole
+			generated += most * int64(len(turns[process]))
+			turns[process] = nil
+			ledgers[process] = newLedger(store)
+			store.Release()
+		}
+	}
+	for _, left := range turns {
+		generated += most * int64(len(left))
+	}
+	return generated, total
+}
--- /dev/null
+++ b/internal/turn/turn_test.go
@@ -0,0 +1,98 @@
+package turn_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/turn"
+)
+
+func TestTurn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "turn")
+}
+
+const rowBytes = 100
+
+func newRecords(store state.Store) *turn.Records {
+	return turn.NewRecords(turn.Options{Store: store, RowBytes: rowBytes, CacheEntries: 8, CacheFor: time.Hour})
+}
+
+var _ = Describe("Records", func() {
+	var store *memorystore.Store
+
+	BeforeEach(func() { store = memorystore.New() })
+
+	DescribeTable("keeps a history of any size that a commit holds, for every process", func(ctx SpecContext, size int) {
+		saved := turn.Record{History: bytes.Repeat([]byte("abc"), size/3), Engine: "e"}
+		Expect(newRecords(store).Save(ctx, "t1", saved)).To(Succeed())
+		loaded, err := newRecords(store).Load(ctx, "t1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded).To(Equal(saved))
+		Expect(store.Calls("commit")).To(Equal(1))
+		Expect(store.Calls("read")).To(Equal(1))
+	},
+		Entry("one row", 30),
+		Entry("as many rows as allowed", 1000),
+	)
+
+	It("keeps turns apart whose identifiers begin alike", func(ctx SpecContext) {
+		Expect(newRecords(store).Save(ctx, "t1", turn.Record{History: []byte("long enough for one row")})).To(Succeed())
+		Expect(newRecords(store).Save(ctx, "t10", turn.Record{History: []byte("another")})).To(Succeed())
+		loaded, err := newRecords(store).Load(ctx, "t1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(loaded.History)).To(Equal("long enough for one row"))
+	})
+
+	It("needs no call for a turn that ended here", func(ctx SpecContext) {
+		records := newRecords(store)
+		Expect(records.Save(ctx, "t1", turn.Record{History: []byte("x")})).To(Succeed())
+		Expect(records.Cached("t1")).To(BeTrue())
+		_, err := records.Load(ctx, "t1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Calls("read")).To(BeZero())
+	})
+
+	It("says that there is no such turn when a condition proves it", func(ctx SpecContext) {
+		_, err := newRecords(store).Load(ctx, "t1")
+		Expect(err).To(MatchError(turn.ErrNotFound))
+	})
+
+	It("is not sure when a reading is behind", func(ctx SpecContext) {
+		Expect(newRecords(store).Save(ctx, "t1", turn.Record{History: []byte("x")})).To(Succeed())
+		store.AnswerReadings(&state.Page{})
+		_, err := newRecords(store).Load(ctx, "t1")
+		Expect(err).To(MatchError(turn.ErrUnsure))
+	})
+
+	It("does not take a store without an answer for an absent turn", func(ctx SpecContext) {
+		store.Misbehave(func(call memorystore.Call) memorystore.Fault {
+			if call.Name == "commit" {
+				return memorystore.Refused
+			}
+			return memorystore.None
+		})
+		_, err := newRecords(store).Load(ctx, "t1")
+		Expect(err).To(MatchError(state.ErrNotDone))
+		Expect(err).NotTo(MatchError(turn.ErrNotFound))
+	})
+
+	It("may be saved again after a lost answer", func(ctx SpecContext) {
+		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Lost })
+		records := newRecords(store)
+		Expect(records.Save(ctx, "t1", turn.Record{History: []byte("x")})).To(MatchError(state.ErrUnknown))
+		store.Misbehave(nil)
+		Expect(records.Save(ctx, "t1", turn.Record{History: []byte("x")})).To(Succeed())
+	})
+
+	It("refuses a history that no commit holds", func(ctx SpecContext) {
+		err := newRecords(store).Save(ctx, "t1", turn.Record{History: make([]byte, 100*rowBytes)})
+		Expect(err).To(MatchError(turn.ErrTooLarge))
+	})
+})
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,126 @@
+package watch_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/watch"
+)
+
+func TestWatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "watch")
+}
+
+// follower keeps the newest rows and counts readings.
+type follower struct {
+	mutex    sync.Mutex
+	rows     map[string]string
+	readings int
+	versions []state.Version
+}
+
+func (f *follower) Replace(rows []state.Row, version state.Version) {
+	f.mutex.Lock()
+	f.rows = map[string]string{}
+	f.readings++
+	f.versions = append(f.versions, version)
+	f.mutex.Unlock()
+	f.Change(rows)
+}
+
+func (f *follower) Change(rows []state.Row) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, row := range rows {
+		if row.Removed {
+			delete(f.rows, row.Key.Name)
+			continue
+		}
+		f.rows[row.Key.Name] = string(row.Value)
+	}
+}
+
+func (f *follower) seen() map[string]string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	seen := map[string]string{}
+	for name, value := range f.rows {
+		seen[name] = value
+	}
+	return seen
+}
+
+func (f *follower) readingCount() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.readings
+}
+
+var _ = Describe("Run", func() {
+	var store *memorystore.Store
+	var followed *follower
+
+	write := func(ctx context.Context, name, value string) {
+		GinkgoHelper()
+		key := state.Key{Table: "t", Name: name}
+		_, err := store.Commit(ctx, state.Commit{Puts: []state.Put{{Key: key, Value: []byte(value)}}})
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	BeforeEach(func(ctx SpecContext) {
+		store = memorystore.New()
+		followed = &follower{}
+		write(ctx, "a", "1")
+		running, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			watch.Run(running, watch.Options{Store: store, Table: "t", Wait: 20 * time.Millisecond, Log: zap.NewNop()}, followed)
+		}()
+		DeferCleanup(func() { cancel(); <-done })
+		Eventually(followed.seen).Should(Equal(map[string]string{"a": "1"}))
+	})
+
+	It("hears changes and removals", func(ctx SpecContext) {
+		write(ctx, "b", "2")
+		Eventually(followed.seen).Should(Equal(map[string]string{"a": "1", "b": "2"}))
+		_, err := store.Commit(ctx, state.Commit{Removals: []state.Key{{Table: "t", Name: "a"}}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(followed.seen).Should(Equal(map[string]string{"b": "2"}))
+		Expect(followed.readingCount()).To(Equal(1))
+	})
+
+	It("reads again when the history is lost, and takes no reading that is behind", func(ctx SpecContext) {
+		write(ctx, "b", "2")
+		Eventually(followed.seen).Should(HaveKey("b"))
+		store.AnswerReadings(&state.Page{Version: 1, Rows: []state.Row{{Key: state.Key{Table: "t", Name: "a"}, Value: []byte("0"), Version: 1}}})
+		write(ctx, "other table", "")
+		store.ForgetHistory()
+		write(ctx, "c", "3")
+		store.ForgetHistory()
+		before := store.Calls("read")
+		Eventually(func() int { return store.Calls("read") }).Should(BeNumerically(">", before))
+		Expect(followed.seen()).To(HaveKeyWithValue("a", "1"))
+		store.AnswerReadings(nil)
+		Eventually(followed.seen).Should(HaveKeyWithValue("c", "3"))
+	})
+
+	It("goes on after the store was down", func(ctx SpecContext) {
+		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
+		before := store.Calls("feed")
+		Eventually(func() int { return store.Calls("feed") }).Should(BeNumerically(">", before+1))
+		store.Misbehave(nil)
+		write(ctx, "b", "2")
+		Eventually(followed.seen).Should(HaveKeyWithValue("b", "2"))
+	})
+})
