--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,151 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBackend(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "backend")
+}
+
+var start = time.Unix(1000, 0)
+
+// clock is moved by the tests.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func declared(id string, version uint64) Declaration {
+	return Declaration{ID: id, Service: "s", Address: id + ":1", Zone: "z", Slots: 4, Version: version}
+}
+
+func fleetOf(ids ...string) (*Fleet, *clock) {
+	moved := &clock{now: start}
+	fleet := NewFleet(moved.read)
+	for _, id := range ids {
+		fleet.Apply(declared(id, 1))
+	}
+	return fleet, moved
+}
+
+func choose(fleet *Fleet, now time.Time, change func(*Request)) *Instance {
+	request := &Request{Zone: "z", Now: now, LeavingAllowed: time.Second}
+	if change != nil {
+		change(request)
+	}
+	return Choose(fleet.Of("s"), request)
+}
+
+var _ = Describe("Fleet", func() {
+	It("takes in nothing older than it knows", func() {
+		fleet, _ := fleetOf("a")
+		draining := declared("a", 5)
+		draining.Draining = true
+		Expect(fleet.Apply(draining)).To(Equal(EventDraining))
+		Expect(fleet.Apply(declared("a", 4))).To(Equal(EventNone))
+		_, leaving := fleet.Of("s")[0].Leaving()
+		Expect(leaving).To(BeTrue())
+	})
+
+	It("takes an instance back whose entry had lapsed", func() {
+		fleet, _ := fleetOf("a")
+		Expect(fleet.Apply(Declaration{ID: "a", Gone: true, Version: 2})).To(Equal(EventGone))
+		fleet.Apply(declared("a", 3))
+		_, leaving := fleet.Of("s")[0].Leaving()
+		Expect(leaving).To(BeFalse())
+	})
+
+	It("takes instances that a whole reading does not name for gone, unless they are newer", func() {
+		fleet, _ := fleetOf("a", "b")
+		fleet.Apply(declared("c", 9))
+		fleet.Replace([]Declaration{declared("a", 1)}, 5)
+		leaving := map[string]bool{}
+		for _, instance := range fleet.Of("s") {
+			_, leaving[instance.ID] = instance.Leaving()
+		}
+		Expect(leaving).To(Equal(map[string]bool{"a": false, "b": true, "c": false}))
+	})
+
+	It("drops the former holder of an address that is used again", func() {
+		fleet, _ := fleetOf("a")
+		fleet.Apply(Declaration{ID: "a", Gone: true, Version: 2})
+		next := declared("b", 3)
+		next.Address = "a:1"
+		Expect(fleet.Apply(next)).To(Equal(EventJoined))
+		Expect(fleet.Size()).To(Equal(1))
+	})
+
+	It("forgets those that left long ago", func() {
+		fleet, moved := fleetOf("a", "b")
+		fleet.Apply(Declaration{ID: "a", Gone: true, Version: 2})
+		fleet.Forget(time.Second)
+		Expect(fleet.Of("s")).To(HaveLen(2))
+		moved.now = start.Add(2 * time.Second)
+		fleet.Forget(time.Second)
+		Expect(fleet.Of("s")).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("Choose", func() {
+	It("gives an instance that left nothing after the bound, and little before", func() {
+		fleet, _ := fleetOf("a")
+		fleet.Apply(Declaration{ID: "a", Gone: true, Version: 2})
+		Expect(choose(fleet, start.Add(900*time.Millisecond), nil)).NotTo(BeNil())
+		Expect(choose(fleet, start.Add(1100*time.Millisecond), nil)).To(BeNil())
+		fleet.Apply(declared("b", 3))
+		Expect(choose(fleet, start, nil).ID).To(Equal("b"))
+	})
+
+	It("prefers the engine that has read the prompt, until it is loaded", func() {
+		fleet, _ := fleetOf("a", "b", "c")
+		parts := []PromptPart{{Name: "shared", Tokens: 600}, {Name: "own", Tokens: 400}}
+		held := fleet.Of("s")[1]
+		held.Remember(parts)
+		withPrefix := func(request *Request) { request.Affinity, request.Prefix = "p", parts }
+		Expect(choose(fleet, start, withPrefix)).To(BeIdenticalTo(held))
+		for range 4 {
+			held.Begin()
+		}
+		Expect(choose(fleet, start, withPrefix)).NotTo(BeIdenticalTo(held))
+	})
+
+	It("sends requests of one affinity to one instance at every process", func() {
+		one, _ := fleetOf("a", "b", "c", "d")
+		other, _ := fleetOf("d", "c", "b", "a")
+		for _, program := range []string{"p1", "p2", "p3", "p4", "p5"} {
+			with := func(request *Request) { request.Affinity = program }
+			Expect(choose(one, start, with).ID).To(Equal(choose(other, start, with).ID))
+		}
+	})
+
+	It("ejects after failures in a row, for longer each time, and prefers an ejected one to none", func() {
+		fleet, _ := fleetOf("a", "b")
+		failing := fleet.Of("s")[0]
+		_, ejected := failing.Failed(start)
+		Expect(ejected).To(BeFalse())
+		first, ejected := failing.Failed(start)
+		Expect(ejected).To(BeTrue())
+		second, _ := failing.Failed(start)
+		Expect(second).To(BeNumerically(">", first))
+		healthy := choose(fleet, start, nil)
+		Expect(healthy).NotTo(BeIdenticalTo(failing))
+		Expect(choose(fleet, start, func(request *Request) { request.Excluded = []string{healthy.ID} })).To(BeIdenticalTo(failing))
+		failing.Succeeded()
+		Expect(failing.health.ejected(start)).To(BeFalse())
+	})
+
+	It("spreads requests without an affinity by load", func() {
+		fleet, _ := fleetOf("a", "b")
+		busy := fleet.Of("s")[0]
+		for range 3 {
+			busy.Begin()
+		}
+		Expect(choose(fleet, start, func(request *Request) { request.Random = 7 })).NotTo(BeIdenticalTo(busy))
+	})
+})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -189,8 +189,8 @@
 		return nil, &rejectedError{status: reply.Status}
 	}
 	e.runs++
-	if !answer.Signed && reply.Status < http.StatusMultipleChoices || reply.Header.Get("Content-Encoding") != "" {
-		return nil, &backend.LostError{Peer: instance.Address, Step: "examine answer", Err: eris.New("the answer is not the instance's own")}
+	if err := e.refuseToPass(answer, reply); err != nil {
+		return nil, &backend.LostError{Peer: instance.Address, Step: "examine answer", Err: err}
 	}
 	if e.route.Streaming && reply.Status == http.StatusOK {
 		return readFirst(instance, reply)
@@ -198,6 +198,31 @@
 	return readWhole(instance, reply)
 }
 
+// refuseToPass tells why an answer must not reach the caller, or nil.
+func (e *execution) refuseToPass(answer Answer, reply *backend.Reply) error {
+	switch {
+	case !answer.Signed || reply.Header.Get("Content-Encoding") != "":
+		return eris.New("the answer is not the instance's own")
+	case reply.Status >= http.StatusInternalServerError && e.route.Repeat == routetable.Any && e.runs < e.route.MaxAttempts:
+		return eris.Errorf("the instance failed with %d", reply.Status)
+	case e.route.Repeat == routetable.Once && promisesNotRun(reply.Status):
+		return eris.Errorf("the instance ran the request and answered %d", reply.Status)
+	default:
+		return nil
+	}
+}
+
+// promisesNotRun tells whether callers take the status for a promise that the
+// request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // readFirst waits for the first bytes of a stream.
 func readFirst(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
 	buffer := make([]byte, firstRead)
--- /dev/null
+++ b/internal/routetable/routetable_test.go
@@ -0,0 +1,66 @@
+package routetable_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/routetable"
+)
+
+func TestRouteTable(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "routetable")
+}
+
+func route(prefix string, parts ...routetable.Part) *routetable.Route {
+	return &routetable.Route{Name: prefix, Host: "a.example", Prefix: prefix, Parts: parts}
+}
+
+func tableOf(revision uint64, routes ...*routetable.Route) *routetable.Table {
+	return routetable.New(revision, routetable.Limits{}, routes, nil)
+}
+
+var _ = Describe("Table", func() {
+	DescribeTable("finds the longest prefix of the host", func(host, path, expected string) {
+		table := tableOf(1, route("/a/"), route("/a/b/"), route("/c/"))
+		found, known := table.Find(host, path)
+		if expected == "" {
+			Expect(known).To(BeFalse())
+			return
+		}
+		Expect(known).To(BeTrue())
+		Expect(found.Name).To(Equal(expected))
+	},
+		Entry("longest", "a.example", "/a/b/x", "/a/b/"),
+		Entry("shorter", "a.example", "/a/x", "/a/"),
+		Entry("prefixes end with a slash", "a.example", "/ab", ""),
+		Entry("a port and capitals", "A.Example:80", "/c/", "/c/"),
+		Entry("another host", "b.example", "/a/x", ""),
+	)
+})
+
+var _ = Describe("Holder", func() {
+	It("never goes back to an older revision", func() {
+		var holder routetable.Holder
+		Expect(holder.Replace(tableOf(5))).To(BeTrue())
+		Expect(holder.Replace(tableOf(4))).To(BeFalse())
+		Expect(holder.Replace(tableOf(5))).To(BeFalse())
+		Expect(holder.Current().Revision).To(BeEquivalentTo(5))
+	})
+
+	It("splits by weight within any few requests, also across revisions", func() {
+		parts := []routetable.Part{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}, {Service: "z", Weight: 0}}
+		var holder routetable.Holder
+		counts := map[string]int{}
+		for revision := range uint64(10) {
+			holder.Replace(tableOf(revision+1, route("/a/", parts...)))
+			found, _ := holder.Current().Find("a.example", "/a/")
+			for range 5 {
+				counts[found.NextService()]++
+			}
+		}
+		Expect(counts).To(Equal(map[string]int{"x": 45, "y": 5}))
+	})
+})
