--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -81,7 +81,7 @@
 			}
 			return memorystore.None
 		})
-		persistent := state.NewPersistent(store, state.NewAvailability(time.Now, func(bool, time.Duration) {}))
+		persistent := state.NewPersistent(store, state.NewAvailability(time.Now, func(bool, time.Duration) {}), nil)
 		_, err := newLedger(persistent).Reserve(ctx, "p", 576, 288)
 		Expect(err).NotTo(HaveOccurred())
 		store.Misbehave(nil)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -95,7 +95,7 @@
 // handler counts requests under way around the gateway.
 func (s *Server) handler() http.Handler {
 	availability := state.NewAvailability(time.Now, s.noteStore)
-	store := state.NewPersistent(s.Store, availability)
+	store := state.NewPersistent(s.Store, availability, s.noteCall)
 	s.Store = store
 	served := gateway.New(gateway.Options{
 		Zone:   s.Settings.Zone,
@@ -132,6 +132,13 @@
 	s.Log.Warn("store: does not answer.")
 }
 
+// noteCall tells of a call of the store without a verdict.
+func (s *Server) noteCall(failure state.Failure) {
+	s.Log.Warn("store: call failed.", zap.String("call", failure.Call), zap.String("table", failure.Key.Table),
+		zap.String("partition", failure.Key.Partition), zap.String("key", failure.Key.Name),
+		zap.Duration("took", failure.Took), zap.NamedError("cause", failure.Err))
+}
+
 // follow keeps configuration and instances up to date.
 func (s *Server) follow(ctx context.Context) {
 	configuration := &configurationFollower{
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -53,6 +53,20 @@
 	Removals   []Key
 }
 
+// firstKey names a commit in logs.
+func (c Commit) firstKey() Key {
+	switch {
+	case len(c.Puts) > 0:
+		return c.Puts[0].Key
+	case len(c.Conditions) > 0:
+		return c.Conditions[0].Key
+	case len(c.Removals) > 0:
+		return c.Removals[0]
+	default:
+		return Key{}
+	}
+}
+
 // Change is a part of a feed: what changed after a version, in order.
 type Change struct {
 	Rows    []Row
--- a/internal/state/state_suite_test.go
+++ b/internal/state/state_suite_test.go
@@ -31,7 +31,7 @@
 		memory = memorystore.New()
 		changes = make(chan bool, 16)
 		availability = state.NewAvailability(time.Now, func(available bool, _ time.Duration) { changes <- available })
-		store = state.NewPersistent(memory, availability)
+		store = state.NewPersistent(memory, availability, nil)
 	})
 
 	put := state.Commit{Puts: []state.Put{{Key: key, Value: []byte("v")}}}
