Let one daemon of a zone hold a program's budget; relay store calls

Cause: programs that need no record stopped within a turn and a half when the store was down, since each of up to nine daemons held a slice of its own; and a machine that alone is cut from the store served nothing. Change: members registers daemons in the store; the rendezvous holder of the zone reserves for all of them over net/rpc, gives back at a planned stop and when another zone is out; storerelay reaches the store through another daemon after a lost or late answer. Whether a budget has two accounts depends on its size alone: a test showed that turns of different sizes divided it differently, which could have exceeded it.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -81,6 +81,8 @@
 	mutex    sync.Mutex // for opening
 	programs *expirable.LRU[string, *program]
 	seed     uint64 // orders the accounts, so that processes start at different ones
+	// reclaim, if set, asks other processes to release what they hold of a program.
+	reclaim func(ctx context.Context, identifier string)
 }
 
 // program is this process's part in a program's budget.
@@ -90,6 +92,8 @@
 	inFlight  int
 	settled   chan struct{} // closed and replaced when a reservation is settled
 	accounts  []*account
+	used      time.Time // when a turn was last reserved or settled
+	reclaimed time.Time // when others were last asked to release
 }
 
 // NewLedger makes a ledger that remembers so many programs for so long. The
@@ -108,9 +112,9 @@
 // Reserve takes the most that a turn may generate from the program's budget.
 // It returns ErrSpent, or an error of the store or of the context.
 func (l *Ledger) Reserve(ctx context.Context, identifier string, total, most int64) (*Reservation, error) {
-	held := l.open(identifier, total, most)
+	held := l.open(identifier, total)
 	for {
-		reservation, settled, err := l.tryReserve(ctx, held, most)
+		reservation, settled, err := l.tryReserve(ctx, held, identifier, most)
 		if reservation != nil || err != nil {
 			return reservation, err
 		}
@@ -124,11 +128,16 @@
 
 // tryReserve returns a channel to wait for when only turns under way stand
 // between the program and another turn.
-func (l *Ledger) tryReserve(ctx context.Context, held *program, most int64) (*Reservation, <-chan struct{}, error) {
+func (l *Ledger) tryReserve(ctx context.Context, held *program, identifier string, most int64) (*Reservation, <-chan struct{}, error) {
 	held.mutex.Lock()
 	defer held.mutex.Unlock()
 	if held.available < most {
 		err := l.store.Repeat(ctx, func() error { return l.grant(ctx, held, most) })
+		if errors.Is(err, ErrSpent) && l.mayReclaim(held) {
+			l.reclaim(ctx, identifier)
+			held.forget()
+			err = l.store.Repeat(ctx, func() error { return l.grant(ctx, held, most) })
+		}
 		if errors.Is(err, ErrSpent) && held.inFlight > 0 {
 			return nil, held.settled, nil
 		}
@@ -138,6 +147,7 @@
 	}
 	held.available -= most
 	held.inFlight++
+	held.used = time.Now()
 	return &Reservation{program: held, most: most}, nil, nil
 }
 
@@ -148,27 +158,53 @@
 		defer r.program.mutex.Unlock()
 		r.program.available += max(0, r.most-generated)
 		r.program.inFlight--
+		r.program.used = time.Now()
 		close(r.program.settled)
 		r.program.settled = make(chan struct{})
 	})
 }
 
-func (l *Ledger) open(identifier string, total, most int64) *program {
+// reclaimPause is the least time between two questions to others about one
+// program: one that loops asks again and again.
+const reclaimPause = time.Second
+
+// forget drops what is known of the rows: others may have released since.
+func (p *program) forget() {
+	for _, each := range p.accounts {
+		if each.pending == nil {
+			each.known, each.version = row{}, 0
+		}
+	}
+}
+
+func (l *Ledger) mayReclaim(held *program) bool {
+	if l.reclaim == nil || time.Since(held.reclaimed) < reclaimPause {
+		return false
+	}
+	held.reclaimed = time.Now()
+	return true
+}
+
+func (l *Ledger) open(identifier string, total int64) *program {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if found, known := l.programs.Get(identifier); known {
 		return found
 	}
-	opened := &program{settled: make(chan struct{}), accounts: l.accountsOf(identifier, total, most)}
+	opened := &program{settled: make(chan struct{}), accounts: l.accountsOf(identifier, total)}
 	l.programs.Add(identifier, opened)
 	return opened
 }
 
-// accountsOf divides a budget; all processes divide it alike. A half that
-// holds no turn would be of no use.
-func (l *Ledger) accountsOf(identifier string, total, most int64) []*account {
+// smallBudget is the size in tokens below which a budget is not divided: its
+// halves would hold too few turns. It must be the same at all processes, and
+// what turns ask for must not matter.
+const smallBudget = 1024
+
+// accountsOf divides a budget; all processes divide it alike.
+func (l *Ledger) accountsOf(identifier string, total int64) []*account {
 	home := xxhash.Sum64String(identifier)
-	if total/2 < most {
+	if total < smallBudget {
 		return []*account{{key: keyOf(identifier, home), share: total}}
 	}
 	const elsewhere = partitions/2 + 1
@@ -229,7 +265,7 @@
 			}
 			amount := need
 			if inAdvance {
-				amount = slice(left*int64(len(held.accounts)), need, most)
+				amount = slice(left*int64(len(held.accounts)), need)
 			}
 			from.pending = &pendingGrant{name: rand.Uint64(), amount: min(amount, left)}
 		}
@@ -274,19 +310,13 @@
 	return &SpentError{Total: a.share, Granted: a.known.Granted, Need: need, Version: a.version}
 }
 
-// How much more than it needs a process is granted, so that it need not ask
-// the store for each turn. A program's turns may come to many processes at
-// once, and none gives back what it holds: each must leave enough to others.
-const (
-	smallShare = 3  // one part of what is left, up to one and a half turns
-	largeShare = 12 // one part of what is left, however much it is
-)
+// sliceShare is the part of what is left that a holder is granted at once, so
+// that a program goes on without the store while that is down. The holders of
+// other zones, and those that follow lost ones, must find enough.
+const sliceShare = 3
 
 // slice is the grant for a need, of what is left of the budget.
-func slice(left, need, most int64) int64 {
-	small := min(left/smallShare, most+most/2)
-	return max(need, small, left/largeShare)
-}
+func slice(left, need int64) int64 { return max(need, left/sliceShare) }
 
 // learn takes over the row that a conflict showed. It tells whether the grant
 // of that name is in it: an earlier try without an answer was done after all.
--- /dev/null
+++ b/internal/budget/holder.go
@@ -0,0 +1,254 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"net/rpc"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/expirable"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/pause"
+	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+// Service is the name under which a holder is called by other daemons.
+const Service = "Budget"
+
+// Methods of the service.
+const (
+	methodReserve = Service + ".Reserve"
+	methodSettle  = Service + ".Settle"
+)
+
+// ReserveRequest asks a holder for what a turn may generate.
+type ReserveRequest struct {
+	Reservation string // names it; asking again with the same name is harmless
+	Program     string
+	Total       int64
+	Most        int64
+}
+
+// Result is a holder's verdict.
+type Result uint8
+
+// The verdicts.
+const (
+	resultReserved Result = iota + 1
+	resultSpent
+	resultNoStore
+	resultStopping
+)
+
+// ReserveReply is a holder's answer.
+type ReserveReply struct {
+	Result Result
+	Detail string
+}
+
+// SettleRequest tells a holder what a turn generated.
+type SettleRequest struct {
+	Reservation string
+	Generated   int64
+}
+
+// SettleReply is empty.
+type SettleReply struct{}
+
+// Holder answers other daemons of the zone for the programs whose budgets this
+// daemon holds.
+type Holder struct {
+	ledger   *Ledger
+	open     *expirable.LRU[string, *Reservation]
+	stopping func() bool
+}
+
+const (
+	reservationsKept    = 4096
+	reservationsKeptFor = 2 * time.Minute
+	// holderWait is how long a holder waits for its store, and for turns under
+	// way, before it answers; the caller waits a little longer.
+	holderWait  = 250 * time.Millisecond
+	answerWait  = 400 * time.Millisecond
+	settleWait  = time.Second
+	suspectWait = time.Second
+	leavingWait = 10 * time.Second
+)
+
+// NewHolder makes the service.
+func NewHolder(ledger *Ledger, stopping func() bool) *Holder {
+	return &Holder{ledger: ledger, open: expirable.NewLRU[string, *Reservation](reservationsKept, nil, reservationsKeptFor), stopping: stopping}
+}
+
+// Reserve is called by other daemons.
+func (h *Holder) Reserve(request ReserveRequest, reply *ReserveReply) error {
+	if h.stopping() {
+		reply.Result = resultStopping
+		return nil
+	}
+	if _, known := h.open.Get(request.Reservation); known {
+		reply.Result = resultReserved
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), holderWait)
+	defer cancel()
+	reservation, err := h.ledger.Reserve(ctx, request.Program, request.Total, request.Most)
+	var spent *SpentError
+	switch {
+	case err == nil:
+		h.open.Add(request.Reservation, reservation)
+		reply.Result = resultReserved
+	case errors.As(err, &spent):
+		reply.Result, reply.Detail = resultSpent, spent.Error()
+	case errors.Is(err, ErrSpent):
+		reply.Result, reply.Detail = resultSpent, "turns under way hold the rest"
+	default:
+		reply.Result, reply.Detail = resultNoStore, err.Error()
+	}
+	return nil
+}
+
+// Settle is called by other daemons.
+func (h *Holder) Settle(request SettleRequest, _ *SettleReply) error {
+	if reservation, known := h.open.Get(request.Reservation); known {
+		h.open.Remove(request.Reservation)
+		reservation.Settle(request.Generated)
+	}
+	return nil
+}
+
+// Settler ends a reservation.
+type Settler interface {
+	// Settle gives back what was not generated; only the first call counts.
+	Settle(generated int64)
+}
+
+// Shared reserves at the daemon of the zone that holds a program's budget, so
+// that all daemons of the zone spend one grant, and needs no store while that
+// lasts. A holder that does not answer is passed over; then this daemon takes
+// a grant of its own, which the store keeps within the budget.
+type Shared struct {
+	ledger *Ledger
+	list   *members.List
+	caller peer.Caller
+	store  *state.Availability
+	log    *zap.Logger
+}
+
+// NewShared makes the reserving side.
+func NewShared(ledger *Ledger, list *members.List, caller peer.Caller, store *state.Availability, log *zap.Logger) *Shared {
+	made := &Shared{ledger: ledger, list: list, caller: caller, store: store, log: log}
+	ledger.reclaim = made.Reclaim
+	return made
+}
+
+// Reserve takes the most that a turn may generate from its program's budget.
+// The reservation's name must be its own.
+func (s *Shared) Reserve(ctx context.Context, name, program string, total, most int64) (Settler, error) {
+	request := ReserveRequest{Reservation: name, Program: program, Total: total, Most: most}
+	for {
+		settler, err := s.reserveOnce(ctx, request)
+		if !errors.Is(err, errNoStore) || ctx.Err() != nil {
+			return settler, err
+		}
+		if err := s.store.Wait(ctx); err != nil || !pause.For(ctx, noStorePause) {
+			return nil, errNoStore
+		}
+	}
+}
+
+// reserveOnce asks the holders of the zone in their order, down to this
+// daemon's own ledger.
+func (s *Shared) reserveOnce(ctx context.Context, request ReserveRequest) (Settler, error) {
+	for _, home := range s.list.Homes(request.Program) {
+		if home.Name == s.list.Self().Name {
+			break
+		}
+		settler, err := s.ask(ctx, home, request)
+		if settler != nil || errors.Is(err, ErrSpent) || errors.Is(err, errNoStore) || ctx.Err() != nil {
+			return settler, err
+		}
+	}
+	reservation, err := s.ledger.Reserve(ctx, request.Program, request.Total, request.Most)
+	if err != nil {
+		return nil, err
+	}
+	return reservation, nil
+}
+
+// ask returns a settler, or ErrSpent, or errNoStore, or another error if the
+// holder did not answer.
+func (s *Shared) ask(ctx context.Context, home members.Member, request ReserveRequest) (Settler, error) {
+	limited, cancel := context.WithTimeout(ctx, answerWait)
+	defer cancel()
+	var reply ReserveReply
+	err := s.caller.Call(limited, home.Address, peer.Control, methodReserve, request, &reply)
+	granted := &remote{shared: s, home: home, name: request.Reservation}
+	if err != nil {
+		if ctx.Err() == nil {
+			s.avoid(home, suspectWait, err.Error())
+		}
+		if !errors.Is(err, peer.ErrNotSent) {
+			granted.Settle(0) // it may have reserved all the same
+		}
+		return nil, err
+	}
+	s.list.Trust(home)
+	switch reply.Result {
+	case resultReserved:
+		return granted, nil
+	case resultSpent:
+		return nil, &HeldError{Holder: home.Name, Detail: reply.Detail}
+	case resultStopping:
+		s.avoid(home, leavingWait, "stopping")
+		return nil, errStopping
+	default:
+		return nil, eris.Wrapf(errNoStore, "holder %s: %s", home.Name, reply.Detail)
+	}
+}
+
+var errNoStore = errors.New("the holder of the budget does not reach the store")
+
+// noStorePause spreads the calls after an outage.
+const noStorePause = 20 * time.Millisecond
+
+var errStopping = errors.New("the holder is stopping")
+
+// HeldError is ErrSpent as a holder told it.
+type HeldError struct{ Holder, Detail string }
+
+// Error implements error.
+func (e *HeldError) Error() string { return ErrSpent.Error() + " at " + e.Holder + ": " + e.Detail }
+
+// Is makes it an ErrSpent.
+func (e *HeldError) Is(target error) bool { return target == ErrSpent }
+
+func (s *Shared) avoid(home members.Member, wait time.Duration, cause string) {
+	s.list.Suspect(home, wait)
+	s.log.Warn("budget: holder passed over.", zap.String("holder", home.Name), zap.Duration("for", wait), zap.String("cause", cause))
+}
+
+// remote is a reservation at another daemon.
+type remote struct {
+	shared *Shared
+	home   members.Member
+	name   string
+}
+
+// Settle implements Settler; it does not wait for the holder.
+func (r *remote) Settle(generated int64) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleWait)
+		defer cancel()
+		request := SettleRequest{Reservation: r.name, Generated: generated}
+		err := r.shared.caller.Call(ctx, r.home.Address, peer.Control, methodSettle, request, &SettleReply{})
+		if err != nil && !errors.Is(err, rpc.ErrShutdown) {
+			r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", r.home.Name),
+				zap.String("reservation", r.name), zap.Int64("generated", generated), zap.NamedError("cause", err))
+		}
+	}()
+}
--- /dev/null
+++ b/internal/budget/shared_test.go
@@ -0,0 +1,147 @@
+package budget
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+// member is a daemon with a ledger and a holder that others may call.
+type member struct {
+	shared   *Shared
+	ledger   *Ledger
+	list     *members.List
+	server   *peer.Server
+	stopping bool
+}
+
+// fellowship makes members of the zones on one store, all known to each other.
+func fellowship(store state.Store, zones ...string) []*member {
+	GinkgoHelper()
+	var made []*member
+	var rows []members.Member
+	for index, zone := range zones {
+		server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		pool := peer.NewPool(peer.Options{})
+		DeferCleanup(pool.Close)
+		self := members.Member{Name: zone + string(rune('1'+index)), Zone: zone, Address: server.Address()}
+		rows = append(rows, self)
+		availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
+		client := state.NewClient(state.ClientOptions{Store: store, Availability: availability})
+		nextSeed++
+		one := &member{ledger: NewLedger(client, 64, time.Hour, nextSeed), server: server}
+		one.list = members.NewList(self, time.Now, zap.NewNop())
+		one.shared = NewShared(one.ledger, one.list, pool, availability, zap.NewNop())
+		Expect(server.Register(Service, NewHolder(one.ledger, func() bool { return one.stopping }))).To(Succeed())
+		Expect(one.list.Register(context.Background(), client)).To(Succeed())
+		made = append(made, one)
+	}
+	page, err := store.Read(context.Background(), state.Range{Table: members.Table})
+	Expect(err).NotTo(HaveOccurred())
+	for _, one := range made {
+		one.list.Replace(page.Rows, page.Version)
+	}
+	return made
+}
+
+// home returns the member that holds the program, and the others.
+func home(all []*member, program string) (*member, []*member) {
+	name := all[0].list.Homes(program)[0].Name
+	var holder *member
+	var others []*member
+	for _, one := range all {
+		if one.list.Self().Name == name {
+			holder = one
+			continue
+		}
+		others = append(others, one)
+	}
+	return holder, others
+}
+
+var _ = Describe("Shared", func() {
+	var store *memorystore.Store
+
+	BeforeEach(func() { store = memorystore.New() })
+
+	reserve := func(ctx context.Context, one *member, name string, total, most int64) (Settler, error) {
+		return one.shared.Reserve(ctx, name, "p", total, most)
+	}
+
+	It("spends one grant at all members of a zone", func(ctx SpecContext) {
+		all := fellowship(store, "a", "a", "a")
+		before := store.Calls("commit")
+		for number, one := range append(all, all...) {
+			settler, err := reserve(ctx, one, string(rune('a'+number)), 13000, 288)
+			Expect(err).NotTo(HaveOccurred())
+			settler.Settle(70)
+		}
+		Expect(store.Calls("commit") - before).To(Equal(1))
+	})
+
+	It("goes on while the store is down", func(ctx SpecContext) {
+		all := fellowship(store, "a", "a", "a")
+		_, others := home(all, "p")
+		_, err := reserve(ctx, others[0], "first", 13000, 288)
+		Expect(err).NotTo(HaveOccurred())
+		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
+		_, err = reserve(ctx, others[1], "second", 13000, 288)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("counts a reservation once that is asked for twice", func(ctx SpecContext) {
+		holder := NewHolder(newLedger(store), func() bool { return false })
+		for range 2 {
+			var reply ReserveReply
+			Expect(holder.Reserve(ReserveRequest{Reservation: "r", Program: "p", Total: 500, Most: 288}, &reply)).To(Succeed())
+			Expect(reply.Result).To(Equal(resultReserved))
+		}
+	})
+
+	It("passes over a holder that is gone or stopping", func(ctx SpecContext) {
+		all := fellowship(store, "a", "a", "a")
+		holder, others := home(all, "p")
+		holder.stopping = true
+		_, err := reserve(ctx, others[0], "r1", 13000, 288)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(others[0].list.Homes("p")).NotTo(ContainElement(holder.list.Self()))
+		Expect(holder.server.Close()).To(Succeed())
+		_, err = reserve(ctx, others[1], "r2", 13000, 288)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("says that a budget is spent only after the holders of other zones gave back", func(ctx SpecContext) {
+		all := fellowship(store, "a", "b")
+		first, err := reserve(ctx, all[0], "r1", 576, 288)
+		Expect(err).NotTo(HaveOccurred())
+		first.Settle(10)
+		second, err := reserve(ctx, all[1], "r2", 576, 288)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = reserve(ctx, all[1], "r3", 576, 278)
+		Expect(err).NotTo(HaveOccurred(), "278 of the first zone were given back")
+		_, err = reserve(expired(ctx), all[1], "r4", 576, 288)
+		Expect(err).To(MatchError(ErrSpent))
+		second.Settle(0)
+	})
+
+	It("gives all back at a planned stop", func(ctx SpecContext) {
+		all := fellowship(store, "a")
+		settler, err := reserve(ctx, all[0], "r1", 13000, 288)
+		Expect(err).NotTo(HaveOccurred())
+		settler.Settle(70)
+		programs, _ := all[0].ledger.ReleaseAll(ctx)
+		Expect(programs).To(Equal(1))
+		_, err = newLedger(store).Reserve(ctx, "p", 13000, 12930)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -28,7 +28,7 @@
 	call        Call
 	input       []byte
 	history     turn.Record
-	reservation *budget.Reservation
+	reservation budget.Settler
 
 	instance  *backend.Instance
 	tries     int // instances that the request was offered to
@@ -176,9 +176,12 @@
 	if e.call.Program == "" || e.call.Budget <= 0 || e.call.MostTokens <= 0 {
 		return nil
 	}
-	reservation, err := e.gateway.Budgets.Reserve(ctx, e.call.Program, e.call.Budget, e.call.MostTokens)
+	reservation, err := e.gateway.Budgets.Reserve(ctx, e.call.ID, e.call.Program, e.call.Budget, e.call.MostTokens)
+	if err != nil {
+		return err
+	}
 	e.reservation = reservation
-	return err
+	return nil
 }
 
 // settle gives back what the turn did not generate.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,7 +24,7 @@
 	Routes       *routetable.Holder
 	Fleet        *backend.Fleet
 	Turns        *turn.Records
-	Budgets      *budget.Ledger
+	Budgets      Budgets
 	Availability *state.Availability
 	Log          *zap.Logger
 	Metrics      *Metrics
@@ -32,6 +32,12 @@
 	InstanceGrace time.Duration
 }
 
+// Budgets reserves what a turn may generate from its program's budget.
+type Budgets interface {
+	// Reserve returns budget.ErrSpent if the budget holds no further turn.
+	Reserve(ctx context.Context, name, program string, total, most int64) (budget.Settler, error)
+}
+
 // Gateway is the handler of callers' requests.
 type Gateway struct {
 	Options
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,184 @@
+// Package members tells which daemons there are: each writes a row into the
+// store when it starts, and follows the rows of the others. The list is a
+// hint. It may name daemons that are gone and lack new ones; nothing that
+// must be true rests on it.
+package members
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+// Table holds a row for each member, by its name.
+const Table = "members"
+
+// Member is a daemon as others call it.
+type Member struct {
+	Name    string `cbor:"n"`
+	Zone    string `cbor:"z"`
+	Address string `cbor:"a"` // for calls between daemons
+}
+
+// List is the picture of all members. It is safe for concurrent use.
+type List struct {
+	self    Member
+	now     func() time.Time
+	log     *zap.Logger
+	mutex   sync.Mutex // of changes
+	current atomic.Pointer[[]Member]
+	suspect sync.Map // address to the time until which it is avoided
+}
+
+// NewList makes a list that holds only this daemon.
+func NewList(self Member, now func() time.Time, log *zap.Logger) *List {
+	made := &List{self: self, now: now, log: log}
+	made.current.Store(&[]Member{self})
+	return made
+}
+
+// Self is this daemon.
+func (l *List) Self() Member { return l.self }
+
+// Register writes this daemon's row, unless it stands there already.
+func (l *List) Register(ctx context.Context, store *state.Client) error {
+	value, err := cbor.Marshal(l.self)
+	if err != nil {
+		return eris.Wrap(err, "encode member")
+	}
+	key := state.Key{Table: Table, Name: l.self.Name}
+	return store.Repeat(ctx, func() error {
+		_, err := store.Commit(ctx, state.Commit{Puts: []state.Put{{Key: key, Value: value}}})
+		return eris.Wrap(err, "register member")
+	})
+}
+
+// Replace implements watch.Follower.
+func (l *List) Replace(rows []state.Row, _ state.Version) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.current.Store(&[]Member{l.self})
+	l.take(rows)
+}
+
+// Change implements watch.Follower.
+func (l *List) Change(rows []state.Row) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.take(rows)
+}
+
+func (l *List) take(rows []state.Row) {
+	next := slices.Clone(*l.current.Load())
+	for _, row := range rows {
+		if row.Key.Name == l.self.Name {
+			continue
+		}
+		next = slices.DeleteFunc(next, func(member Member) bool { return member.Name == row.Key.Name })
+		if row.Removed {
+			continue
+		}
+		var member Member
+		if err := cbor.Unmarshal(row.Value, &member); err != nil {
+			l.log.Error("members: row cannot be read.", zap.String("member", row.Key.Name), zap.Error(err))
+			continue
+		}
+		next = append(next, member)
+	}
+	l.current.Store(&next)
+	l.log.Info("members: list changed.", zap.Int("members", len(next)))
+}
+
+// All returns the members, this daemon among them.
+func (l *List) All() []Member { return *l.current.Load() }
+
+// Suspect avoids a member for so long.
+func (l *List) Suspect(member Member, wait time.Duration) {
+	l.suspect.Store(member.Address, l.now().Add(wait))
+}
+
+// Trust ends the suspicion of a member that answered.
+func (l *List) Trust(member Member) { l.suspect.Delete(member.Address) }
+
+func (l *List) suspected(member Member) bool {
+	until, found := l.suspect.Load(member.Address)
+	return found && l.now().Before(until.(time.Time))
+}
+
+// Homes orders the members of this daemon's zone by their claim on a key, the
+// same at every daemon of the zone (rendezvous hashing). Suspected members
+// are left out; this daemon itself never is.
+func (l *List) Homes(key string) []Member { return l.homesIn(l.self.Zone, key) }
+
+func (l *List) homesIn(zone, key string) []Member {
+	homes := slices.DeleteFunc(slices.Clone(l.All()), func(member Member) bool {
+		return member.Zone != zone || member.Name != l.self.Name && l.suspected(member)
+	})
+	slices.SortFunc(homes, func(a, b Member) int {
+		claimOfA, claimOfB := claim(a, key), claim(b, key)
+		switch {
+		case claimOfA > claimOfB:
+			return -1
+		case claimOfA < claimOfB:
+			return 1
+		default:
+			return strings.Compare(a.Name, b.Name)
+		}
+	})
+	return homes
+}
+
+// likelyPerZone is how many members of a zone are likely to hold a key: its
+// home, and the one that stood in while the home was away.
+const likelyPerZone = 2
+
+// LikelyHomes returns the other members that are likely to hold a key.
+func (l *List) LikelyHomes(key string) []Member {
+	var likely []Member
+	zones := map[string]bool{}
+	for _, member := range l.All() {
+		if zones[member.Zone] {
+			continue
+		}
+		zones[member.Zone] = true
+		homes := l.homesIn(member.Zone, key)
+		homes = homes[:min(len(homes), likelyPerZone)]
+		likely = append(likely, homes...)
+	}
+	return slices.DeleteFunc(likely, func(member Member) bool { return member.Name == l.self.Name })
+}
+
+// Others returns other members that are not suspected, those of this zone
+// first, in an order that differs from key to key.
+func (l *List) Others(key string) []Member {
+	others := slices.DeleteFunc(slices.Clone(l.All()), func(member Member) bool {
+		return member.Name == l.self.Name || l.suspected(member)
+	})
+	slices.SortFunc(others, func(a, b Member) int {
+		if (a.Zone == l.self.Zone) != (b.Zone == l.self.Zone) {
+			if a.Zone == l.self.Zone {
+				return -1
+			}
+			return 1
+		}
+		if claim(a, key) > claim(b, key) {
+			return -1
+		}
+		return 1
+	})
+	return others
+}
+
+func claim(member Member, key string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + member.Name)
+}
--- /dev/null
+++ b/internal/server/collaboration.go
@@ -0,0 +1,95 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/budget"
+	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/storerelay"
+	"github.com/thymeloft/thymeloft/internal/watch"
+)
+
+// collaboration is what this daemon shares with others: the store, reached
+// directly or through them, and the budgets that one of them holds.
+type collaboration struct {
+	availability *state.Availability
+	client       *state.Client
+	budgets      *budget.Shared
+	ledger       *budget.Ledger
+	list         *members.List
+	server       *peer.Server
+	pool         *peer.Pool
+	log          *zap.Logger
+}
+
+// Bounds of calls between daemons.
+const (
+	peerDialTimeout  = 300 * time.Millisecond
+	peerWriteTimeout = time.Second
+	peerBackoff      = 500 * time.Millisecond
+	peerMessageBytes = 4 << 20
+	peerClose        = 200 * time.Millisecond
+)
+
+// collaborate listens for other daemons and makes the ways to them.
+func (s *Server) collaborate() (*collaboration, error) {
+	options := peer.Options{
+		DialTimeout: peerDialTimeout, WriteTimeout: peerWriteTimeout, BackoffMax: peerBackoff,
+		MaxMessageBytes: peerMessageBytes, CloseTimeout: peerClose, Logger: s.Log, Registerer: s.Registry,
+	}
+	listening, err := peer.Listen(s.Settings.Listen.Peers, options)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for daemons")
+	}
+	self := members.Member{Name: s.Settings.Machine, Zone: s.Settings.Zone, Address: listening.Address()}
+	parts := &collaboration{
+		list:   members.NewList(self, time.Now, s.Log),
+		server: listening,
+		pool:   peer.NewPool(options),
+		log:    s.Log,
+	}
+	parts.availability = state.NewAvailability(time.Now, s.noteStore)
+	parts.client = state.NewClient(state.ClientOptions{
+		Store: s.Store, Alternative: storerelay.NewRelay(parts.list, parts.pool), Availability: parts.availability,
+		Probe: state.Single(s.Rows.ConfigurationKey()), OnFailure: s.noteCall,
+	})
+	parts.ledger = budget.NewLedger(parts.client, programsKept, programsKeptFor, rand.Uint64())
+	parts.budgets = budget.NewShared(parts.ledger, parts.list, parts.pool, parts.availability, s.Log)
+	if err := listening.Register(budget.Service, budget.NewHolder(parts.ledger, s.stopping.Load)); err != nil {
+		return nil, eris.Wrap(err, "serve budgets")
+	}
+	if err := listening.Register(storerelay.ServiceName, storerelay.NewService(s.Store, parts.client.DirectUsable)); err != nil {
+		return nil, eris.Wrap(err, "serve the store's relay")
+	}
+	return parts, nil
+}
+
+// join tells the others of this daemon, and follows who they are.
+func (c *collaboration) join(ctx context.Context) {
+	go func() {
+		if err := c.list.Register(ctx, c.client); err != nil {
+			c.log.Warn("members: not registered.", zap.Error(err))
+		}
+	}()
+	go watch.Run(ctx, watch.Options{Store: c.client, Table: members.Table, Wait: membersWait, Log: c.log}, c.list)
+}
+
+// release gives back what is held of budgets.
+func (c *collaboration) release(ctx context.Context) {
+	programs, tokens := c.ledger.ReleaseAll(ctx)
+	if programs > 0 {
+		c.log.Info("budget: released.", zap.Int("programs", programs), zap.Int64("tokens", tokens))
+	}
+}
+
+func (c *collaboration) close() {
+	_ = c.pool.Close()
+	_ = c.server.Close()
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/backend"
-	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/gateway"
 	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/routetable"
@@ -60,6 +58,7 @@
 	configurationWait = 1500 * time.Millisecond
 	instancesWait     = 1500 * time.Millisecond
 	instancesPause    = 300 * time.Millisecond
+	membersWait       = 4 * time.Second
 )
 
 // New makes a server.
@@ -74,14 +73,19 @@
 
 // Run serves until the context ends, and then until a planned stop is over.
 func (s *Server) Run(ctx context.Context) error {
+	parts, err := s.collaborate()
+	if err != nil {
+		return err
+	}
+	defer parts.close()
 	callers, err := net.Listen("tcp", s.Settings.Listen.Callers)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	s.front = newFront(callers, s.handler(), zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
+	s.front = newFront(callers, s.handler(parts), zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s.follow(background)
+	s.follow(background, parts)
 	for _, endpoint := range s.endpoints() {
 		if err := endpoint.serve(background); err != nil {
 			return err
@@ -90,26 +94,21 @@
 	s.Log.Info("server: started.", zap.String("machine", s.Settings.Machine), zap.String("zone", s.Settings.Zone),
 		zap.String("callers", callers.Addr().String()), zap.String("store", s.Settings.Store.Address))
 	<-ctx.Done()
-	return s.stop()
+	return s.stop(parts)
 }
 
 // handler counts requests under way around the gateway.
-func (s *Server) handler() http.Handler {
-	availability := state.NewAvailability(time.Now, s.noteStore)
-	store := state.NewClient(state.ClientOptions{
-		Store: s.Store, Availability: availability, Probe: state.Single(s.Rows.ConfigurationKey()), OnFailure: s.noteCall,
-	})
-	s.Store = store
+func (s *Server) handler(parts *collaboration) http.Handler {
 	served := gateway.New(gateway.Options{
 		Zone:   s.Settings.Zone,
 		Wire:   s.Wire,
 		Routes: s.routes,
 		Fleet:  s.fleet,
 		Turns: turn.NewRecords(turn.Options{
-			Store: store, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
+			Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
 		}),
-		Budgets:       budget.NewLedger(store, programsKept, programsKeptFor, rand.Uint64()),
-		Availability:  availability,
+		Budgets:       parts.budgets,
+		Availability:  parts.availability,
 		Log:           s.Log,
 		Metrics:       s.metrics,
 		InstanceGrace: s.instanceGrace(),
@@ -143,7 +142,7 @@
 }
 
 // follow keeps configuration and instances up to date.
-func (s *Server) follow(ctx context.Context) {
+func (s *Server) follow(ctx context.Context, parts *collaboration) {
 	configuration := &configurationFollower{
 		rows: s.Rows, holder: s.routes, log: s.Log,
 		onChange: func(table *routetable.Table) { s.front.Limit(table.Limits) },
@@ -154,11 +153,12 @@
 		onRead: func() { s.fleetRead.Store(true) },
 	}
 	go watch.Run(ctx, watch.Options{
-		Store: s.Store, Table: s.Rows.ConfigurationKey().Table, Wait: configurationWait, Log: s.Log,
+		Store: parts.client, Table: s.Rows.ConfigurationKey().Table, Wait: configurationWait, Log: s.Log,
 	}, configuration)
 	go watch.Run(ctx, watch.Options{
-		Store: s.Store, Table: s.Rows.InstancesTable(), Wait: instancesWait, Pause: instancesPause, Log: s.Log,
+		Store: parts.client, Table: s.Rows.InstancesTable(), Wait: instancesWait, Pause: instancesPause, Log: s.Log,
 	}, instances)
+	parts.join(ctx)
 }
 
 // ready tells whether callers should be sent here.
@@ -207,26 +207,36 @@
 	noticed = 2500 * time.Millisecond
 	// endMargin is kept before the end by force.
 	endMargin = 500 * time.Millisecond
-	recheck   = 50 * time.Millisecond
+	recheck   = 250 * time.Millisecond
 )
 
 // stop tells that this process is not ready, answers what still comes, and
 // returns when nothing is under way.
-func (s *Server) stop() error {
+func (s *Server) stop(parts *collaboration) error {
 	start := time.Now()
 	s.stopping.Store(true)
 	s.Log.Info("server: stopping.", zap.Int64("underWay", s.underWay.Load()))
 	s.front.CloseIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.grace()-endMargin)
 	defer cancel()
-	pause.For(ctx, noticed)
-	for s.underWay.Load() > 0 && ctx.Err() == nil && time.Since(start) < s.Settings.grace()/2 {
+	for ctx.Err() == nil && !s.mayLeave(time.Since(start)) {
+		parts.release(ctx)
 		pause.For(ctx, recheck)
 	}
 	err := s.front.Stop(ctx)
+	parts.release(ctx)
 	s.Log.Info("server: stopped.", zap.Duration("took", time.Since(start)), zap.Int64("cut", s.underWay.Load()))
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
 	}
 	return err
 }
+
+// mayLeave tells whether callers are no longer sent here and nothing is under
+// way, or half of the grace is over.
+func (s *Server) mayLeave(stoppingFor time.Duration) bool {
+	if stoppingFor < noticed {
+		return false
+	}
+	return s.underWay.Load() == 0 || stoppingFor > s.Settings.grace()/2
+}
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -32,6 +32,7 @@
 type Listen struct {
 	Callers string `yaml:"callers"`
 	Ready   string `yaml:"ready"`
+	Peers   string `yaml:"peers"`   // other daemons
 	Metrics string `yaml:"metrics"` // empty: none
 }
 
@@ -73,6 +74,7 @@
 	demand(s.Zone != "", "zone: missing")
 	demand(s.Listen.Callers != "", "listen.callers: missing, expected IP:PORT")
 	demand(s.Listen.Ready != "", "listen.ready: missing, expected IP:PORT")
+	demand(s.Listen.Peers != "", "listen.peers: missing, expected IP:PORT")
 	demand(s.Store.Address != "", "store.address: missing, expected IP:PORT")
 	demand(s.Store.RowBytes > 0, "store.row_bytes: expected a number above 0")
 	demand(s.GraceSeconds > 0, "grace_seconds: expected a number above 0")
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -10,12 +10,14 @@
 	"github.com/thymeloft/thymeloft/internal/pause"
 )
 
-// Client is a store as the product uses it: each call is hedged, what its end
-// tells of the store is noted, and while the store is down one probe asks
-// whether it answers again. A commit may be sent more than once: callers keep
+// Client is a store as the product uses it: each call is hedged, over two ways
+// to the store if there are two, what its end tells of the store is noted, and
+// while the store is down one probe asks whether it answers again. A commit may be sent more than once: callers keep
 // each commit idempotent by its keys and conditions.
 type Client struct {
-	inner        Store
+	direct       Store
+	alternative  Store // another way; nil: none
+	directHealth wayHealth
 	availability *Availability
 	hedger       hedger
 	probe        Range
@@ -32,7 +34,9 @@
 
 // ClientOptions are the parameters of a Client.
 type ClientOptions struct {
-	Store        Store
+	Store Store
+	// Alternative is another way to the same store; nil: none.
+	Alternative  Store
 	Availability *Availability
 	// Probe is read while the store is down.
 	Probe Range
@@ -43,7 +47,8 @@
 // NewClient wraps a store.
 func NewClient(options ClientOptions) *Client {
 	made := &Client{
-		inner:        options.Store,
+		direct:       options.Store,
+		alternative:  options.Alternative,
 		availability: options.Availability,
 		probe:        options.Probe,
 		onFailure:    options.OnFailure,
@@ -64,7 +69,12 @@
 // Commit implements Store.
 func (c *Client) Commit(ctx context.Context, commit Commit) (Version, error) {
 	start := time.Now()
-	version, err := hedge(ctx, &c.hedger, func(ctx context.Context) (Version, error) { return c.inner.Commit(ctx, commit) })
+	version, err := hedge(ctx, &c.hedger, c.directDoubtful, func(ctx context.Context, try int) (Version, error) {
+		way, done := c.way(try)
+		version, err := way.Commit(ctx, commit)
+		done(ctx, err)
+		return version, err
+	})
 	c.note(ctx, Failure{Call: "commit", Key: commit.firstKey(), Took: time.Since(start), Err: err})
 	return version, err
 }
@@ -72,7 +82,12 @@
 // Read implements Store.
 func (c *Client) Read(ctx context.Context, selected Range) (Page, error) {
 	start := time.Now()
-	page, err := hedge(ctx, &c.hedger, func(ctx context.Context) (Page, error) { return c.inner.Read(ctx, selected) })
+	page, err := hedge(ctx, &c.hedger, c.directDoubtful, func(ctx context.Context, try int) (Page, error) {
+		way, done := c.way(try)
+		page, err := way.Read(ctx, selected)
+		done(ctx, err)
+		return page, err
+	})
 	key := Key{Table: selected.Table, Partition: selected.Partition, Name: selected.From}
 	c.note(ctx, Failure{Call: "read", Key: key, Took: time.Since(start), Err: err})
 	return page, err
@@ -81,7 +96,9 @@
 // Feed implements Store; it is not hedged, since it waits for changes.
 func (c *Client) Feed(ctx context.Context, table string, after Version, wait time.Duration) (Change, error) {
 	start := time.Now()
-	change, err := c.inner.Feed(ctx, table, after, wait)
+	way, done := c.way(0)
+	change, err := way.Feed(ctx, table, after, wait)
+	done(ctx, err)
 	c.note(ctx, Failure{Call: "feed", Key: Key{Table: table}, Took: time.Since(start), Err: err})
 	return change, err
 }
@@ -121,9 +138,11 @@
 
 // probeUntilAnswered asks until the store is believed to answer.
 func (c *Client) probeUntilAnswered() {
-	for !c.availability.Available() {
+	for try := 0; !c.availability.Available(); try++ {
 		ctx, cancel := context.WithTimeout(context.Background(), probeWait)
-		_, err := c.inner.Read(ctx, c.probe)
+		way, done := c.way(try)
+		_, err := way.Read(ctx, c.probe)
+		done(ctx, err)
 		cancel()
 		if !NoVerdict(err) {
 			c.availability.Succeeded(c.probe.Partition)
--- a/internal/state/hedge.go
+++ b/internal/state/hedge.go
@@ -46,21 +46,26 @@
 }
 
 // hedge returns the first verdict of up to three tries, or the error of the
-// last one to end.
-func hedge[T any](ctx context.Context, h *hedger, call func(ctx context.Context) (T, error)) (T, error) {
+// last one to end. A try after a failed one is made at once if again says so.
+func hedge[T any](ctx context.Context, h *hedger, again func() bool, call func(ctx context.Context, try int) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan outcome[T], mostHedgedTries)
+	launched, pending := 0, 0
 	launch := func() {
-		start := time.Now()
-		result, err := call(ctx)
-		outcomes <- outcome[T]{result, err, time.Since(start)}
+		try := launched
+		launched++
+		pending++
+		go func() {
+			start := time.Now()
+			result, err := call(ctx, try)
+			outcomes <- outcome[T]{result, err, time.Since(start)}
+		}()
 	}
 	delay := h.delay()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
-	go launch()
-	launched, pending := 1, 1
+	launch()
 	for {
 		select {
 		case ended := <-outcomes:
@@ -69,6 +74,9 @@
 				h.observe(ended.took)
 				return ended.result, ended.err
 			}
+			if launched < mostHedgedTries && ctx.Err() == nil && again() {
+				launch()
+			}
 			if pending == 0 {
 				return ended.result, ended.err
 			}
@@ -76,9 +84,7 @@
 			if launched == mostHedgedTries {
 				continue
 			}
-			go launch()
-			launched++
-			pending++
+			launch()
 			delay *= 2
 			timer.Reset(delay)
 		}
--- /dev/null
+++ b/internal/state/way.go
@@ -0,0 +1,69 @@
+package state
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// wayHealth is what this process believes of its own way to the store.
+type wayHealth struct {
+	mutex    sync.Mutex
+	failures int
+	badUntil time.Time
+}
+
+const (
+	// failuresUntilDoubt is how many tries in a row get no verdict before
+	// another way is tried at once.
+	failuresUntilDoubt = 2
+	// failuresUntilBad is how many before another way is tried first.
+	failuresUntilBad = 4
+	// badFor is how long it is tried first.
+	badFor = time.Second
+)
+
+func (w *wayHealth) note(answered bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if answered {
+		w.failures = 0
+		w.badUntil = time.Time{}
+		return
+	}
+	w.failures++
+	if w.failures >= failuresUntilBad {
+		w.badUntil = time.Now().Add(badFor)
+	}
+}
+
+func (w *wayHealth) doubtful() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.failures >= failuresUntilDoubt
+}
+
+func (w *wayHealth) bad() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return time.Now().Before(w.badUntil)
+}
+
+// DirectUsable tells whether this process itself reaches the store.
+func (c *Client) DirectUsable() bool { return !c.directHealth.bad() }
+
+func (c *Client) directDoubtful() bool { return c.alternative != nil && c.directHealth.doubtful() }
+
+// way chooses the way of a try, and what notes its end: the own one and the
+// other in turn, the own one first unless it is bad.
+func (c *Client) way(try int) (Store, func(ctx context.Context, err error)) {
+	if c.alternative != nil && (try%2 == 1) != c.directHealth.bad() {
+		return c.alternative, func(context.Context, error) {}
+	}
+	return c.direct, func(ctx context.Context, err error) {
+		if NoVerdict(err) && ctx.Err() == context.Canceled {
+			return // given up by us, since another try had a verdict
+		}
+		c.directHealth.note(!NoVerdict(err))
+	}
+}
--- /dev/null
+++ b/internal/storerelay/storerelay_test.go
@@ -0,0 +1,111 @@
+package storerelay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/storerelay"
+)
+
+func TestStoreRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "storerelay")
+}
+
+// unreachable is a store that this machine alone is cut from.
+type unreachable struct{}
+
+func (unreachable) Commit(context.Context, state.Commit) (state.Version, error) {
+	return 0, state.ErrUnknown
+}
+
+func (unreachable) Read(context.Context, state.Range) (state.Page, error) {
+	return state.Page{}, state.ErrUnknown
+}
+
+func (unreachable) Feed(context.Context, string, state.Version, time.Duration) (state.Change, error) {
+	return state.Change{}, state.ErrUnknown
+}
+
+var _ = Describe("Relay", func() {
+	var memory *memorystore.Store
+	var usable bool
+	var relay *storerelay.Relay
+	key := state.Key{Table: "t", Partition: "p", Name: "n"}
+	put := state.Commit{Puts: []state.Put{{Key: key, Value: []byte("v")}}, Conditions: []state.Condition{{Key: key}}}
+
+	BeforeEach(func() {
+		memory, usable = memorystore.New(), true
+		server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		Expect(server.Register(storerelay.ServiceName, storerelay.NewService(memory, func() bool { return usable }))).To(Succeed())
+		pool := peer.NewPool(peer.Options{})
+		DeferCleanup(pool.Close)
+		list := members.NewList(members.Member{Name: "self", Zone: "z"}, time.Now, zap.NewNop())
+		other := members.NewList(members.Member{Name: "other", Zone: "z", Address: server.Address()}, time.Now, zap.NewNop())
+		client := state.NewClient(state.ClientOptions{Store: memory, Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {})})
+		Expect(other.Register(context.Background(), client)).To(Succeed())
+		page, err := memory.Read(context.Background(), state.Range{Table: members.Table})
+		Expect(err).NotTo(HaveOccurred())
+		list.Replace(page.Rows, page.Version)
+		relay = storerelay.NewRelay(list, pool)
+	})
+
+	It("commits, shows conflicts, reads and follows through another daemon", func(ctx SpecContext) {
+		version, err := relay.Commit(ctx, put)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = relay.Commit(ctx, put)
+		var conflict *state.ConflictError
+		Expect(err).To(BeAssignableToTypeOf(conflict))
+		Expect(err.(*state.ConflictError).Rows).To(HaveLen(1))
+		page, err := relay.Read(ctx, state.Single(key))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.Rows).To(Equal([]state.Row{{Key: key, Value: []byte("v"), Version: version}}))
+		change, err := relay.Feed(ctx, "t", 0, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(change.Rows).To(HaveLen(1))
+		memory.ForgetHistory()
+		_, err = relay.Feed(ctx, "t", 0, time.Second)
+		Expect(err).To(MatchError(state.ErrHistoryLost))
+	})
+
+	DescribeTable("tells what is certain", func(ctx SpecContext, fault memorystore.Fault, expected error) {
+		memory.Misbehave(func(memorystore.Call) memorystore.Fault { return fault })
+		_, err := relay.Commit(ctx, put)
+		Expect(err).To(MatchError(expected))
+	},
+		Entry("refused", memorystore.Refused, state.ErrNotDone),
+		Entry("answer lost", memorystore.Lost, state.ErrUnknown),
+	)
+
+	It("refuses where the other daemon does not reach the store either", func(ctx SpecContext) {
+		usable = false
+		_, err := relay.Commit(ctx, put)
+		Expect(err).To(MatchError(state.ErrNotDone))
+		Expect(memory.Calls("commit")).To(Equal(1), "only the registration")
+	})
+
+	It("serves a daemon whose machine alone is cut from the store", func(ctx SpecContext) {
+		availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
+		client := state.NewClient(state.ClientOptions{Store: unreachable{}, Alternative: relay, Availability: availability})
+		for number := range 8 {
+			commit := state.Commit{Puts: []state.Put{{Key: key, Value: []byte{byte(number)}}}}
+			Expect(client.Repeat(ctx, func() error {
+				_, err := client.Commit(ctx, commit)
+				return err
+			})).To(Succeed())
+		}
+		Expect(client.DirectUsable()).To(BeFalse())
+		Expect(availability.Available()).To(BeTrue())
+	})
+})
