Caller API: block the reader of the stream test for certain

Cause: the test waits for a write of 1 MB to block. A run that counts what a socket takes while nobody reads showed 3,907,584 bytes on this machine's defaults, four times as much: whether it blocks hangs on the kernel's buffers and their growth. Ruled out: time alone (with 20 s of patience the former test passed and failed no differently here, 0 of 4; 0 of 12 failed with one second). Change: the reader's receive buffer is fixed and small, the piece is larger than the sender's buffer can grow; the checks are the same.

--- a/internal/callerapi/stream_test.go
+++ b/internal/callerapi/stream_test.go
@@ -1,10 +1,13 @@
 package callerapi_test
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -24,6 +27,23 @@
 	}
 }
 
+// unbufferable is more than the kernel keeps for a reader with smallBuffers: its
+// receive buffer, fixed, and the sender's, which may grow to a few megabytes.
+const unbufferable = 16 << 20
+
+// patience bounds the wait for a state; nothing is measured by it.
+const patience = time.Minute
+
+// smallBuffers dials with a small receive buffer that does not grow, so that a
+// write to a reader that does not read blocks whatever the kernel's defaults.
+var smallBuffers = net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		failure = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+	})
+	return errors.Join(err, failure)
+}}
+
 // streamsLeft reads how many streams ended because the caller's connection did.
 func (e *endpoint) streamsLeft() float64 {
 	families, err := e.registry.Gather()
@@ -71,15 +91,15 @@
 	})
 
 	It("lets go of a reader that does not read, and of one that left, without touching the call", func() {
-		served := newEndpoint(newFakePrograms(piece(strings.Repeat("x", 1<<20))))
+		served := newEndpoint(newFakePrograms(piece(strings.Repeat("x", unbufferable))))
 		path := fmt.Sprintf("/v1/programs/%s/calls/1", served.create("key-b"))
 		body := fmt.Sprintf(modelCall, `,"stream":true`)
-		connection, err := net.Dial("tcp", served.Listener.Addr().String())
+		connection, err := smallBuffers.Dial("tcp", served.Listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
 		defer connection.Close()
 		_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-b\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 		Expect(err).NotTo(HaveOccurred())
-		Eventually(served.streamsLeft).Should(BeEquivalentTo(1))
+		Eventually(served.streamsLeft).WithTimeout(patience).Should(BeEquivalentTo(1))
 		Expect(served.programs.submitted).To(HaveLen(1))
 		Expect(served.programs.ended).To(BeEmpty())
 	})
