Explain a request from logs

Cause: on-call engineers have only logs; nothing joined the lines of several daemons about one request. Change: thymeloft explain REQUEST LOG... merges what concerns the request, its program, its engine and its daemon's belief of the store, and names the cause; outcomes tell the age of configuration and engine picture. A test demands a cause for each reason of the gateway.

--- a/internal/commandline/commandline.go
+++ b/internal/commandline/commandline.go
@@ -28,6 +28,7 @@
 	Config  configCommands  `cmd:"" help:"Read and change the configuration."`
 	Status  statusCommand   `cmd:"" help:"Show members, groups and engines as one daemon sees them."`
 	Drain   drainCommands   `cmd:"" help:"Take back ends or machines out of new work, and back."`
+	Explain explainCommand  `cmd:"" help:"Tell from logs why a request ended as it did."`
 	Program programCommands `cmd:"" help:"Create, call, read and end programs."`
 	Version versionCommand  `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/internal/commandline/explain.go
@@ -0,0 +1,45 @@
+package commandline
+
+import (
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/explain"
+)
+
+// explainCommand tells from logs why a request ended as it did.
+type explainCommand struct {
+	Request string   `arg:"" help:"Identifier of the request."`
+	Logs    []string `arg:"" type:"existingfile" help:"Logs of the daemons of its time."`
+}
+
+// Run merges the logs and prints the way of the request and the cause.
+func (c *explainCommand) Run(s *session) error {
+	var lines []explain.Line
+	for _, name := range c.Logs {
+		found, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, found...)
+	}
+	explained, err := explain.Of(c.Request, lines)
+	if err != nil {
+		return err
+	}
+	if s.json() {
+		return s.printJSON(explained)
+	}
+	return explained.Print(s.streams.Out)
+}
+
+func readLog(name string) ([]explain.Line, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, eris.Wrap(err, "open log")
+	}
+	defer file.Close()
+	lines, err := explain.Read(file)
+	return lines, eris.Wrapf(err, "log %s", name)
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,89 @@
+package explain_test
+
+import (
+	"bytes"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/explain"
+)
+
+func TestExplain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "explain")
+}
+
+const logOfOne = `
+ 12.1 m1 {"level":"warn","ts":"2026-01-01T10:00:01Z","msg":"store: does not answer.","machine":"m1"}
+{"level":"warn","ts":"2026-01-01T10:00:01.5Z","msg":"store: call failed.","machine":"m1","call":"commit","table":"budgets","key":"p1","cause":"reset"}
+{"level":"info","ts":"2026-01-01T09:00:01Z","msg":"server: started.","machine":"m1"}
+{"level":"warn","ts":"2026-01-01T10:00:03Z","msg":"request: failed.","machine":"m1","request":"r1","status":503,"took":1750,"program":"p1","previous":"r0","reason":"store-unavailable","cause":"x"}
+{"level":"info","ts":"2026-01-01T10:00:02Z","msg":"request: answered.","machine":"m1","request":"other","status":200,"program":"p9"}
+no line
+{broken`
+
+const logOfTwo = `{"level":"info","ts":"2026-01-01T10:00:00Z","msg":"request: answered.","machine":"m2","request":"r0","status":200,"program":"p1","engine":"e1"}
+{"level":"warn","ts":"2026-01-01T10:00:02Z","msg":"store: does not answer.","machine":"m2"}`
+
+func read(logs ...string) []explain.Line {
+	GinkgoHelper()
+	var lines []explain.Line
+	for _, log := range logs {
+		found, err := explain.Read(strings.NewReader(log))
+		Expect(err).NotTo(HaveOccurred())
+		lines = append(lines, found...)
+	}
+	return lines
+}
+
+var _ = Describe("Of", func() {
+	It("merges what concerns the request, over daemons and by time", func() {
+		explained, err := explain.Of("r1", read(logOfOne, logOfTwo))
+		Expect(err).NotTo(HaveOccurred())
+		var output bytes.Buffer
+		Expect(explained.Print(&output)).To(Succeed())
+		Expect(output.String()).To(Equal(`  10:00:00.000 m2 request: answered. request=r0 status=200 program=p1 engine=e1
+  10:00:01.000 m1 store: does not answer.
+  10:00:01.500 m1 store: call failed. call=commit table=budgets key=p1 cause=reset
+> 10:00:03.000 m1 request: failed. request=r1 status=503 reason=store-unavailable took=1750 program=p1 previous=r0 cause=x
+
+Cause: the store did not answer while the request waited for its history or budget; it did not run.
+`))
+	})
+
+	It("says which logs lack when no line tells the end", func() {
+		_, err := explain.Of("r7", read(logOfOne))
+		Expect(err).To(MatchError(ContainSubstring("give the logs of all daemons")))
+	})
+
+	It("knows a cause for each reason of the gateway", func() {
+		file, err := parser.ParseFile(token.NewFileSet(), "../gateway/refusal.go", nil, 0)
+		Expect(err).NotTo(HaveOccurred())
+		count := 0
+		ast.Inspect(file, func(node ast.Node) bool {
+			value, is := node.(*ast.ValueSpec)
+			if !is || !strings.HasPrefix(value.Names[0].Name, "Reason") {
+				return true
+			}
+			reason, err := strconv.Unquote(value.Values[0].(*ast.BasicLit).Value)
+			Expect(err).NotTo(HaveOccurred())
+			if reason == "" {
+				return true
+			}
+			count++
+			line := `{"ts":"2026-01-01T10:00:03Z","msg":"request: failed.","machine":"m","request":"r","reason":"` + reason + `"}`
+			explained, err := explain.Of("r", read(line))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(explained.Cause).NotTo(HavePrefix("not known"), reason)
+			return true
+		})
+		Expect(count).To(BeNumerically(">", 10))
+	})
+})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 	Metrics      *Metrics
 	// InstanceGrace is how long an instance whose entry is gone may still be used.
 	InstanceGrace time.Duration
+	// Ages tells how long ago the store was heard about configuration and instances.
+	Ages func() (configuration, instances time.Duration)
 }
 
 // Budgets reserves what a turn may generate from its program's budget.
@@ -113,7 +115,9 @@
 		fields = append(fields, zap.String("engine", e.instance.ID), zap.Duration("firstByte", e.firstByte))
 	}
 	if e.table != nil {
-		fields = append(fields, zap.Uint64("revision", e.table.Revision))
+		configurationAge, instancesAge := e.gateway.Ages()
+		fields = append(fields, zap.Uint64("revision", e.table.Revision),
+			zap.Duration("configurationAge", configurationAge), zap.Duration("enginesAge", instancesAge))
 	}
 	if e.events.count > 0 {
 		fields = append(fields, zap.Int("events", e.events.count))
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -27,7 +27,6 @@
 	ReasonUnreachable     Reason = "engines-unreachable"
 	ReasonDeadline        Reason = "deadline"
 	ReasonLost            Reason = "answer-lost"
-	ReasonStopping        Reason = "stopping"
 	ReasonCallerLeft      Reason = "caller-left"
 	ReasonNotRecorded     Reason = "turn-not-recorded"
 	ReasonBroken          Reason = "stream-broken"
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -36,13 +36,15 @@
 // Server is one process that serves callers.
 type Server struct {
 	Options
-	routes    *routetable.Holder
-	fleet     *backend.Fleet
-	front     *front
-	metrics   *gateway.Metrics
-	stopping  atomic.Bool
-	fleetRead atomic.Bool
-	underWay  atomic.Int64
+	routes             *routetable.Holder
+	fleet              *backend.Fleet
+	front              *front
+	metrics            *gateway.Metrics
+	stopping           atomic.Bool
+	fleetRead          atomic.Bool
+	underWay           atomic.Int64
+	configurationHeard moment
+	instancesHeard     moment
 }
 
 // How much is kept in memory.
@@ -112,6 +114,9 @@
 		Log:           s.Log,
 		Metrics:       s.metrics,
 		InstanceGrace: s.instanceGrace(),
+		Ages: func() (configuration, instances time.Duration) {
+			return s.configurationHeard.age(), s.instancesHeard.age()
+		},
 	})
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		s.underWay.Add(1)
@@ -154,9 +159,11 @@
 	}
 	go watch.Run(ctx, watch.Options{
 		Store: parts.client, Table: s.Rows.ConfigurationKey().Table, Wait: configurationWait, Log: s.Log,
+		OnHeard: s.configurationHeard.now,
 	}, configuration)
 	go watch.Run(ctx, watch.Options{
 		Store: parts.client, Table: s.Rows.InstancesTable(), Wait: instancesWait, Pause: instancesPause, Log: s.Log,
+		OnHeard: s.instancesHeard.now,
 	}, instances)
 	parts.join(ctx)
 }
@@ -240,3 +247,17 @@
 	}
 	return s.underWay.Load() == 0 || stoppingFor > s.Settings.grace()/2
 }
+
+// moment is when something was last heard.
+type moment struct{ at atomic.Int64 }
+
+func (m *moment) now() { m.at.Store(time.Now().UnixNano()) }
+
+// age is zero before the first time.
+func (m *moment) age() time.Duration {
+	at := m.at.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, at))
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -35,7 +35,9 @@
 	// Pause is the least time between two changes, so that many small ones
 	// come together.
 	Pause time.Duration
-	Log   *zap.Logger
+	// OnHeard, if given, is told each time the store answered.
+	OnHeard func()
+	Log     *zap.Logger
 }
 
 const (
@@ -53,6 +55,9 @@
 
 // Run follows the table until the context ends.
 func Run(ctx context.Context, options Options, follower Follower) {
+	if options.OnHeard == nil {
+		options.OnHeard = func() {}
+	}
 	current := &watch{Options: options, follower: follower}
 	schedule := pause.Growing(firstRetry, longestRetry)
 	for ctx.Err() == nil {
@@ -77,6 +82,7 @@
 	if err != nil {
 		return err
 	}
+	w.OnHeard()
 	w.version = max(w.version, change.Version)
 	if len(change.Rows) == 0 {
 		return nil
@@ -109,6 +115,7 @@
 	if oldest < w.version {
 		return eris.Errorf("a reading of %s is behind: version %d after %d", w.Table, oldest, w.version)
 	}
+	w.OnHeard()
 	w.version = oldest
 	w.read = true
 	w.follower.Replace(rows, oldest)
