--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -93,7 +93,9 @@
 	settled   chan struct{} // closed and replaced when a reservation is settled
 	accounts  []*account
 	used      time.Time // when a turn was last reserved or settled
-	reclaimed time.Time // when others were last asked to release
+
+	reclaimed    time.Time     // when others were last asked to release
+	reclaimPause time.Duration // until they are asked again; grows
 }
 
 // NewLedger makes a ledger that remembers so many programs for so long. The
@@ -164,9 +166,21 @@
 	})
 }
 
-// reclaimPause is the least time between two questions to others about one
-// program: one that loops asks again and again.
-const reclaimPause = time.Second
+// Pauses between two questions to others about one program: one that loops
+// asks again and again after its budget is spent.
+const (
+	firstReclaimPause   = time.Second
+	longestReclaimPause = 30 * time.Second
+)
+
+func (l *Ledger) mayReclaim(held *program) bool {
+	if l.reclaim == nil || time.Since(held.reclaimed) < held.reclaimPause {
+		return false
+	}
+	held.reclaimed = time.Now()
+	held.reclaimPause = min(max(2*held.reclaimPause, firstReclaimPause), longestReclaimPause)
+	return true
+}
 
 // forget drops what is known of the rows: others may have released since.
 func (p *program) forget() {
@@ -177,14 +191,6 @@
 	}
 }
 
-func (l *Ledger) mayReclaim(held *program) bool {
-	if l.reclaim == nil || time.Since(held.reclaimed) < reclaimPause {
-		return false
-	}
-	held.reclaimed = time.Now()
-	return true
-}
-
 func (l *Ledger) open(identifier string, total int64) *program {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
