--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -205,7 +205,7 @@
 // smallBudget is the size in tokens below which a budget is not divided: its
 // halves would hold too few turns. It must be the same at all processes, and
 // what turns ask for must not matter.
-const smallBudget = 1024
+const smallBudget = 640
 
 // accountsOf divides a budget; all processes divide it alike.
 func (l *Ledger) accountsOf(identifier string, total int64) []*account {
