Linter clean; split the files of budgets and attempts

Change: accounts and examination of answers have files of their own; closings are checked; an unused setting goes. No behaviour changed.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -98,10 +98,15 @@
 	} else {
 		go write()
 	}
-	response, err := e.readAnswer(request, outgoing)
+	reply, err := e.readAnswer(request, outgoing)
 	if err != nil {
 		return nil, &LostError{Peer: e.instance.Address, Step: "read answer", Err: err}
 	}
+	return reply, nil
+}
+
+// take makes the reply of an answer whose head was read.
+func (e *exchange) take(response *http.Response) *Reply {
 	e.reusable = !response.Close && response.ProtoAtLeast(1, 1)
 	e.connection.idleLimit = idleLimit(response.Header)
 	return &Reply{
@@ -109,7 +114,7 @@
 		Header: response.Header,
 		Length: response.ContentLength,
 		Body:   &body{exchange: e, inner: response.Body},
-	}, nil
+	}
 }
 
 // encode makes the request; the target stays as the caller wrote it.
@@ -139,7 +144,7 @@
 
 // readAnswer reads the head of the answer to this request. One answer to an
 // earlier request on the connection may stand before it and is dropped.
-func (e *exchange) readAnswer(request *http.Request, outgoing *Outgoing) (*http.Response, error) {
+func (e *exchange) readAnswer(request *http.Request, outgoing *Outgoing) (*Reply, error) {
 	const largestStray = 1 << 20
 	strays := 0
 	for {
@@ -148,19 +153,22 @@
 			return nil, err
 		}
 		if response.StatusCode/100 == 1 {
+			_ = response.Body.Close() // it has none
 			continue
 		}
 		if outgoing.Belongs(response.Header) {
 			if strays > 0 {
 				response.Close = true
 			}
-			return response, nil
+			return e.take(response), nil
 		}
 		strays++
 		if e.connection.exchanges == 0 || strays > 1 || response.ContentLength < 0 || response.ContentLength > largestStray {
 			return nil, eris.New("an answer that belongs to another request")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -184,7 +192,7 @@
 	}
 	e.finished = true
 	e.stop()
-	e.connection.Close()
+	_ = e.connection.Close()
 }
 
 // release keeps the connection for the next request, if it is sound: the
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -49,7 +49,7 @@
 		if time.Since(idle.idleSince) < idle.idleLimit && quiet(idle) {
 			return idle, nil
 		}
-		idle.Close()
+		_ = idle.Close()
 	}
 }
 
@@ -70,7 +70,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
-		used.Close()
+		_ = used.Close()
 		return
 	}
 	p.idle = append(p.idle, used)
@@ -81,7 +81,7 @@
 	defer p.mutex.Unlock()
 	p.closed = true
 	for _, idle := range p.idle {
-		idle.Close()
+		_ = idle.Close()
 	}
 	p.idle = nil
 }
--- /dev/null
+++ b/internal/budget/account.go
@@ -0,0 +1,162 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+// row is what the store holds of an account.
+type row struct {
+	Total   int64    `cbor:"t"`
+	Granted int64    `cbor:"g"`
+	Grants  []uint64 `cbor:"n"` // names of the last grants
+}
+
+// account is what this process knows of one account.
+type account struct {
+	key     state.Key
+	share   int64 // of the budget
+	known   row
+	version state.Version
+	pending *pendingGrant // a commit that got no verdict; nil: none
+}
+
+// pendingGrant is repeated as it was until the store gives a verdict, so that
+// it is counted once whether or not it was done.
+type pendingGrant struct {
+	name   uint64
+	amount int64
+}
+
+// smallBudget is the size in tokens below which a budget is not divided: its
+// halves would hold too few turns. It must be the same at all processes, and
+// what turns ask for must not matter.
+const smallBudget = 640
+
+// accountsOf divides a budget; all processes divide it alike.
+func (l *Ledger) accountsOf(identifier string, total int64) []*account {
+	home := xxhash.Sum64String(identifier)
+	if total < smallBudget {
+		return []*account{{key: keyOf(identifier, home), share: total}}
+	}
+	const elsewhere = partitions/2 + 1
+	accounts := []*account{
+		{key: keyOf(identifier, home), share: total - total/2},
+		{key: keyOf(identifier, home+elsewhere), share: total / 2},
+	}
+	if (l.seed^home)&1 == 1 {
+		slices.Reverse(accounts)
+	}
+	return accounts
+}
+
+// draw raises what is granted of one account, by the need or what is left;
+// inAdvance, by more, for turns to come.
+func (l *Ledger) draw(ctx context.Context, held *program, from *account, most int64, inAdvance bool) error {
+	for range maxConflicts {
+		if from.pending == nil {
+			need := most - held.available
+			left := from.share - from.known.Granted
+			if left <= 0 {
+				return from.spent(need)
+			}
+			amount := need
+			if inAdvance {
+				amount = slice(left*int64(len(held.accounts)), need)
+			}
+			from.pending = &pendingGrant{name: rand.Uint64(), amount: min(amount, left)}
+		}
+		granted, err := l.ask(ctx, from)
+		if err != nil {
+			return err
+		}
+		if granted {
+			held.available += from.pending.amount
+		}
+		from.pending = nil
+		if granted {
+			return from.enough(held, most)
+		}
+	}
+	return eris.Wrap(state.ErrNotDone, "reserve budget: too many conflicts")
+}
+
+// ask commits the pending grant. It tells whether the grant is in the row.
+func (l *Ledger) ask(ctx context.Context, from *account) (bool, error) {
+	next := row{
+		Total:   from.share,
+		Granted: from.known.Granted + from.pending.amount,
+		Grants:  recent(from.known.Grants, from.pending.name),
+	}
+	version, err := l.commit(ctx, from, next)
+	if err == nil {
+		from.known, from.version = next, version
+		return true, nil
+	}
+	return from.learn(from.pending.name, err)
+}
+
+func (a *account) enough(held *program, most int64) error {
+	if held.available >= most {
+		return nil
+	}
+	return a.spent(most - held.available)
+}
+
+func (a *account) spent(need int64) error {
+	return &SpentError{Total: a.share, Granted: a.known.Granted, Need: need, Version: a.version}
+}
+
+// learn takes over the row that a conflict showed. It tells whether the grant
+// of that name is in it: an earlier try without an answer was done after all.
+func (a *account) learn(name uint64, err error) (bool, error) {
+	var conflict *state.ConflictError
+	if !errors.As(err, &conflict) {
+		return false, err
+	}
+	found, exists := conflict.Find(a.key)
+	if !exists {
+		a.known, a.version = row{}, 0
+		return false, nil
+	}
+	var known row
+	if err := cbor.Unmarshal(found.Value, &known); err != nil {
+		return false, eris.Wrap(err, "decode budget")
+	}
+	a.known, a.version = known, found.Version
+	a.share = min(a.share, known.Total)
+	return slices.Contains(known.Grants, name), nil
+}
+
+func (l *Ledger) commit(ctx context.Context, from *account, next row) (state.Version, error) {
+	value, err := cbor.Marshal(next)
+	if err != nil {
+		return 0, eris.Wrap(err, "encode budget")
+	}
+	commit := state.Commit{
+		Conditions: []state.Condition{{Key: from.key, Version: from.version}},
+		Puts:       []state.Put{{Key: from.key, Value: value}},
+	}
+	written, err := l.store.Commit(ctx, commit)
+	return written, eris.Wrap(err, "reserve budget")
+}
+
+// recent appends the name and keeps the last few.
+func recent(grants []uint64, name uint64) []uint64 {
+	kept := append(slices.Clone(grants), name)
+	return kept[max(0, len(kept)-grantsKept):]
+}
+
+func keyOf(identifier string, hash uint64) state.Key {
+	partition := strconv.FormatUint(hash%partitions, 16)
+	return state.Key{Table: table, Partition: partition, Name: identifier}
+}
--- a/internal/budget/shared_test.go
+++ b/internal/budget/shared_test.go
@@ -27,7 +27,6 @@
 func fellowship(store state.Store, zones ...string) []*member {
 	GinkgoHelper()
 	var made []*member
-	var rows []members.Member
 	for index, zone := range zones {
 		server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
 		Expect(err).NotTo(HaveOccurred())
@@ -35,7 +34,6 @@
 		pool := peer.NewPool(peer.Options{})
 		DeferCleanup(pool.Close)
 		self := members.Member{Name: zone + string(rune('1'+index)), Zone: zone, Address: server.Address()}
-		rows = append(rows, self)
 		availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
 		client := state.NewClient(state.ClientOptions{Store: store, Availability: availability})
 		nextSeed++
--- a/internal/commandline/explain.go
+++ b/internal/commandline/explain.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "open log")
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	lines, err := explain.Read(file)
 	return lines, eris.Wrapf(err, "log %s", name)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,10 +19,6 @@
 const (
 	mostOffers    = 4 // instances that a request is offered to
 	engineRecheck = 40 * time.Millisecond
-	// mostBuffered is how much of a plain answer is read before its head is
-	// passed on, so that one that breaks off can still be repeated.
-	mostBuffered = 64 << 10
-	firstRead    = 4 << 10
 )
 
 // ready is an answer whose first bytes arrived.
@@ -57,7 +51,7 @@
 			return reply, nil
 		}
 		if ctx.Err() != nil {
-			return nil, e.ended(ctx, err)
+			return nil, e.ended(err)
 		}
 		if !e.mayOfferAgain(err) {
 			return nil, e.exhausted(err)
@@ -83,7 +77,7 @@
 	}
 	for {
 		if e.remaining() < marginToRun {
-			return nil, e.ended(ctx, eris.New("no time left to run"))
+			return nil, e.ended(eris.New("no time left to run"))
 		}
 		request.Now = time.Now()
 		if chosen := backend.Choose(e.gateway.Fleet.Of(e.service.Name), request); chosen != nil {
@@ -177,74 +171,6 @@
 	return outgoing
 }
 
-// examine reads the first bytes of an answer and tells whether it is one that
-// may be passed on.
-func (e *execution) examine(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
-	answer := e.gateway.Wire.Answer(reply.Status, reply.Header)
-	if answer.NotRun {
-		if answer.Moved {
-			e.gateway.Fleet.Displace(instance)
-		}
-		_, _ = io.CopyN(io.Discard, reply.Body, mostBuffered)
-		return nil, &rejectedError{status: reply.Status}
-	}
-	e.runs++
-	if err := e.refuseToPass(answer, reply); err != nil {
-		return nil, &backend.LostError{Peer: instance.Address, Step: "examine answer", Err: err}
-	}
-	if e.route.Streaming && reply.Status == http.StatusOK {
-		return readFirst(instance, reply)
-	}
-	return readWhole(instance, reply)
-}
-
-// refuseToPass tells why an answer must not reach the caller, or nil.
-func (e *execution) refuseToPass(answer Answer, reply *backend.Reply) error {
-	switch {
-	case !answer.Signed || reply.Header.Get("Content-Encoding") != "":
-		return eris.New("the answer is not the instance's own")
-	case reply.Status >= http.StatusInternalServerError && e.route.Repeat == routetable.Any && e.runs < e.route.MaxAttempts:
-		return eris.Errorf("the instance failed with %d", reply.Status)
-	case e.route.Repeat == routetable.Once && promisesNotRun(reply.Status):
-		return eris.Errorf("the instance ran the request and answered %d", reply.Status)
-	default:
-		return nil
-	}
-}
-
-// promisesNotRun tells whether callers take the status for a promise that the
-// request has not run and never will.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	default:
-		return false
-	}
-}
-
-// readFirst waits for the first bytes of a stream.
-func readFirst(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
-	buffer := make([]byte, firstRead)
-	count, err := reply.Body.Read(buffer)
-	for count == 0 && err == nil {
-		count, err = reply.Body.Read(buffer)
-	}
-	if err != nil && err != io.EOF {
-		return nil, &backend.LostError{Peer: instance.Address, Step: "read first event", Err: err}
-	}
-	return &ready{Reply: reply, first: buffer[:count], whole: err == io.EOF}, nil
-}
-
-// readWhole reads a plain answer up to a bound.
-func readWhole(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
-	content, err := io.ReadAll(io.LimitReader(reply.Body, mostBuffered))
-	if err != nil {
-		return nil, &backend.LostError{Peer: instance.Address, Step: "read answer", Err: err}
-	}
-	return &ready{Reply: reply, first: content, whole: len(content) < mostBuffered}, nil
-}
-
 func (e *execution) noteFailure(instance *backend.Instance, err error) {
 	var lost *backend.LostError
 	if errors.As(err, &lost) {
@@ -290,7 +216,7 @@
 }
 
 // ended is the final answer when the time is over or the caller left.
-func (e *execution) ended(ctx context.Context, err error) error {
+func (e *execution) ended(err error) error {
 	if e.request.Context().Err() != nil {
 		return &CutError{Reason: ReasonCallerLeft, Err: err}
 	}
@@ -302,20 +228,3 @@
 	}
 	return unknown(ReasonDeadline, err)
 }
-
-// dropConnectionHeaders removes what concerns one connection only.
-func dropConnectionHeaders(header http.Header) {
-	for _, named := range header["Connection"] {
-		for name := range strings.SplitSeq(named, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		header.Del(name)
-	}
-}
-
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
--- a/internal/lab/platformengine/platformengine.go
+++ b/internal/lab/platformengine/platformengine.go
@@ -193,8 +193,7 @@
 	if err != nil {
 		return "", err
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return listener.Addr().String(), listener.Close()
 }
 
 // Patience bounds the waits for a state in tests that use the stand-ins.
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -19,8 +19,6 @@
 	Store   Store  `yaml:"store"`
 	// Grace is the time from a planned stop to the end by force, in seconds.
 	GraceSeconds float64 `yaml:"grace_seconds"`
-	// HeartbeatMillis is how often an instance renews its entry in the store.
-	HeartbeatMillis float64 `yaml:"heartbeat_millis"`
 	// DrainMillis is how long after its entry changed an instance may get work.
 	DrainMillis float64 `yaml:"drain_millis"`
 	MemoryMB    int     `yaml:"memory_mb"`
@@ -78,7 +76,6 @@
 	demand(s.Store.Address != "", "store.address: missing, expected IP:PORT")
 	demand(s.Store.RowBytes > 0, "store.row_bytes: expected a number above 0")
 	demand(s.GraceSeconds > 0, "grace_seconds: expected a number above 0")
-	demand(s.HeartbeatMillis > 0, "heartbeat_millis: expected a number above 0")
 	demand(s.DrainMillis > 0, "drain_millis: expected a number above 0")
 	demand(s.MemoryMB >= 0, "memory_mb: expected a number, 0 or above")
 	demand(s.LogSuccessesPerSecond >= 0, "log_successes_per_second: expected a number, 0 or above")
@@ -89,10 +86,6 @@
 	return time.Duration(s.GraceSeconds * float64(time.Second))
 }
 
-func (s *Settings) heartbeat() time.Duration {
-	return time.Duration(s.HeartbeatMillis * float64(time.Millisecond))
-}
-
 func (s *Settings) drain() time.Duration {
 	return time.Duration(s.DrainMillis * float64(time.Millisecond))
 }
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -66,8 +67,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		_, err = relay.Commit(ctx, put)
 		var conflict *state.ConflictError
-		Expect(err).To(BeAssignableToTypeOf(conflict))
-		Expect(err.(*state.ConflictError).Rows).To(HaveLen(1))
+		Expect(errors.As(err, &conflict)).To(BeTrue())
+		Expect(conflict.Rows).To(HaveLen(1))
 		page, err := relay.Read(ctx, state.Single(key))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page.Rows).To(Equal([]state.Row{{Key: key, Value: []byte("v"), Version: version}}))
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -24,7 +24,7 @@
 	configuration := zap.NewProductionEncoderConfig()
 	configuration.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	configuration.EncodeDuration = zapcore.MillisDurationEncoder
-	var core zapcore.Core = zapcore.NewCore(zapcore.NewJSONEncoder(configuration), queue, zap.InfoLevel)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(configuration), queue, zap.InfoLevel)
 	if perSecond > 0 {
 		core = &limitedCore{Core: core, limiter: rate.NewLimiter(rate.Limit(perSecond), perSecond), dropped: dropped.WithLabelValues("rate")}
 	}
