--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -108,7 +108,7 @@
 	if held.available < most {
 		err := l.store.Repeat(ctx, func() error { return l.grant(ctx, held, most) })
 		if errors.Is(err, ErrSpent) && l.mayReclaim(held) {
-			l.reclaim(ctx, identifier)
+			l.askOthers(ctx, identifier)
 			held.forget()
 			err = l.store.Repeat(ctx, func() error { return l.grant(ctx, held, most) })
 		}
@@ -154,6 +154,15 @@
 	return true
 }
 
+// reclaimWait bounds the question, so that time is left for the own grant.
+const reclaimWait = 100 * time.Millisecond
+
+func (l *Ledger) askOthers(ctx context.Context, identifier string) {
+	ctx, cancel := context.WithTimeout(ctx, reclaimWait)
+	defer cancel()
+	l.reclaim(ctx, identifier)
+}
+
 // forget drops what is known of the rows: others may have released since.
 func (p *program) forget() {
 	for _, each := range p.accounts {
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -136,6 +136,19 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("goes on by itself when others do not answer the question to give back", func(ctx SpecContext) {
+		first, second := newLedger(store), newLedger(store)
+		held, err := first.Reserve(ctx, "p", 500, 288)
+		Expect(err).NotTo(HaveOccurred())
+		held.Settle(0)
+		second.reclaim = func(asked context.Context, _ string) {
+			Expect(first.Release(asked, "p")).To(BeEquivalentTo(288))
+			<-asked.Done() // another holder is silent
+		}
+		_, err = second.Reserve(ctx, "p", 500, 288)
+		Expect(err).NotTo(HaveOccurred())
+	}, SpecTimeout(time.Minute))
+
 	It("gives back once, though the answer was lost", func(ctx SpecContext) {
 		first := newLedger(store)
 		reservation, err := first.Reserve(ctx, "p", 500, 288)
--- a/internal/budget/release.go
+++ b/internal/budget/release.go
@@ -121,10 +121,8 @@
 }
 
 // Reclaim asks the likely holders of all zones to release what they hold of a
-// program.
+// program, until the context ends.
 func (s *Shared) Reclaim(ctx context.Context, program string) {
-	ctx, cancel := context.WithTimeout(ctx, answerWait)
-	defer cancel()
 	var mutex sync.Mutex
 	total := int64(0)
 	var group errgroup.Group
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
 
 	"github.com/thymeloft/thymeloft/internal/pause"
 )
@@ -68,6 +69,9 @@
 
 // Commit implements Store.
 func (c *Client) Commit(ctx context.Context, commit Commit) (Version, error) {
+	if ctx.Err() != nil {
+		return 0, eris.Wrapf(ErrNotDone, "commit not begun: %v", ctx.Err())
+	}
 	start := time.Now()
 	version, err := hedge(ctx, &c.hedger, c.directDoubtful, func(ctx context.Context, try int) (Version, error) {
 		way, done := c.way(try)
@@ -81,6 +85,9 @@
 
 // Read implements Store.
 func (c *Client) Read(ctx context.Context, selected Range) (Page, error) {
+	if ctx.Err() != nil {
+		return Page{}, eris.Wrapf(ErrNotDone, "read not begun: %v", ctx.Err())
+	}
 	start := time.Now()
 	page, err := hedge(ctx, &c.hedger, c.directDoubtful, func(ctx context.Context, try int) (Page, error) {
 		way, done := c.way(try)
