Remove rows after their retention; take over changed settings

Cause: by reading: rows of turns and budgets stayed for ever, and a changed settings file was only logged.

--- a/cmd/thymeloft-gateway/main.go
+++ b/cmd/thymeloft-gateway/main.go
@@ -42,13 +42,13 @@
 	if given.Check {
 		return
 	}
-	if err := run(settings); err != nil {
+	if err := run(given.Settings, settings); err != nil {
 		fmt.Fprintln(os.Stderr, "thymeloft-gateway:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(settings server.Settings) error {
+func run(path string, settings server.Settings) error {
 	if settings.MemoryMB > 0 {
 		const share = 0.7
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * share * (1 << 20)))
@@ -69,6 +69,6 @@
 	})
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	go server.WatchReload(ctx, log)
+	go server.NewReloader(path, settings, made.Reload, log).Run(ctx)
 	return made.Run(ctx)
 }
--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -6,11 +6,14 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/retention"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
@@ -19,6 +22,24 @@
 	Total   int64    `cbor:"t"`
 	Granted int64    `cbor:"g"`
 	Grants  []uint64 `cbor:"n"` // names of the last grants
+	Changed int64    `cbor:"c"` // unix seconds of the last change
+}
+
+// keptAfterChange is how long after its last change a row is kept. It must be
+// longer than a program goes on without any grant or release of its holders.
+const keptAfterChange = 24 * time.Hour
+
+// Leftovers sweeps the rows of programs that ended long ago. mine tells which
+// partitions this daemon sweeps.
+func Leftovers(store *state.Client, mine func(partition string) bool, now func() time.Time, log *zap.Logger) *retention.Sweep {
+	return &retention.Sweep{
+		Store: store, Table: table, Partitions: state.Partitions(partitions), Mine: mine, Log: log,
+		Over: func(kept state.Row) bool {
+			var known row
+			err := cbor.Unmarshal(kept.Value, &known)
+			return err == nil && known.Changed > 0 && now().Sub(time.Unix(known.Changed, 0)) > keptAfterChange
+		},
+	}
 }
 
 // account is what this process knows of one account.
@@ -138,6 +159,7 @@
 }
 
 func (l *Ledger) commit(ctx context.Context, from *account, next row) (state.Version, error) {
+	next.Changed = time.Now().Unix()
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		return 0, eris.Wrap(err, "encode budget")
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -158,6 +158,18 @@
 	return slices.DeleteFunc(likely, func(member Member) bool { return member.Name == l.self.Name })
 }
 
+// Sweeps tells whether this daemon has the first claim on a key among the
+// members of all zones.
+func (l *List) Sweeps(key string) bool {
+	own := claim(l.self, key)
+	for _, member := range l.All() {
+		if claim(member, key) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // Others returns other members that are not suspected, those of this zone
 // first, in an order that differs from key to key.
 func (l *List) Others(key string) []Member {
--- /dev/null
+++ b/internal/retention/retention.go
@@ -0,0 +1,109 @@
+// Package retention removes rows whose time is over. A daemon removes what it
+// wrote itself, many rows with one call; what lost daemons left behind is
+// found by a slow sweep, which the daemons of all zones divide among them.
+//
+// Guarantee: nothing is removed before the time that its writer set for it.
+package retention
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/pause"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+// rowsPerCommit is how many rows one commit removes at most.
+const rowsPerCommit = 100
+
+// batch is rows that are due together.
+type batch struct {
+	due  time.Time
+	keys []state.Key
+}
+
+// Queue holds what this process wrote until it is due.
+type Queue struct {
+	store *state.Client
+	now   func() time.Time
+	log   *zap.Logger
+
+	mutex   sync.Mutex
+	batches []batch // by rising time as long as all are kept equally long
+	waiting int
+}
+
+// mostWaiting bounds the memory of a queue; rows beyond it are left to the sweep.
+const mostWaiting = 1 << 17
+
+// NewQueue makes an empty queue.
+func NewQueue(store *state.Client, now func() time.Time, log *zap.Logger) *Queue {
+	return &Queue{store: store, now: now, log: log}
+}
+
+// Add has rows removed after so long.
+func (q *Queue) Add(after time.Duration, keys ...state.Key) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.waiting+len(keys) > mostWaiting {
+		return
+	}
+	q.waiting += len(keys)
+	q.batches = append(q.batches, batch{due: q.now().Add(after), keys: keys})
+}
+
+// take returns rows that are due, at most one commit's worth.
+func (q *Queue) take() []state.Key {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	var due []state.Key
+	for len(q.batches) > 0 && !q.now().Before(q.batches[0].due) {
+		next := q.batches[0].keys
+		if len(due) > 0 && len(due)+len(next) > rowsPerCommit {
+			break
+		}
+		due = append(due, next...)
+		q.batches = q.batches[1:]
+	}
+	q.waiting -= len(due)
+	return due
+}
+
+// RemoveDue removes all rows that are due now.
+func (q *Queue) RemoveDue(ctx context.Context) error {
+	for {
+		due := q.take()
+		if len(due) == 0 {
+			return nil
+		}
+		if err := remove(ctx, q.store, due); err != nil {
+			return err // the sweep finds them
+		}
+	}
+}
+
+func remove(ctx context.Context, store *state.Client, keys []state.Key) error {
+	return store.Repeat(ctx, func() error {
+		_, err := store.Commit(ctx, state.Commit{Removals: keys})
+		return err
+	})
+}
+
+const (
+	queuePause   = 5 * time.Second
+	removalLimit = 20 * time.Second
+)
+
+// Run removes what is due until the context ends.
+func (q *Queue) Run(ctx context.Context) {
+	for pause.For(ctx, queuePause) {
+		limited, cancel := context.WithTimeout(ctx, removalLimit)
+		if err := q.RemoveDue(limited); err != nil {
+			q.log.Warn("retention: rows left to the sweep.", zap.Error(err))
+		}
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/retention/retention_test.go
@@ -0,0 +1,77 @@
+package retention_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/retention"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+func TestRetention(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retention")
+}
+
+var _ = Describe("rows whose time is over", func() {
+	var store *memorystore.Store
+	var client *state.Client
+	var now time.Time
+
+	key := func(number int) state.Key {
+		return state.Key{Table: "t", Partition: fmt.Sprint(number % 3), Name: fmt.Sprint(number)}
+	}
+	rows := func(ctx SpecContext) (count int) {
+		for _, partition := range []string{"0", "1", "2"} {
+			page, err := client.Read(ctx, state.Range{Table: "t", Partition: partition})
+			Expect(err).NotTo(HaveOccurred())
+			count += len(page.Rows)
+		}
+		return count
+	}
+
+	BeforeEach(func(ctx SpecContext) {
+		now = time.Unix(1000, 0)
+		store = memorystore.New()
+		client = state.NewClient(state.ClientOptions{Store: store, Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {})})
+		for number := range 250 {
+			_, err := store.Commit(ctx, state.Commit{Puts: []state.Put{{Key: key(number), Value: []byte{byte(number)}}}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
+	It("are removed by their writer, a hundred with a call", func(ctx SpecContext) {
+		queue := retention.NewQueue(client, func() time.Time { return now }, zap.NewNop())
+		for number := range 250 {
+			queue.Add(time.Minute, key(number))
+		}
+		before := store.Calls("commit")
+		Expect(queue.RemoveDue(ctx)).To(Succeed())
+		Expect(rows(ctx)).To(Equal(250))
+		now = now.Add(time.Minute)
+		Expect(queue.RemoveDue(ctx)).To(Succeed())
+		Expect(rows(ctx)).To(BeZero())
+		Expect(store.Calls("commit") - before).To(Equal(3))
+	})
+
+	It("are swept in the version that was read, and others stay", func(ctx SpecContext) {
+		sweep := &retention.Sweep{
+			Store: client, Table: "t", Log: zap.NewNop(),
+			Over: func(row state.Row) bool { return row.Value[0] >= 100 },
+		}
+		removed := 0
+		for _, partition := range []string{"0", "1", "2"} {
+			count, err := sweep.Partition(ctx, partition)
+			Expect(err).NotTo(HaveOccurred())
+			removed += count
+		}
+		Expect(removed).To(Equal(150))
+		Expect(rows(ctx)).To(Equal(100))
+	})
+})
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -11,8 +11,10 @@
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/retention"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/storerelay"
+	"github.com/thymeloft/thymeloft/internal/turn"
 	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
@@ -24,6 +26,7 @@
 	budgets      *budget.Shared
 	ledger       *budget.Ledger
 	list         *members.List
+	removal      *retention.Queue
 	server       *peer.Server
 	pool         *peer.Pool
 	log          *zap.Logger
@@ -60,6 +63,7 @@
 		Store: s.Store, Alternative: storerelay.NewRelay(parts.list, parts.pool), Availability: parts.availability,
 		Probe: state.Single(s.Rows.ConfigurationKey()), OnFailure: s.noteCall,
 	})
+	parts.removal = retention.NewQueue(parts.client, time.Now, s.Log)
 	parts.ledger = budget.NewLedger(parts.client, programsKept, programsKeptFor, rand.Uint64())
 	parts.budgets = budget.NewShared(parts.ledger, parts.list, parts.pool, parts.availability, s.Log)
 	if err := listening.Register(budget.Service, budget.NewHolder(parts.ledger, s.stopping.Load)); err != nil {
@@ -79,6 +83,9 @@
 		}
 	}()
 	go watch.Run(ctx, watch.Options{Store: c.client, Table: members.Table, Wait: membersWait, Log: c.log}, c.list)
+	go c.removal.Run(ctx)
+	go turn.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
+	go budget.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
 }
 
 // release gives back what is held of budgets.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -43,6 +43,7 @@
 	stopping           atomic.Bool
 	fleetRead          atomic.Bool
 	underWay           atomic.Int64
+	graceNow           atomic.Int64 // nanoseconds
 	configurationHeard moment
 	instancesHeard     moment
 }
@@ -65,14 +66,22 @@
 
 // New makes a server.
 func New(options Options) *Server {
-	return &Server{
+	made := &Server{
 		Options: options,
 		routes:  &routetable.Holder{},
 		fleet:   backend.NewFleet(time.Now),
 		metrics: gateway.NewMetrics(options.Registry),
 	}
+	made.Reload(options.Settings)
+	return made
 }
 
+// Reload takes over what may change while the process runs: the grace of a
+// planned stop.
+func (s *Server) Reload(settings Settings) { s.graceNow.Store(int64(settings.grace())) }
+
+func (s *Server) grace() time.Duration { return time.Duration(s.graceNow.Load()) }
+
 // Run serves until the context ends, and then until a planned stop is over.
 func (s *Server) Run(ctx context.Context) error {
 	parts, err := s.collaborate()
@@ -108,6 +117,7 @@
 		Fleet:  s.fleet,
 		Turns: turn.NewRecords(turn.Options{
 			Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
+			Now: time.Now, Removal: parts.removal,
 		}),
 		Budgets:       parts.budgets,
 		Availability:  parts.availability,
@@ -224,7 +234,7 @@
 	s.stopping.Store(true)
 	s.Log.Info("server: stopping.", zap.Int64("underWay", s.underWay.Load()))
 	s.front.CloseIdle()
-	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.grace()-endMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), s.grace()-endMargin)
 	defer cancel()
 	for ctx.Err() == nil && !s.mayLeave(time.Since(start)) {
 		parts.release(ctx)
@@ -245,7 +255,7 @@
 	if stoppingFor < noticed {
 		return false
 	}
-	return s.underWay.Load() == 0 || stoppingFor > s.Settings.grace()/2
+	return s.underWay.Load() == 0 || stoppingFor > s.grace()/2
 }
 
 // moment is when something was last heard.
--- /dev/null
+++ b/internal/server/settings_test.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+func TestServer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "server")
+}
+
+const validSettings = `machine: "m1"
+zone: "z"
+listen:
+  callers: "127.0.0.1:0"
+  ready: "127.0.0.1:0"
+  peers: "127.0.0.1:0"
+store:
+  address: "127.0.0.1:1"
+  row_bytes: 65536
+grace_seconds: 8
+drain_millis: 2000
+`
+
+func written(content string) string {
+	GinkgoHelper()
+	path := filepath.Join(GinkgoT().TempDir(), "settings.yaml")
+	Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+	return path
+}
+
+var _ = Describe("Load", func() {
+	It("reads settings", func() {
+		settings, err := Load(written(validSettings))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.grace()).To(Equal(8 * time.Second))
+		Expect(settings.drain()).To(Equal(2 * time.Second))
+	})
+
+	It("lists all that is wrong, with the file", func() {
+		path := written("machine: \"\"\nmemory_mb: -1\n")
+		_, err := Load(path)
+		Expect(err).To(MatchError(And(ContainSubstring(path), ContainSubstring("machine: missing"),
+			ContainSubstring("listen.callers: missing, expected IP:PORT"), ContainSubstring("memory_mb: expected a number, 0 or above"))))
+	})
+
+	It("names line and field of what it does not know", func() {
+		_, err := Load(written(validSettings + "grace: 9\n"))
+		Expect(err).To(MatchError(And(ContainSubstring("[12:1]"), ContainSubstring("grace"))))
+	})
+})
+
+var _ = Describe("Reloader", func() {
+	It("takes over what may change, names what waits, and keeps the former when the file is wrong", func() {
+		path := written(validSettings)
+		settings, err := Load(path)
+		Expect(err).NotTo(HaveOccurred())
+		core, logs := observer.New(zap.InfoLevel)
+		var applied []Settings
+		reloader := NewReloader(path, settings, func(next Settings) { applied = append(applied, next) }, zap.New(core))
+
+		changed := strings.Replace(strings.Replace(validSettings, "grace_seconds: 8", "grace_seconds: 5", 1), `zone: "z"`, `zone: "y"`, 1)
+		Expect(os.WriteFile(path, []byte(changed), 0o600)).To(Succeed())
+		reloader.Reload()
+		Expect(applied).To(HaveLen(1))
+		Expect(applied[0].grace()).To(Equal(5 * time.Second))
+		Expect(logs.TakeAll()[0].ContextMap()["untilNextStart"]).To(Equal([]any{"zone"}))
+
+		Expect(os.WriteFile(path, []byte("machine: {"), 0o600)).To(Succeed())
+		reloader.Reload()
+		Expect(applied).To(HaveLen(1))
+		Expect(logs.TakeAll()[0].Message).To(ContainSubstring("the former stay in force"))
+	})
+})
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -134,3 +135,12 @@
 func Single(key Key) Range {
 	return Range{Table: key.Table, Partition: key.Partition, From: key.Name, To: key.Name + "\x00", Limit: 1}
 }
+
+// Partitions names so many partitions: the hexadecimal numbers from 0.
+func Partitions(count int) []string {
+	names := make([]string, 0, count)
+	for number := range count {
+		names = append(names, strconv.FormatInt(int64(number), 16))
+	}
+	return names
+}
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -11,13 +11,16 @@
 	"errors"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/golang-lru/v2/expirable"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/retention"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
@@ -35,6 +38,7 @@
 type Record struct {
 	History []byte `cbor:"h"` // inputs and outputs of the chain, up to the end of this turn
 	Engine  string `cbor:"e"` // the instance that ran it; a hint where its prefix lies
+	Expires int64  `cbor:"x"` // unix seconds from which it may be removed; set by Save
 }
 
 const (
@@ -54,6 +58,9 @@
 	RowBytes     int           // most bytes of a value
 	CacheEntries int           // recent turns kept in memory
 	CacheFor     time.Duration // how long
+	Now          func() time.Time
+	// Removal takes the rows of turns that were saved; nil: they stay.
+	Removal *retention.Queue
 }
 
 // Records loads and saves turns. It is safe for concurrent use.
@@ -143,14 +150,19 @@
 	}
 }
 
-// Save commits a turn in one of its places. It may be called again with the
-// same turn after any error, since the rows are the same.
-func (r *Records) Save(ctx context.Context, identifier string, record Record) error {
+// expiryMargin is how much longer than asked for a turn is kept: clocks differ,
+// and a caller may ask at the last moment.
+const expiryMargin = 2 * time.Minute
+
+// Save commits a turn in one of its places, to be kept for so long. It may be
+// called again with the same turn after any error, since the rows are the same.
+func (r *Records) Save(ctx context.Context, identifier string, record Record, keep time.Duration) error {
+	record.Expires = r.options.Now().Add(keep + expiryMargin).Unix()
 	value, err := cbor.Marshal(record)
 	if err != nil {
 		return eris.Wrap(err, "encode turn")
 	}
-	err = r.options.Store.Repeat(ctx, func() error { return r.place(ctx, identifier, value) })
+	err = r.options.Store.Repeat(ctx, func() error { return r.place(ctx, identifier, value, keep+expiryMargin) })
 	if err != nil {
 		return err
 	}
@@ -159,13 +171,14 @@
 }
 
 // place tries the turn's places until one takes it.
-func (r *Records) place(ctx context.Context, identifier string, value []byte) error {
+func (r *Records) place(ctx context.Context, identifier string, value []byte, keep time.Duration) error {
 	var last error
 	for _, partition := range r.options.Store.Prefer(placesOf(identifier)) {
 		puts, err := rowsOf(identifier, partition, value, r.options.RowBytes)
 		if err != nil {
 			return err
 		}
+		r.removeLater(keep, puts) // also after an error: it may be done all the same
 		_, last = r.options.Store.Commit(ctx, state.Commit{Puts: puts})
 		if !state.NoVerdict(last) {
 			break
@@ -174,6 +187,17 @@
 	return eris.Wrap(last, "save turn")
 }
 
+func (r *Records) removeLater(after time.Duration, puts []state.Put) {
+	if r.options.Removal == nil {
+		return
+	}
+	var keys []state.Key
+	for _, put := range puts {
+		keys = append(keys, put.Key)
+	}
+	r.options.Removal.Add(after, keys...)
+}
+
 // remember caches turns that are small enough to be worth it.
 func (r *Records) remember(identifier string, record Record) {
 	const largestCached = 1 << 17
@@ -233,3 +257,27 @@
 	}
 	return chosen
 }
+
+// Leftovers sweeps turns that lost daemons left behind. mine tells which
+// partitions this daemon sweeps.
+func Leftovers(store *state.Client, mine func(partition string) bool, now func() time.Time, log *zap.Logger) *retention.Sweep {
+	return &retention.Sweep{
+		Store: store, Table: table, Partitions: state.Partitions(partitions), Mine: mine, Log: log,
+		Over: func(row state.Row) bool { return isOver(row, now()) },
+	}
+}
+
+// isOver tells whether a row is the first of a turn that expired. Rows that
+// continue a turn are removed by its writer only; they hold no time.
+func isOver(row state.Row, now time.Time) bool {
+	if strings.Contains(row.Key.Name, separator) {
+		return false
+	}
+	var record struct {
+		Expires int64 `cbor:"x"`
+	}
+	if err := cbor.Unmarshal(row.Value, &record); err != nil {
+		return false
+	}
+	return record.Expires > 0 && now.Unix() > record.Expires
+}
