--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,14 @@
 	ReadyPath string
 	Log       *zap.Logger
 	Registry  *prometheus.Registry
+	// OnStarted, if given, hears where the process listens.
+	OnStarted func(Addresses)
+}
+
+// Addresses are where a process listens.
+type Addresses struct {
+	Callers string
+	Ready   string
 }
 
 // Server is one process that serves callers.
@@ -97,10 +105,18 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.follow(background, parts)
+	addresses := Addresses{Callers: callers.Addr().String()}
 	for _, endpoint := range s.endpoints() {
-		if err := endpoint.serve(background); err != nil {
+		address, err := endpoint.serve(background)
+		if err != nil {
 			return err
 		}
+		if endpoint.name == endpointReady {
+			addresses.Ready = address
+		}
+	}
+	if s.OnStarted != nil {
+		s.OnStarted(addresses)
 	}
 	s.Log.Info("server: started.", zap.String("machine", s.Settings.Machine), zap.String("zone", s.Settings.Zone),
 		zap.String("callers", callers.Addr().String()), zap.String("store", s.Settings.Store.Address))
@@ -183,6 +199,12 @@
 	return !s.stopping.Load() && s.fleetRead.Load() && s.routes.Current() != nil
 }
 
+// The names of the endpoints.
+const (
+	endpointReady   = "ready"
+	endpointMetrics = "metrics"
+)
+
 // endpoint is a small listener beside the callers'.
 type endpoint struct {
 	name    string
@@ -197,25 +219,25 @@
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	endpoints := []endpoint{{"ready", s.Settings.Listen.Ready, readiness}}
+	endpoints := []endpoint{{endpointReady, s.Settings.Listen.Ready, readiness}}
 	if s.Settings.Listen.Metrics != "" {
 		metrics := http.NewServeMux()
 		metrics.Handle("/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
-		endpoints = append(endpoints, endpoint{"metrics", s.Settings.Listen.Metrics, metrics})
+		endpoints = append(endpoints, endpoint{endpointMetrics, s.Settings.Listen.Metrics, metrics})
 	}
 	return endpoints
 }
 
-func (e endpoint) serve(ctx context.Context) error {
+func (e endpoint) serve(ctx context.Context) (string, error) {
 	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
-		return eris.Wrapf(err, "listen for %s", e.name)
+		return "", eris.Wrapf(err, "listen for %s", e.name)
 	}
 	const headerTimeout = 3 * time.Second
 	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	return nil
+	return listener.Addr().String(), nil
 }
 
 // The course of a planned stop.
