Keep requests away from instances that did badly lately

Placement knew failures in a row, which a share of failures rarely makes, and a mean answer that counted only under load; a silent engine whose caller left was held to be well. Change: each instance's failures, first bytes and pace are remembered with a half-life of three seconds; an instance with a quarter of failures, or twice the others' time, is chosen after all others until that fades.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -24,14 +24,19 @@
 // Choose picks an instance, or nil if none is fit. It is a pure function of
 // the request and what is known of the instances.
 //
-// Order: instances that are healthy and stay; then ejected ones (better a try
-// than a refusal); then those that left a moment ago. Within an order the
-// lowest cost wins.
+// Order: instances that are healthy and stay; then those that were slow, then
+// those that failed often lately, then ejected ones (better a try than a
+// refusal); then those that left a moment ago. Within an order the lowest
+// cost wins.
 func Choose(instances []*Instance, request *Request) *Instance {
+	var all reference
+	for _, instance := range instances {
+		all.add(instance.quality.measure(request.Now))
+	}
 	var best *Instance
 	bestClass, bestCost := classUnfit, math.Inf(1)
 	for _, instance := range instances {
-		class := classOf(instance, request)
+		class := classOf(instance, request, all)
 		if class == classUnfit || class > bestClass {
 			continue
 		}
@@ -48,12 +53,14 @@
 
 const (
 	classReady class = iota
+	classSlow
+	classFailing
 	classEjected
 	classLeft
 	classUnfit
 )
 
-func classOf(instance *Instance, request *Request) class {
+func classOf(instance *Instance, request *Request, all reference) class {
 	for _, excluded := range request.Excluded {
 		if instance.ID == excluded {
 			return classUnfit
@@ -68,16 +75,23 @@
 	if instance.health.ejected(request.Now) {
 		return classEjected
 	}
-	return classReady
+	shown := instance.quality.measure(request.Now)
+	switch {
+	case shown.failing():
+		return classFailing
+	case shown.slow(all):
+		return classSlow
+	default:
+		return classReady
+	}
 }
 
 // The weights of the cost, in tokens that an engine would have to read.
 const (
-	fullEngineCost  = 4096.0 // an engine whose slots are all taken from here
-	affinityCost    = 256.0  // spread of the affinity's order of preference
-	otherZoneCost   = 48.0
-	defaultSlots    = 4
-	referenceAnswer = 50 * time.Millisecond
+	fullEngineCost = 4096.0 // an engine whose slots are all taken from here
+	affinityCost   = 256.0  // spread of the affinity's order of preference
+	otherZoneCost  = 48.0
+	defaultSlots   = 4
 )
 
 // costOf adds what must be read anew, the load from here, and the preference
@@ -107,9 +121,7 @@
 	share := float64(instance.InFlight()) / float64(slots)
 	cost := fullEngineCost * share * share
 	if request.Affinity == "" {
-		// Without prefixes only time counts: load and measured speed.
-		slowness := float64(instance.latency.value()) / float64(referenceAnswer)
-		cost = affinityCost * float64(instance.InFlight()) * max(slowness, 0.5)
+		cost = affinityCost * float64(instance.InFlight()) / 2
 	}
 	return cost
 }
--- a/internal/backend/instance.go
+++ b/internal/backend/instance.go
@@ -26,7 +26,7 @@
 	Declaration
 	pool     *pool
 	inFlight atomic.Int64
-	latency  average // to the first byte of an answer
+	quality  quality
 	health   health
 	prefixes *prefixes
 	leftAt   atomic.Int64 // unix nanoseconds since when it is draining or gone; 0: it is not
@@ -48,8 +48,8 @@
 	return func() { once.Do(func() { i.inFlight.Add(-1) }) }
 }
 
-// ObserveFirstByte notes how long an answer took to begin.
-func (i *Instance) ObserveFirstByte(took time.Duration) { i.latency.add(took) }
+// Observe notes what a request showed of the instance.
+func (i *Instance) Observe(outcome Outcome, now time.Time) { i.quality.observe(outcome, now) }
 
 // Succeeded notes that the instance answered.
 func (i *Instance) Succeeded() { i.health.succeeded() }
@@ -61,29 +61,6 @@
 // Remember notes that the instance has read these parts of a prompt.
 func (i *Instance) Remember(parts []PromptPart) { i.prefixes.add(parts) }
 
-// average is an exponentially weighted mean of durations.
-type average struct {
-	nanoseconds atomic.Int64
-}
-
-// averageWeight is the share of a new value, as one part in so many.
-const averageWeight = 8
-
-func (a *average) add(value time.Duration) {
-	for {
-		old := a.nanoseconds.Load()
-		next := old + (int64(value)-old)/averageWeight
-		if old == 0 {
-			next = int64(value)
-		}
-		if a.nanoseconds.CompareAndSwap(old, next) {
-			return
-		}
-	}
-}
-
-func (a *average) value() time.Duration { return time.Duration(a.nanoseconds.Load()) }
-
 // health ejects an instance that fails several times in a row, and lets
 // requests try it again after a pause that grows.
 type health struct {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -119,17 +119,18 @@
 	reply, err := instance.Exchange(attempt, e.outgoing(instance))
 	if err != nil {
 		finish()
-		e.noteFailure(instance, err)
+		e.noteFailure(instance, err, time.Since(sent))
 		return nil, err
 	}
 	answered, err := e.examine(instance, reply)
 	if err != nil {
 		_ = reply.Body.Close()
 		finish()
+		instance.Observe(backend.Outcome{Failed: true}, time.Now())
 		return nil, err
 	}
 	e.firstByte = time.Since(sent)
-	instance.ObserveFirstByte(e.firstByte)
+	e.began = time.Now()
 	instance.Succeeded()
 	instance.Remember(e.call.Prefix)
 	answered.end = finish
@@ -171,11 +172,21 @@
 	return outgoing
 }
 
-func (e *execution) noteFailure(instance *backend.Instance, err error) {
+// silenceFails is how long an instance may be silent before a caller that
+// leaves is held against it.
+const silenceFails = 500 * time.Millisecond
+
+// noteFailure counts an attempt without an answer. A caller that left at once
+// says nothing of the instance.
+func (e *execution) noteFailure(instance *backend.Instance, err error, waited time.Duration) {
 	var lost *backend.LostError
 	if errors.As(err, &lost) {
 		e.runs++
 	}
+	if e.request.Context().Err() != nil && waited < silenceFails {
+		return
+	}
+	instance.Observe(backend.Outcome{Failed: true}, time.Now())
 	if e.request.Context().Err() != nil {
 		return
 	}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -34,6 +34,7 @@
 	tries     int // instances that the request was offered to
 	runs      int // those that may have begun to run it
 	firstByte time.Duration
+	began     time.Time     // when the first byte arrived
 	waited    time.Duration // for the store
 	headSent  bool
 	status    int
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/turn"
 )
 
@@ -19,14 +20,10 @@
 // relay passes the answer on as it comes.
 func (e *execution) relay(ctx context.Context, reply *ready) error {
 	e.passHead(reply)
-	if err := e.pass(reply.first); err != nil {
+	if err := e.passBody(ctx, reply); err != nil {
 		return err
 	}
-	if !reply.whole {
-		if err := e.passRest(ctx, reply); err != nil {
-			return err
-		}
-	}
+	e.instance.Observe(backend.Outcome{FirstByte: e.firstByte, PerEvent: e.perEvent()}, time.Now())
 	if !e.isStream(reply) {
 		return nil
 	}
@@ -39,6 +36,22 @@
 	return nil
 }
 
+func (e *execution) passBody(ctx context.Context, reply *ready) error {
+	if err := e.pass(reply.first); err != nil || reply.whole {
+		return err
+	}
+	return e.passRest(ctx, reply)
+}
+
+// perEvent is the mean time between events; zero when there were too few.
+func (e *execution) perEvent() time.Duration {
+	const fewest = 3
+	if e.events.count < fewest {
+		return 0
+	}
+	return time.Since(e.began) / time.Duration(e.events.count-1)
+}
+
 func (e *execution) isStream(reply *ready) bool {
 	return e.route.Streaming && reply.Status == http.StatusOK
 }
@@ -103,6 +116,7 @@
 			return &CutError{Reason: contextEnded(ctx), Err: err}
 		}
 		e.instance.Failed(time.Now())
+		e.instance.Observe(backend.Outcome{Failed: true}, time.Now())
 		return &CutError{Reason: ReasonBroken, Err: eris.Wrap(err, "read stream")}
 	}
 }
