--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -47,6 +47,8 @@
 	comeBackStore = 400 * time.Millisecond
 	// marginToRun is the least time left for which a request is still sent.
 	marginToRun = 30 * time.Millisecond
+	// heldShare is the part of its time that a request waits at most.
+	heldShare = 0.45
 	// marginToTell is kept so that a final answer arrives within a caller's patience.
 	marginToTell = 250 * time.Millisecond
 )
@@ -155,9 +157,11 @@
 	return nil
 }
 
-// storePatience is how long a request may wait for the store before it runs.
+// storePatience is how long a request may wait for the store before it runs:
+// less than half of its time, so that a caller that is refused has time to
+// come back.
 func (e *execution) storePatience() time.Duration {
-	patience := e.remaining() - marginToTell
+	patience := min(e.remaining()-marginToTell, time.Duration(heldShare*float64(e.allowed())))
 	if e.route.Streaming && e.route.Patience > 0 {
 		patience = min(patience, e.route.Patience-marginToTell)
 	}
