Wait by one function

Change: execution and engine use pause.For. No behaviour changed; the tests of both packages pass with -race.

--- a/internal/engine/machines.go
+++ b/internal/engine/machines.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/platform"
 )
 
@@ -117,7 +118,7 @@
 			}
 		}
 		interval := float64(s.settings.MachineInterval)
-		if !sleep(ctx, time.Duration(interval*(1-pollJitter/2+pollJitter*rand.Float64()))) {
+		if !pause.For(ctx, time.Duration(interval*(1-pollJitter/2+pollJitter*rand.Float64()))) {
 			return
 		}
 	}
--- a/internal/engine/picture.go
+++ b/internal/engine/picture.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/scheduling"
 )
 
@@ -32,7 +33,7 @@
 			s.rebuilding.Lock()
 			s.rebuild(time.Now())
 			s.rebuilding.Unlock()
-			if !sleep(ctx, s.settings.RebuildInterval) {
+			if !pause.For(ctx, s.settings.RebuildInterval) {
 				return
 			}
 		}
@@ -198,15 +199,3 @@
 	}
 	return !s.blocked(member, wanted)
 }
-
-// sleep waits, and returns false if the context ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/engine/supervisor.go
+++ b/internal/engine/supervisor.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	enginev1 "github.com/thymeloft/thymeloft/api/engine/v1"
+	"github.com/thymeloft/thymeloft/internal/pause"
 )
 
 const (
@@ -54,7 +55,7 @@
 		}
 		failures = s.note(err, failures)
 		interval := float64(s.service.settings.PollInterval)
-		if !sleep(ctx, time.Duration(interval*(1-pollJitter/2+pollJitter*rand.Float64()))) {
+		if !pause.For(ctx, time.Duration(interval*(1-pollJitter/2+pollJitter*rand.Float64()))) {
 			return
 		}
 	}
--- a/internal/execution/run.go
+++ b/internal/execution/run.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/problem"
 	"github.com/thymeloft/thymeloft/internal/program"
 )
@@ -151,14 +152,7 @@
 }
 
 // pause waits before the next step, or until the run stops.
-func (r *run) pause(wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.ctx.Done():
-	}
-}
+func (r *run) pause(wait time.Duration) { pause.For(r.ctx, wait) }
 
 // stopped gives the call up for the reason that ended the run. When the
 // leadership ended, the next leader decides instead.
@@ -240,11 +234,7 @@
 		if err == nil {
 			return result
 		}
-		timer := time.NewTimer(pauses.NextBackOff())
-		select {
-		case <-timer.C:
-		case <-r.lead.ctx.Done():
-			timer.Stop()
+		if !pause.For(r.lead.ctx, pauses.NextBackOff()) {
 			return nil
 		}
 	}
