--- /dev/null
+++ b/internal/server/front_test.go
@@ -0,0 +1,71 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/routetable"
+)
+
+var _ = Describe("front", func() {
+	var served *front
+	var address string
+
+	BeforeEach(func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		address = listener.Addr().String()
+		handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "x") })
+		served = newFront(listener, handler, log.New(io.Discard, "", 0))
+		DeferCleanup(func(ctx SpecContext) { _ = served.Stop(ctx) })
+	})
+
+	dial := func() net.Conn {
+		GinkgoHelper()
+		connection, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = connection.Close() })
+		return connection
+	}
+	// ask sends a request with a header of this size and returns the answer's head.
+	ask := func(connection net.Conn, size int) *http.Response {
+		GinkgoHelper()
+		_, err := fmt.Fprintf(connection, "GET / HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", strings.Repeat("x", size))
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		return response
+	}
+
+	It("puts new limits in force for new connections, and leaves open ones be", func() {
+		const large = 12 << 10
+		open := dial()
+		Expect(ask(open, large).StatusCode).To(Equal(200))
+		served.Limit(routetable.Limits{HeaderBytes: 1 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute})
+		Expect(ask(dial(), large).StatusCode).To(Equal(431))
+		Expect(ask(dial(), 10).StatusCode).To(Equal(200))
+		Expect(ask(open, large).StatusCode).To(Equal(200))
+	})
+
+	It("tells callers to leave once it stops, on connections of all limits", func() {
+		old := dial()
+		Expect(ask(old, 10).Close).To(BeFalse())
+		served.Limit(routetable.Limits{HeaderBytes: 1 << 12, HeaderTimeout: time.Minute, IdleTimeout: time.Minute})
+		served.CloseIdle()
+		_, err := old.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF), "an idle connection is closed")
+		Expect(ask(dial(), 10).Close).To(BeTrue())
+	})
+})
