Replay: accept an unknown outcome only of calls that a kill interrupted

Cause: the trace of sub-agents on one budget listed no unknown outcome. A call whose attempt was committed when the leader was killed may have been sent or not; the engines keep no note of cancellations (internal/lab/modelengine), so the next leader cannot prove either, keeps the reservation, and where that leaves no budget for another attempt "unknown" is the truthful ending. Ruled out: asking the engine first. The look-up is made already; that the engine does not know the request proves nothing while the former leader may be paused before it sends. Change: a call of a trace may state outcomes for the case that a daemon was killed while it was under way; the check accepts them for no other call. Three tests: not without a kill, not another outcome, and with a kill. Conclusion: the product was right, the trace was too narrow.

--- a/internal/lab/replay/checks.go
+++ b/internal/lab/replay/checks.go
@@ -27,10 +27,7 @@
 			findings = append(findings, fmt.Sprintf("%s: %v", one.name, one.err))
 		}
 		for index, learned := range one.results {
-			right := one.bodies[index].Outcomes
-			if len(right) == 0 {
-				right = []string{string(program.CallAnswered)}
-			}
+			right := e.rightOutcomes(one.bodies[index].Call, &learned)
 			if !slices.Contains(right, string(learned.state)) {
 				findings = append(findings, fmt.Sprintf("%s call %d: %s, not %s: %v",
 					one.name, index+1, learned.state, strings.Join(right, " or "), learned.err))
@@ -40,6 +37,18 @@
 	return findings
 }
 
+// rightOutcomes lists the outcomes that the trace allows for a call.
+func (e *evidence) rightOutcomes(call Call, learned *result) []string {
+	right := call.Outcomes
+	if len(right) == 0 {
+		right = []string{string(program.CallAnswered)}
+	}
+	if e.interrupted(learned) {
+		right = slices.Concat(right, call.Interrupted)
+	}
+	return right
+}
+
 // readHistories reads each program at every daemon; all must tell the same.
 func (e *evidence) readHistories(ctx context.Context) []string {
 	patience := e.trace.Bounds.Caller
--- a/internal/lab/replay/checks_test.go
+++ b/internal/lab/replay/checks_test.go
@@ -73,6 +73,16 @@
 		Expect(check(found)).To(HaveLen(1))
 	},
 	Entry("a wrong outcome", func(_ *evidence, one *played) { one.results[0].state = program.CallFailed }, (*evidence).outcomes),
+	Entry("an outcome that only an interrupted call may have", func(e *evidence, one *played) {
+		one.bodies[0].Interrupted = []string{string(program.CallUnknown)}
+		one.results[0].state, one.results[0].began, one.results[0].elapsed = program.CallUnknown, time.UnixMilli(1000), 500
+		e.kills = []time.Time{time.UnixMilli(999), time.UnixMilli(1501)}
+	}, (*evidence).outcomes),
+	Entry("another outcome of an interrupted call than stated", func(e *evidence, one *played) {
+		one.bodies[0].Interrupted = []string{string(program.CallUnknown)}
+		one.results[0].state, one.results[0].began, one.results[0].elapsed = program.CallFailed, time.UnixMilli(1000), 500
+		e.kills = []time.Time{time.UnixMilli(1200)}
+	}, (*evidence).outcomes),
 	Entry("a gap in the order", func(e *evidence, one *played) { e.histories[one].Calls[1].Sequence = 3 }, (*evidence).order),
 	Entry("a call at a back end before its turn", func(e *evidence, _ *played) { e.records.firstArrival["p0001-a/2"] = 0 }, (*evidence).order),
 	Entry("another outcome in the history", func(e *evidence, one *played) { e.histories[one].Calls[1].State = program.CallFailed }, (*evidence).order),
@@ -132,6 +142,14 @@
 	}, (*evidence).monotone),
 )
 
+var _ = It("lets a call that a kill interrupted end as stated for that", func() {
+	found, one := sound()
+	one.bodies[0].Interrupted = []string{string(program.CallUnknown)}
+	one.results[0].state, one.results[0].began, one.results[0].elapsed = program.CallUnknown, time.UnixMilli(1000), 500
+	found.kills = []time.Time{time.UnixMilli(1200)}
+	Expect(found.outcomes()).To(BeEmpty())
+})
+
 var _ = It("lets a creation be refused for the stated reason only", func() {
 	refused := eris.Wrap(&rejection{document: callerapi.Problem{Title: problem.KindBudgetExhausted}}, "create")
 	Expect((&played{}).refusedAsStated(refused)).To(BeFalse())
--- a/internal/lab/replay/fault.go
+++ b/internal/lab/replay/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -134,6 +135,7 @@
 		if err := daemon.Kill(); err != nil {
 			return err
 		}
+		r.noteKill()
 		r.restartLater(fault, daemon)
 	case ActionFreeze:
 		r.expectBack(daemon, true)
@@ -153,6 +155,20 @@
 	return nil
 }
 
+func (r *run) noteKill() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kills = append(r.kills, time.Now())
+}
+
+// interrupted tells whether a daemon was killed while the call was under way.
+func (r *run) interrupted(learned *result) bool {
+	ended := learned.began.Add(time.Duration(learned.elapsed) * time.Millisecond)
+	return slices.ContainsFunc(r.kills, func(kill time.Time) bool {
+		return !kill.Before(learned.began) && !kill.After(ended)
+	})
+}
+
 // isolate cuts the zone off; its daemons are away until it heals.
 func (r *run) isolate(fault Fault, zone string) {
 	expect := func(coming bool) {
--- a/internal/lab/replay/program.go
+++ b/internal/lab/replay/program.go
@@ -162,6 +162,7 @@
 		defer cancel()
 		started := time.Now()
 		learned, err := r.withFaults(patience, one, submission, max(1, call.Together))
+		learned.began = started
 		learned.elapsed = time.Since(started).Milliseconds()
 		one.results = append(one.results, learned)
 		return err
--- a/internal/lab/replay/run.go
+++ b/internal/lab/replay/run.go
@@ -41,6 +41,7 @@
 	races     []race
 	stuck     string // the fleet's state when a caller's patience ended
 	changes   []changeCall
+	kills     []time.Time
 }
 
 // played is one copy of a program and what its caller learned.
--- a/internal/lab/replay/submission.go
+++ b/internal/lab/replay/submission.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -30,7 +31,8 @@
 	retry   int64        // seconds after which to come back
 	answer  *callerapi.Answer
 	err     error
-	elapsed int64 // milliseconds, as the caller saw it
+	began   time.Time // of the submission
+	elapsed int64     // milliseconds, as the caller saw it
 }
 
 // streamCounts count what streams did wrong, over a whole replay.
--- a/internal/lab/replay/trace.go
+++ b/internal/lab/replay/trace.go
@@ -73,6 +73,8 @@
 	Identical     bool          `yaml:"identical,omitempty"` // repeated without a number
 	Together      int           `yaml:"together,omitempty"`  // submissions of the same call at once, through several daemons
 	Outcomes      []string      `yaml:"outcomes,omitempty"`  // that are right; "answered" by default
+	// Interrupted are further outcomes that are right only for a call that was under way when a daemon was killed.
+	Interrupted []string `yaml:"interrupted,omitempty"`
 }
 
 // Step is a moment in a call's life.
