--- a/cmd/thymeloft-gateway/main.go
+++ b/cmd/thymeloft-gateway/main.go
@@ -58,9 +58,10 @@
 	defer closeLog()
 	log = log.With(zap.String("machine", settings.Machine))
 	const storePatience = time.Second
+	calls := server.NewStoreCalls(registry)
 	made := server.New(server.Options{
 		Settings:  settings,
-		Store:     platform.NewStore(platform.StoreOptions{Address: settings.Store.Address, Patience: storePatience, Observe: server.StoreMetrics(registry)}),
+		Store:     platform.NewStore(platform.StoreOptions{Address: settings.Store.Address, Patience: storePatience, Observe: calls.Observe}),
 		Wire:      platform.Headers{},
 		Rows:      platform.Rows{},
 		ReadyPath: platform.ReadyPath,
@@ -70,5 +71,6 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	go server.NewReloader(path, settings, made.Reload, log).Run(ctx)
+	go calls.Summarize(ctx, log)
 	return made.Run(ctx)
 }
