Hold calls back from partitions of the store that failed

Cause: in an outage of a fifth to a third of the partitions each waiting turn tried its own partitions again every 30 to 250 ms, each try up to three times (a doubtful way launches the next at once). Change: a partition that failed has a gate. A daemon lets one call at a time through to any of them, at distances by the number of daemons; once one answers the others follow in quick succession. Further tries of a call come out of a retry budget. The whole store counts as down only when nothing was answered for 200 ms. Causes in log lines are texts without stacks. Test: internal/state "calls to partitions that failed", "further tries" (fails without the budget: all 180 tries go out).

--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -248,7 +248,7 @@
 		err := r.shared.caller.Call(ctx, r.home.Address, peer.Control, methodSettle, request, &SettleReply{})
 		if err != nil && !errors.Is(err, rpc.ErrShutdown) {
 			r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", r.home.Name),
-				zap.String("reservation", r.name), zap.Int64("generated", generated), zap.NamedError("cause", err))
+				zap.String("reservation", r.name), zap.Int64("generated", generated), zap.String("cause", err.Error()))
 		}
 	}()
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,7 +57,7 @@
 			return nil, e.exhausted(err)
 		}
 		e.gateway.Log.Info("request: offered again.",
-			zap.String("request", e.call.ID), zap.String("engine", instance.ID), zap.Int("tries", e.tries), zap.NamedError("cause", err))
+			zap.String("request", e.call.ID), zap.String("engine", instance.ID), zap.Int("tries", e.tries), zap.String("cause", err.Error()))
 		last = err
 	}
 }
@@ -192,7 +192,7 @@
 	}
 	wait, ejected := instance.Failed(time.Now())
 	if ejected {
-		e.gateway.Log.Warn("engine: ejected.", zap.String("engine", instance.ID), zap.Duration("for", wait), zap.NamedError("cause", err))
+		e.gateway.Log.Warn("engine: ejected.", zap.String("engine", instance.ID), zap.Duration("for", wait), zap.String("cause", err.Error()))
 	}
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -90,7 +90,7 @@
 		}
 		var member Member
 		if err := cbor.Unmarshal(row.Value, &member); err != nil {
-			l.log.Error("members: row cannot be read.", zap.String("member", row.Key.Name), zap.Error(err))
+			l.log.Error("members: row cannot be read.", zap.String("member", row.Key.Name), zap.String("error", err.Error()))
 			continue
 		}
 		next = append(next, member)
--- a/internal/retention/retention.go
+++ b/internal/retention/retention.go
@@ -102,7 +102,7 @@
 	for pause.For(ctx, queuePause) {
 		limited, cancel := context.WithTimeout(ctx, removalLimit)
 		if err := q.RemoveDue(limited); err != nil {
-			q.log.Warn("retention: rows left to the sweep.", zap.Error(err))
+			q.log.Warn("retention: rows left to the sweep.", zap.String("error", err.Error()))
 		}
 		cancel()
 	}
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -59,6 +59,7 @@
 		log:    s.Log,
 	}
 	parts.availability = state.NewAvailability(time.Now, s.noteStore)
+	parts.availability.PaceTries(func() time.Duration { return triesApart(len(parts.list.All())) })
 	parts.client = state.NewClient(state.ClientOptions{
 		Store: s.Store, Alternative: storerelay.NewRelay(parts.list, parts.pool), Availability: parts.availability,
 		Probe: state.Single(s.Rows.ConfigurationKey()), OnFailure: s.noteCall,
@@ -75,11 +76,21 @@
 	return parts, nil
 }
 
+// triesApart shares out how often all daemons together try partitions of the
+// store that failed.
+func triesApart(daemons int) time.Duration {
+	const (
+		shareOfEach = 4 * time.Millisecond
+		least       = 50 * time.Millisecond
+	)
+	return max(time.Duration(daemons)*shareOfEach, least)
+}
+
 // join tells the others of this daemon, and follows who they are.
 func (c *collaboration) join(ctx context.Context) {
 	go func() {
 		if err := c.list.Register(ctx, c.client); err != nil {
-			c.log.Warn("members: not registered.", zap.Error(err))
+			c.log.Warn("members: not registered.", zap.String("error", err.Error()))
 		}
 	}()
 	go watch.Run(ctx, watch.Options{Store: c.client, Table: members.Table, Wait: membersWait, Log: c.log}, c.list)
--- a/internal/server/followers.go
+++ b/internal/server/followers.go
@@ -41,7 +41,7 @@
 func (c *configurationFollower) take(row state.Row) {
 	table, err := c.rows.Table(row)
 	if err != nil {
-		c.log.Error("configuration: cannot be read; the former stays in force.", zap.Uint64("version", uint64(row.Version)), zap.Error(err))
+		c.log.Error("configuration: cannot be read; the former stays in force.", zap.Uint64("version", uint64(row.Version)), zap.String("error", err.Error()))
 		return
 	}
 	if !c.holder.Replace(table) {
@@ -91,7 +91,7 @@
 func (i *instanceFollower) translate(row state.Row) (backend.Declaration, bool) {
 	declaration, err := i.rows.Instance(row)
 	if err != nil {
-		i.log.Error("engine: entry cannot be read.", zap.String("engine", row.Key.Name), zap.Error(err))
+		i.log.Error("engine: entry cannot be read.", zap.String("engine", row.Key.Name), zap.String("error", err.Error()))
 	}
 	return declaration, err == nil
 }
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -66,7 +66,7 @@
 	r.changed = r.fileTime()
 	next, err := Load(r.Path)
 	if err != nil {
-		r.Log.Error("server: settings not reloaded; the former stay in force.", zap.Error(err))
+		r.Log.Error("server: settings not reloaded; the former stay in force.", zap.String("error", err.Error()))
 		return
 	}
 	waiting := r.current.needingStart(next)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -169,7 +169,7 @@
 func (s *Server) noteCall(failure state.Failure) {
 	s.Log.Warn("store: call failed.", zap.String("call", failure.Call), zap.String("table", failure.Key.Table),
 		zap.String("partition", failure.Key.Partition), zap.String("key", failure.Key.Name),
-		zap.Duration("took", failure.Took), zap.NamedError("cause", failure.Err))
+		zap.Duration("took", failure.Took), zap.String("cause", failure.Err.Error()))
 }
 
 // follow keeps configuration and instances up to date.
--- a/internal/state/availability.go
+++ b/internal/state/availability.go
@@ -13,8 +13,8 @@
 	onChange func(available bool, lasted time.Duration)
 
 	mutex     sync.Mutex
-	failing   map[string]bool      // partitions that failed since the last answered call
-	suspect   map[string]time.Time // until when a partition is tried last
+	failing   map[string]bool // partitions that failed since the last answered call
+	gates     *gates
 	downSince time.Time
 	restored  chan struct{} // closed when the store answers again; nil while it does
 }
@@ -23,39 +23,40 @@
 	// failuresUntilDown is how many partitions fail without any answered call
 	// in between before the whole store is believed to be down.
 	failuresUntilDown = 3
-	// suspicion is how long a partition that failed is tried last.
-	suspicion = time.Second
+	// silenceOfOutage is how long no call was answered in an outage of the
+	// whole store; in one of a part others are answered all the while.
+	silenceOfOutage = 200 * time.Millisecond
 )
 
 // NewAvailability starts with an available store. onChange hears each change
 // with how long the former state lasted, if that was an outage.
 func NewAvailability(now func() time.Time, onChange func(available bool, lasted time.Duration)) *Availability {
-	return &Availability{now: now, onChange: onChange, failing: map[string]bool{}, suspect: map[string]time.Time{}}
+	return &Availability{now: now, onChange: onChange, failing: map[string]bool{}, gates: newGates(now)}
 }
 
 // Succeeded notes an answered call.
 func (a *Availability) Succeeded(partition string) {
+	a.gates.succeeded(partition)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	delete(a.suspect, partition)
 	clear(a.failing)
 	if a.restored == nil {
 		return
 	}
 	close(a.restored)
 	a.restored = nil
-	clear(a.suspect)
+	a.gates.restored()
 	a.onChange(true, a.now().Sub(a.downSince))
 }
 
 // Failed notes a call without a verdict. It tells whether the store is
 // believed to be down from now on.
 func (a *Availability) Failed(partition string) (wentDown bool) {
+	a.gates.failed(partition)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.failing[partition] = true
-	a.suspect[partition] = a.now().Add(suspicion)
-	if len(a.failing) < failuresUntilDown || a.restored != nil {
+	if len(a.failing) < failuresUntilDown || a.restored != nil || a.gates.answeredWithin(silenceOfOutage) {
 		return false
 	}
 	a.restored = make(chan struct{})
@@ -71,13 +72,22 @@
 	return a.restored == nil
 }
 
-// Prefer orders partitions: those that failed a moment ago come last.
+// PaceTries sets how far apart this process tries partitions that failed.
+// It is to be called before the first use.
+func (a *Availability) PaceTries(distance func() time.Duration) { a.gates.distance = distance }
+
+// Enter waits while other calls find out whether a partition that failed
+// answers again. It returns ErrNotDone if the context ends first.
+func (a *Availability) Enter(ctx context.Context, partition string) error {
+	return a.gates.enter(ctx, partition)
+}
+
+// Prefer orders partitions: those that failed and have not answered since
+// come last.
 func (a *Availability) Prefer(partitions []string) []string {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
 	var sound, suspected []string
 	for _, partition := range partitions {
-		if a.now().Before(a.suspect[partition]) {
+		if a.gates.isClosed(partition) {
 			suspected = append(suspected, partition)
 			continue
 		}
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -72,6 +72,9 @@
 	if ctx.Err() != nil {
 		return 0, eris.Wrapf(ErrNotDone, "commit not begun: %v", ctx.Err())
 	}
+	if err := c.availability.Enter(ctx, commit.firstKey().Partition); err != nil {
+		return 0, err
+	}
 	start := time.Now()
 	version, err := hedge(ctx, &c.hedger, c.directDoubtful, func(ctx context.Context, try int) (Version, error) {
 		way, done := c.way(try)
@@ -88,6 +91,9 @@
 	if ctx.Err() != nil {
 		return Page{}, eris.Wrapf(ErrNotDone, "read not begun: %v", ctx.Err())
 	}
+	if err := c.availability.Enter(ctx, selected.Partition); err != nil {
+		return Page{}, err
+	}
 	start := time.Now()
 	page, err := hedge(ctx, &c.hedger, c.directDoubtful, func(ctx context.Context, try int) (Page, error) {
 		way, done := c.way(try)
--- a/internal/state/hedge.go
+++ b/internal/state/hedge.go
@@ -11,6 +11,7 @@
 // the call was done, and calls are idempotent by their keys and conditions.
 type hedger struct {
 	typical atomic.Int64 // nanoseconds, weighted mean of answered calls
+	budget  retryBudget
 }
 
 const (
@@ -65,6 +66,7 @@
 	delay := h.delay()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
+	h.budget.call()
 	launch()
 	for {
 		select {
@@ -74,7 +76,7 @@
 				h.observe(ended.took)
 				return ended.result, ended.err
 			}
-			if launched < mostHedgedTries && ctx.Err() == nil && again() {
+			if launched < mostHedgedTries && ctx.Err() == nil && again() && h.budget.take() {
 				launch()
 			}
 			if pending == 0 {
@@ -84,7 +86,9 @@
 			if launched == mostHedgedTries {
 				continue
 			}
-			launch()
+			if h.budget.take() {
+				launch()
+			}
 			delay *= 2
 			timer.Reset(delay)
 		}
--- a/internal/state/state_suite_test.go
+++ b/internal/state/state_suite_test.go
@@ -144,3 +144,15 @@
 		Expect(failures).To(BeEmpty())
 	})
 })
+
+// hangingStore counts tries and never answers.
+type hangingStore struct {
+	state.Store
+	tries atomic.Int64
+}
+
+func (h *hangingStore) Commit(ctx context.Context, _ state.Commit) (state.Version, error) {
+	h.tries.Add(1)
+	<-ctx.Done()
+	return 0, state.ErrUnknown
+}
--- a/internal/state/way.go
+++ b/internal/state/way.go
@@ -49,6 +49,20 @@
 	return time.Now().Before(w.badUntil)
 }
 
+// avoid tells whether a call should try another way first. Of the calls that
+// come after a bad way's time, one alone tries it again.
+func (w *wayHealth) avoid() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if time.Now().Before(w.badUntil) {
+		return true
+	}
+	if w.failures >= failuresUntilBad {
+		w.badUntil = time.Now().Add(badFor)
+	}
+	return false
+}
+
 // DirectUsable tells whether this process itself reaches the store.
 func (c *Client) DirectUsable() bool { return !c.directHealth.bad() }
 
@@ -57,7 +71,11 @@
 // way chooses the way of a try, and what notes its end: the own one and the
 // other in turn, the own one first unless it is bad.
 func (c *Client) way(try int) (Store, func(ctx context.Context, err error)) {
-	if c.alternative != nil && (try%2 == 1) != c.directHealth.bad() {
+	avoided := c.directHealth.bad
+	if try == 0 {
+		avoided = c.directHealth.avoid
+	}
+	if c.alternative != nil && (try%2 == 1) != avoided() {
 		return c.alternative, func(context.Context, error) {}
 	}
 	return c.direct, func(ctx context.Context, err error) {
