One holder of a program's budget in a region, the first half granted at once

One program in three reaches several zones, and each zone's holder was granted a third of what was left. Change: daemons of a region share one holder for a program, which is granted the first account whole, and half of what is left of the second. The order of the accounts no longer differs from process to process. Members and settings tell the region.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -46,6 +46,7 @@
 type account struct {
 	key     state.Key
 	share   int64 // of the budget
+	whole   bool  // is granted whole to the first that asks
 	known   row
 	version state.Version
 	pending *pendingGrant // a commit that got no verdict; nil: none
@@ -64,20 +65,28 @@
 const smallBudget = 640
 
 // accountsOf divides a budget; all processes divide it alike.
-func (l *Ledger) accountsOf(identifier string, total int64) []*account {
+func accountsOf(identifier string, total int64) []*account {
 	home := xxhash.Sum64String(identifier)
 	if total < smallBudget {
 		return []*account{{key: keyOf(identifier, home), share: total}}
 	}
 	const elsewhere = partitions/2 + 1
-	accounts := []*account{
-		{key: keyOf(identifier, home), share: total - total/2},
+	return []*account{
+		{key: keyOf(identifier, home), share: total - total/2, whole: true},
 		{key: keyOf(identifier, home+elsewhere), share: total / 2},
 	}
-	if (l.seed^home)&1 == 1 {
-		slices.Reverse(accounts)
+}
+
+// advance is what a process is granted at once for a need, of what is left of
+// the account. One holder spends for all daemons of a region, so the first
+// half of a budget goes to it whole; those that follow a lost holder, and those
+// of other regions, find enough in the other half.
+func (a *account) advance(left, need int64) int64 {
+	if a.whole {
+		return max(need, left)
 	}
-	return accounts
+	const holdersLeft = 2
+	return max(need, left/holdersLeft)
 }
 
 // draw raises what is granted of one account, by the need or what is left;
@@ -92,7 +101,7 @@
 			}
 			amount := need
 			if inAdvance {
-				amount = slice(left*int64(len(held.accounts)), need)
+				amount = from.advance(left, need)
 			}
 			from.pending = &pendingGrant{name: rand.Uint64(), amount: min(amount, left)}
 		}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -5,7 +5,8 @@
 // a half of the budget, since a part of the partitions may be down. The row
 // of an account holds how many tokens were granted to processes so far. A
 // process is granted a slice by a conditional commit before the first of its
-// tokens is generated, and spends it in memory. What a lost process did not
+// tokens is generated, and spends it in memory: the first half at once, and of
+// the second the half of what is left. What a lost process did not
 // spend stays granted: a budget is never exceeded, and may be used up too
 // early only by what lost processes held.
 package budget
@@ -52,7 +53,6 @@
 	store    *state.Client
 	mutex    sync.Mutex // for opening
 	programs *expirable.LRU[string, *program]
-	seed     uint64 // orders the accounts, so that processes start at different ones
 	// reclaim, if set, asks other processes to release what they hold of a program.
 	reclaim func(ctx context.Context, identifier string)
 }
@@ -70,10 +70,9 @@
 	reclaimPause time.Duration // until they are asked again; grows
 }
 
-// NewLedger makes a ledger that remembers so many programs for so long. The
-// seed should differ between processes.
-func NewLedger(store *state.Client, entries int, keep time.Duration, seed uint64) *Ledger {
-	return &Ledger{store: store, programs: expirable.NewLRU[string, *program](entries, nil, keep), seed: seed}
+// NewLedger makes a ledger that remembers so many programs for so long.
+func NewLedger(store *state.Client, entries int, keep time.Duration) *Ledger {
+	return &Ledger{store: store, programs: expirable.NewLRU[string, *program](entries, nil, keep)}
 }
 
 // Reservation is what one turn may generate.
@@ -178,7 +177,7 @@
 	if found, known := l.programs.Get(identifier); known {
 		return found
 	}
-	opened := &program{settled: make(chan struct{}), accounts: l.accountsOf(identifier, total)}
+	opened := &program{settled: make(chan struct{}), accounts: accountsOf(identifier, total)}
 	l.programs.Add(identifier, opened)
 	return opened
 }
@@ -217,11 +216,3 @@
 	})
 	return ordered
 }
-
-// sliceShare is the part of what is left that a holder is granted at once, so
-// that a program goes on without the store while that is down. The holders of
-// other zones, and those that follow lost ones, must find enough.
-const sliceShare = 3
-
-// slice is the grant for a need, of what is left of the budget.
-func slice(left, need int64) int64 { return max(need, left/sliceShare) }
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -59,7 +59,7 @@
 // SettleReply is empty.
 type SettleReply struct{}
 
-// Holder answers other daemons of the zone for the programs whose budgets this
+// Holder answers other daemons of the region for the programs whose budgets this
 // daemon holds.
 type Holder struct {
 	ledger   *Ledger
@@ -127,8 +127,8 @@
 	Settle(generated int64)
 }
 
-// Shared reserves at the daemon of the zone that holds a program's budget, so
-// that all daemons of the zone spend one grant, and needs no store while that
+// Shared reserves at the daemon of the region that holds a program's budget, so
+// that all daemons of the region spend one grant, and needs no store while that
 // lasts. A holder that does not answer is passed over; then this daemon takes
 // a grant of its own, which the store keeps within the budget.
 type Shared struct {
@@ -161,7 +161,7 @@
 	}
 }
 
-// reserveOnce asks the holders of the zone in their order, down to this
+// reserveOnce asks the holders of the region in their order, down to this
 // daemon's own ledger.
 func (s *Shared) reserveOnce(ctx context.Context, request ReserveRequest) (Settler, error) {
 	for _, home := range s.list.Homes(request.Program) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -27,6 +27,7 @@
 type Member struct {
 	Name    string `cbor:"n"`
 	Zone    string `cbor:"z"`
+	Region  string `cbor:"r"`
 	Address string `cbor:"a"` // for calls between daemons
 }
 
@@ -115,14 +116,14 @@
 	return found && l.now().Before(until.(time.Time))
 }
 
-// Homes orders the members of this daemon's zone by their claim on a key, the
-// same at every daemon of the zone (rendezvous hashing). Suspected members
-// are left out; this daemon itself never is.
-func (l *List) Homes(key string) []Member { return l.homesIn(l.self.Zone, key) }
+// Homes orders the members of this daemon's region by their claim on a key,
+// the same at every daemon of the region (rendezvous hashing). Suspected
+// members are left out; this daemon itself never is.
+func (l *List) Homes(key string) []Member { return l.homesIn(l.self.Region, key) }
 
-func (l *List) homesIn(zone, key string) []Member {
+func (l *List) homesIn(region, key string) []Member {
 	homes := slices.DeleteFunc(slices.Clone(l.All()), func(member Member) bool {
-		return member.Zone != zone || member.Name != l.self.Name && l.suspected(member)
+		return member.Region != region || member.Name != l.self.Name && l.suspected(member)
 	})
 	slices.SortFunc(homes, func(a, b Member) int {
 		claimOfA, claimOfB := claim(a, key), claim(b, key)
@@ -138,21 +139,21 @@
 	return homes
 }
 
-// likelyPerZone is how many members of a zone are likely to hold a key: its
-// home, and the one that stood in while the home was away.
-const likelyPerZone = 2
+// likelyPerRegion is how many members of a region are likely to hold a key:
+// its home, and those that stood in while the home was away.
+const likelyPerRegion = 3
 
 // LikelyHomes returns the other members that are likely to hold a key.
 func (l *List) LikelyHomes(key string) []Member {
 	var likely []Member
-	zones := map[string]bool{}
+	regions := map[string]bool{}
 	for _, member := range l.All() {
-		if zones[member.Zone] {
+		if regions[member.Region] {
 			continue
 		}
-		zones[member.Zone] = true
-		homes := l.homesIn(member.Zone, key)
-		homes = homes[:min(len(homes), likelyPerZone)]
+		regions[member.Region] = true
+		homes := l.homesIn(member.Region, key)
+		homes = homes[:min(len(homes), likelyPerRegion)]
 		likely = append(likely, homes...)
 	}
 	return slices.DeleteFunc(likely, func(member Member) bool { return member.Name == l.self.Name })
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -51,7 +50,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for daemons")
 	}
-	self := members.Member{Name: s.Settings.Machine, Zone: s.Settings.Zone, Address: listening.Address()}
+	self := members.Member{Name: s.Settings.Machine, Zone: s.Settings.Zone, Region: s.Settings.Region, Address: listening.Address()}
 	parts := &collaboration{
 		list:   members.NewList(self, time.Now, s.Log),
 		server: listening,
@@ -65,7 +64,7 @@
 		Probe: state.Single(s.Rows.ConfigurationKey()), OnFailure: s.noteCall,
 	})
 	parts.removal = retention.NewQueue(parts.client, time.Now, s.Log)
-	parts.ledger = budget.NewLedger(parts.client, programsKept, programsKeptFor, rand.Uint64())
+	parts.ledger = budget.NewLedger(parts.client, programsKept, programsKeptFor)
 	parts.budgets = budget.NewShared(parts.ledger, parts.list, parts.pool, parts.availability, s.Log)
 	if err := listening.Register(budget.Service, budget.NewHolder(parts.ledger, s.stopping.Load)); err != nil {
 		return nil, eris.Wrap(err, "serve budgets")
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -81,6 +81,7 @@
 	fields := map[string]bool{
 		"machine":                  s.Machine != next.Machine,
 		"zone":                     s.Zone != next.Zone,
+		"region":                   s.Region != next.Region,
 		"listen":                   s.Listen != next.Listen,
 		"store":                    s.Store != next.Store,
 		"drain_millis":             s.DrainMillis != next.DrainMillis,
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -15,8 +15,10 @@
 type Settings struct {
 	Machine string `yaml:"machine"`
 	Zone    string `yaml:"zone"`
-	Listen  Listen `yaml:"listen"`
-	Store   Store  `yaml:"store"`
+	// Region is what zones near each other share; empty: all daemons are near.
+	Region string `yaml:"region"`
+	Listen Listen `yaml:"listen"`
+	Store  Store  `yaml:"store"`
 	// Grace is the time from a planned stop to the end by force, in seconds.
 	GraceSeconds float64 `yaml:"grace_seconds"`
 	// DrainMillis is how long after its entry changed an instance may get work.
