Believe a silent feed for as long as the bounds allow

Changes of instances come together for a quarter of the drain bound. Members, which are hints, are asked for every 12 s; changes come at once all the same.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -66,10 +66,11 @@
 
 // How the store's tables are followed.
 const (
-	configurationWait = 1500 * time.Millisecond
-	instancesWait     = 1500 * time.Millisecond
-	instancesPause    = 300 * time.Millisecond
-	membersWait       = 4 * time.Second
+	instancesWait = 1500 * time.Millisecond
+	membersWait   = 12 * time.Second // they are hints, and changes come at once
+	// pausesInDrain is how many changes of instances come within the time
+	// after which one that leaves must get nothing more.
+	pausesInDrain = 4
 )
 
 // New makes a server.
@@ -184,11 +185,11 @@
 		onRead: func() { s.fleetRead.Store(true) },
 	}
 	go watch.Run(ctx, watch.Options{
-		Store: parts.client, Table: s.Rows.ConfigurationKey().Table, Wait: configurationWait, Log: s.Log,
+		Store: parts.client, Table: s.Rows.ConfigurationKey().Table, Wait: s.Settings.configurationWait(), Log: s.Log,
 		OnHeard: s.configurationHeard.now,
 	}, configuration)
 	go watch.Run(ctx, watch.Options{
-		Store: parts.client, Table: s.Rows.InstancesTable(), Wait: instancesWait, Pause: instancesPause, Log: s.Log,
+		Store: parts.client, Table: s.Rows.InstancesTable(), Wait: instancesWait, Pause: s.Settings.drain() / pausesInDrain, Log: s.Log,
 		OnHeard: s.instancesHeard.now,
 	}, instances)
 	parts.join(ctx)
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -24,6 +24,11 @@
 	// DrainMillis is how long after its entry changed an instance may get work.
 	DrainMillis float64 `yaml:"drain_millis"`
 	MemoryMB    int     `yaml:"memory_mb"`
+	// ConfigurationMillis is how long after its acknowledgement a configuration
+	// must be in force at a daemon that has been sound for ContactMillis.
+	// Left out, both are taken as 0: silence is noticed as soon as it may be.
+	ConfigurationMillis float64 `yaml:"configuration_millis"`
+	ContactMillis       float64 `yaml:"contact_millis"`
 	// LogSuccessesPerSecond bounds the lines about requests that went well; 0: no bound.
 	LogSuccessesPerSecond int `yaml:"log_successes_per_second"`
 }
@@ -79,6 +84,8 @@
 	demand(s.Store.RowBytes > 0, "store.row_bytes: expected a number above 0")
 	demand(s.GraceSeconds > 0, "grace_seconds: expected a number above 0")
 	demand(s.DrainMillis > 0, "drain_millis: expected a number above 0")
+	demand(s.ConfigurationMillis >= 0, "configuration_millis: expected a number, 0 or above")
+	demand(s.ContactMillis >= 0, "contact_millis: expected a number, 0 or above")
 	demand(s.MemoryMB >= 0, "memory_mb: expected a number, 0 or above")
 	demand(s.LogSuccessesPerSecond >= 0, "log_successes_per_second: expected a number, 0 or above")
 	return errors.Join(faults...)
@@ -91,3 +98,19 @@
 func (s *Settings) drain() time.Duration {
 	return time.Duration(s.DrainMillis * float64(time.Millisecond))
 }
+
+// Bounds of how long a silent feed of the configuration is believed.
+const (
+	// timeToNotice is what it takes to end a silent feed and to read anew.
+	timeToNotice           = 1800 * time.Millisecond
+	leastConfigurationWait = 500 * time.Millisecond
+	mostConfigurationWait  = 10 * time.Second
+)
+
+// configurationWait is how long a feed of the configuration may be silent: one
+// whose connection was cut without a word may have begun its silence when the
+// daemon was last not sound.
+func (s *Settings) configurationWait() time.Duration {
+	bound := time.Duration((s.ContactMillis + s.ConfigurationMillis) * float64(time.Millisecond))
+	return min(max(bound-timeToNotice, leastConfigurationWait), mostConfigurationWait)
+}
