Keep turns in one of five partitions, and ask other daemons for recent ones

Nobody having it proves nothing. Tests: "is found at another daemon" (turn); the test of partitions that are down now takes four of five away. The start line names the machine once.

--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -24,6 +24,7 @@
 	client       *state.Client
 	budgets      *budget.Shared
 	ledger       *budget.Ledger
+	turns        *turn.Records
 	list         *members.List
 	removal      *retention.Queue
 	server       *peer.Server
@@ -66,13 +67,27 @@
 	parts.removal = retention.NewQueue(parts.client, time.Now, s.Log)
 	parts.ledger = budget.NewLedger(parts.client, programsKept, programsKeptFor)
 	parts.budgets = budget.NewShared(parts.ledger, parts.list, parts.pool, parts.availability, s.Log)
+	parts.turns = turn.NewRecords(turn.Options{
+		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
+		Now: time.Now, Removal: parts.removal, Others: &turn.Others{List: parts.list, Caller: parts.pool},
+	})
+	if err := s.register(parts); err != nil {
+		return nil, err
+	}
+	return parts, nil
+}
+
+// register offers what other daemons may ask for.
+func (s *Server) register(parts *collaboration) error {
+	listening := parts.server
 	if err := listening.Register(budget.Service, budget.NewHolder(parts.ledger, s.stopping.Load)); err != nil {
-		return nil, eris.Wrap(err, "serve budgets")
+		return eris.Wrap(err, "serve budgets")
 	}
-	if err := listening.Register(storerelay.ServiceName, storerelay.NewService(s.Store, parts.client.DirectUsable)); err != nil {
-		return nil, eris.Wrap(err, "serve the store's relay")
+	if err := listening.Register(turn.ServiceName, turn.NewService(parts.turns)); err != nil {
+		return eris.Wrap(err, "serve recent turns")
 	}
-	return parts, nil
+	relay := storerelay.NewService(s.Store, parts.client.DirectUsable)
+	return eris.Wrap(listening.Register(storerelay.ServiceName, relay), "serve the store's relay")
 }
 
 // triesApart shares out how often all daemons together try partitions of the
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,7 +18,6 @@
 	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
-	"github.com/thymeloft/thymeloft/internal/turn"
 	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
@@ -119,7 +118,7 @@
 	if s.OnStarted != nil {
 		s.OnStarted(addresses)
 	}
-	s.Log.Info("server: started.", zap.String("machine", s.Settings.Machine), zap.String("zone", s.Settings.Zone),
+	s.Log.Info("server: started.", zap.String("zone", s.Settings.Zone),
 		zap.String("callers", callers.Addr().String()), zap.String("store", s.Settings.Store.Address))
 	<-ctx.Done()
 	return s.stop(parts)
@@ -132,10 +131,7 @@
 		Wire:   s.Wire,
 		Routes: s.routes,
 		Fleet:  s.fleet,
-		Turns: turn.NewRecords(turn.Options{
-			Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
-			Now: time.Now, Removal: parts.removal,
-		}),
+		Turns:  parts.turns,
 		Budgets:       parts.budgets,
 		Availability:  parts.availability,
 		Log:           s.Log,
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -46,7 +46,7 @@
 	partitions = 256
 	// places is how many partitions a turn may lie in: a part of them may be
 	// down while the others serve. A turn lies in the first that took it.
-	places         = 3
+	places         = 5
 	maxRowsPerTurn = 11 // a commit holds 1 MB of base64 text
 	separator      = "/"
 	afterSeparator = "0" // the byte after the separator: the end of a turn's rows
@@ -59,6 +59,9 @@
 	CacheEntries int           // recent turns kept in memory
 	CacheFor     time.Duration // how long
 	Now          func() time.Time
+	// Others is asked for a turn while a place where it may lie is not
+	// answered for; nil: nobody is.
+	Others *Others
 	// Removal takes the rows of turns that were saved; nil: they stay.
 	Removal *retention.Queue
 }
@@ -98,10 +101,18 @@
 	return record, nil
 }
 
-// find looks into each place where the turn may lie.
+// find looks into each place where the turn may lie. If the most likely one
+// does not answer, other daemons are asked before the less likely ones.
 func (r *Records) find(ctx context.Context, identifier string) (Record, error) {
+	likely := placesOf(identifier)
+	ordered := r.options.Store.Prefer(likely)
+	if ordered[0] != likely[0] {
+		if record, found := r.askOthers(ctx, identifier); found {
+			return record, nil
+		}
+	}
 	var unanswered error
-	for _, partition := range r.options.Store.Prefer(placesOf(identifier)) {
+	for _, partition := range ordered {
 		record, err := r.read(ctx, identifier, partition)
 		switch {
 		case err == nil:
@@ -113,11 +124,21 @@
 		}
 	}
 	if unanswered != nil {
+		if record, found := r.askOthers(ctx, identifier); found {
+			return record, nil
+		}
 		return Record{}, unanswered
 	}
 	return Record{}, r.confirmAbsence(ctx, identifier)
 }
 
+func (r *Records) askOthers(ctx context.Context, identifier string) (Record, bool) {
+	if r.options.Others == nil {
+		return Record{}, false
+	}
+	return r.options.Others.Recent(ctx, identifier)
+}
+
 func (r *Records) read(ctx context.Context, identifier, partition string) (Record, error) {
 	page, err := r.options.Store.Read(ctx, state.Range{
 		Table:     table,
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -6,11 +6,14 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/turn"
 )
@@ -28,6 +31,22 @@
 	return turn.NewRecords(turn.Options{Store: client, RowBytes: rowBytes, CacheEntries: 8, CacheFor: time.Hour, Now: time.Now})
 }
 
+// newRecordsBeside makes the records of a daemon that knows another one.
+func newRecordsBeside(store state.Store, other string) *turn.Records {
+	list := members.NewList(members.Member{Name: "self", Zone: "z"}, time.Now, zap.NewNop())
+	value, err := cbor.Marshal(members.Member{Name: "other", Zone: "z", Address: other})
+	Expect(err).NotTo(HaveOccurred())
+	list.Change([]state.Row{{Key: state.Key{Table: members.Table, Name: "other"}, Value: value}})
+	pool := peer.NewPool(peer.Options{})
+	DeferCleanup(pool.Close)
+	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
+	return turn.NewRecords(turn.Options{
+		Store:    state.NewClient(state.ClientOptions{Store: store, Availability: availability}),
+		RowBytes: rowBytes, CacheEntries: 8, CacheFor: time.Hour, Now: time.Now,
+		Others: &turn.Others{List: list, Caller: pool},
+	})
+}
+
 var _ = Describe("Records", func() {
 	var store *memorystore.Store
 
@@ -93,7 +112,7 @@
 	It("is saved and found while a part of the partitions is down", func(ctx SpecContext) {
 		down := map[string]bool{}
 		store.Misbehave(func(call memorystore.Call) memorystore.Fault {
-			if call.Name == "commit" && len(down) < 2 {
+			if call.Name == "commit" && len(down) < 4 {
 				down[call.Commit.Puts[0].Key.Partition] = true
 			}
 			if call.Name == "commit" && down[call.Commit.Puts[0].Key.Partition] {
@@ -102,12 +121,30 @@
 			return memorystore.None
 		})
 		Expect(newRecords(store).Save(ctx, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(Succeed())
-		Expect(store.Calls("commit")).To(Equal(3))
+		Expect(store.Calls("commit")).To(Equal(5))
 		loaded, err := newRecords(store).Load(ctx, "t1")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(loaded.History)).To(Equal("x"))
 	})
 
+	It("is found at another daemon that keeps it while its partition is down", func(ctx SpecContext) {
+		first := newRecords(store)
+		Expect(first.Save(ctx, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(Succeed())
+		server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		Expect(server.Register(turn.ServiceName, turn.NewService(first))).To(Succeed())
+		second := newRecordsBeside(store, server.Address())
+		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
+		loaded, err := second.Load(ctx, "t1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(loaded.History)).To(Equal("x"))
+		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		_, err = second.Load(short, "t2")
+		Expect(err).To(MatchError(state.ErrNotDone), "that no daemon keeps a turn proves nothing")
+	})
+
 	It("may be saved again after a lost answer", func(ctx SpecContext) {
 		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Lost })
 		records := newRecords(store)
