A randomized soak of the real gateways as processes

Change: internal/lab/faultproxy delays, holds one way or both, and resets connections between processes on one machine; internal/lab/soak starts gateways on a stand-in store with a door for each, engines behind links, callers that play programs, and draws faults from a seed: processes killed, paused and stopped; the store down, in part, for some gateways, slow, with lost and late answers and lost history; links of every kind; engines that crash, leave, give their address on, reject, drop, cut, double and delay. Gateways may advertise another address to each other.

--- a/cmd/thymeloft-lab/main.go
+++ b/cmd/thymeloft-lab/main.go
@@ -18,6 +18,7 @@
 	Replay     replayCommand      `cmd:"" help:"Replay recorded traces against their stated outcomes."`
 	Record     recordCommand      `cmd:"" help:"Record callers' programs at a daemon as a trace."`
 	Experiment experiment.Command `cmd:"" help:"Compare scheduling strategies on emulated fleets."`
+	Soak       soakCommand        `cmd:"" help:"Run gateways as processes under random faults and check the promises."`
 	Scale      scale.Command      `cmd:"" help:"Measure the cost of control at growing sizes."`
 	Host       scale.HostCommand  `cmd:"" name:"scale-host" hidden:""`
 	Engine     engineCommand      `cmd:"" help:"Serve a model engine."`
--- /dev/null
+++ b/cmd/thymeloft-lab/soak.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/lab/soak"
+)
+
+// soakCommand runs gateways as processes under random faults.
+type soakCommand struct {
+	GatewayBinary string        `type:"existingfile" placeholder:"FILE" help:"The gateway's binary; by default thymeloft-gateway beside this program."`
+	Logs          string        `type:"existingdir" placeholder:"DIRECTORY" help:"Where settings and logs are kept; by default they are kept only if a promise was broken."`
+	Seeds         []uint64      `help:"Seeds to play, one after the other; by default one from the clock." placeholder:"N"`
+	Duration      time.Duration `default:"60s" help:"How long faults are injected for each seed."`
+	Gateways      int           `default:"4" help:"Gateways at the same time."`
+	Callers       int           `default:"10" help:"Callers that play programs at the same time."`
+	Kinds         []string      `help:"Only these kinds of faults." placeholder:"KIND"`
+	Quiet         bool          `help:"Do not print the faults as they come."`
+}
+
+// Run plays each seed and fails if a promise was broken in any.
+func (c *soakCommand) Run(ctx context.Context) error {
+	if c.GatewayBinary == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return eris.Wrap(err, "find the gateway's binary")
+		}
+		c.GatewayBinary = filepath.Join(filepath.Dir(own), "thymeloft-gateway")
+	}
+	if len(c.Seeds) == 0 {
+		c.Seeds = []uint64{uint64(time.Now().UnixNano())}
+	}
+	broken := 0
+	for _, seed := range c.Seeds {
+		report, err := soak.Run(ctx, c.options(seed))
+		if err != nil {
+			return err
+		}
+		printVerdict(report)
+		if len(report.Findings) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return eris.Errorf("promises were broken with %d of %d seeds", broken, len(c.Seeds))
+	}
+	return nil
+}
+
+func (c *soakCommand) options(seed uint64) soak.Options {
+	options := soak.Options{
+		Binary: c.GatewayBinary, Directory: c.Logs, Seed: seed, Duration: c.Duration,
+		Gateways: c.Gateways, Callers: c.Callers, Kinds: c.Kinds,
+	}
+	if !c.Quiet {
+		options.Progress = func(format string, arguments ...any) { fmt.Fprintf(os.Stderr, format+"\n", arguments...) }
+	}
+	return options
+}
+
+func printVerdict(report *soak.Verdict) {
+	total := 0
+	for _, count := range report.Attempts {
+		total += count
+	}
+	fmt.Printf("seed %d: %d requests, %d faults, %d findings\n", report.Seed, total, len(report.Faults), len(report.Findings))
+	for _, outcome := range slices.Sorted(maps.Keys(report.Attempts)) {
+		fmt.Printf("  %-24s %d\n", outcome, report.Attempts[outcome])
+	}
+	for _, finding := range report.Findings {
+		fmt.Println("  broken:", finding)
+	}
+	if report.Logs != "" {
+		fmt.Println("  logs:", report.Logs)
+	}
+}
--- /dev/null
+++ b/internal/lab/faultproxy/faultproxy_test.go
@@ -0,0 +1,105 @@
+package faultproxy_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/lab/faultproxy"
+)
+
+func TestFaultProxy(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "faultproxy")
+}
+
+// echo answers each byte with itself.
+func echo() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(connection, connection); _ = connection.Close() }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// follow tells each byte of the connection, and its end.
+func follow(connection net.Conn, read chan<- byte, ended chan<- error) {
+	var one [1]byte
+	for {
+		if _, err := connection.Read(one[:]); err != nil {
+			ended <- err
+			return
+		}
+		read <- one[0]
+	}
+}
+
+var _ = Describe("Link", func() {
+	var link *faultproxy.Link
+	var connection net.Conn
+	var read chan byte
+	var ended chan error
+
+	BeforeEach(func() {
+		var err error
+		link, err = faultproxy.Listen("127.0.0.1:0", echo())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(link.Close)
+		connection, err = net.Dial("tcp4", link.Address())
+		Expect(err).NotTo(HaveOccurred())
+		read, ended = make(chan byte, 16), make(chan error, 1)
+		go follow(connection, read, ended)
+	})
+
+	send := func(text string) {
+		GinkgoHelper()
+		_, err := connection.Write([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	It("forwards, and passes an end on", func() {
+		send("a")
+		Eventually(read).Should(Receive(Equal(byte('a'))))
+		Expect(connection.(*net.TCPConn).CloseWrite()).To(Succeed())
+		Eventually(ended).Should(Receive(MatchError(io.EOF)))
+	})
+
+	DescribeTable("holds a way back and loses nothing", func(condition faultproxy.Condition) {
+		link.Set(condition)
+		send("b")
+		Consistently(read, "30ms").ShouldNot(Receive())
+		link.Set(faultproxy.Condition{})
+		Eventually(read).Should(Receive(Equal(byte('b'))))
+	},
+		Entry("of requests", faultproxy.Condition{HoldRequests: true}),
+		Entry("of answers", faultproxy.Condition{HoldAnswers: true}),
+		Entry("both", faultproxy.Condition{HoldRequests: true, HoldAnswers: true}),
+	)
+
+	It("resets what stands, and what is new while it refuses", func() {
+		send("c")
+		Eventually(read).Should(Receive())
+		link.Set(faultproxy.Condition{Refuse: true})
+		link.Reset()
+		Eventually(ended).Should(Receive(Not(MatchError(io.EOF))))
+		again, err := net.Dial("tcp4", link.Address())
+		if err == nil {
+			_, err = again.Read(make([]byte, 1))
+		}
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/lab/memorystore/memorystore.go
+++ b/internal/lab/memorystore/memorystore.go
@@ -254,3 +254,17 @@
 	}
 	return eris.Wrap(state.ErrUnknown, "memory store")
 }
+
+// Write puts a row past all scripts: others than the system write too.
+func (s *Store) Write(put state.Put) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, _ = s.do(state.Commit{Puts: []state.Put{put}}) // it has no condition
+}
+
+// Remove takes a row away past all scripts.
+func (s *Store) Remove(key state.Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	_, _ = s.do(state.Commit{Removals: []state.Key{key}}) // it has no condition
+}
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -51,7 +51,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for daemons")
 	}
-	self := members.Member{Name: s.Settings.Machine, Zone: s.Settings.Zone, Region: s.Settings.Region, Address: listening.Address()}
+	address := listening.Address()
+	if s.Settings.Listen.Advertise != "" {
+		address = s.Settings.Listen.Advertise
+	}
+	self := members.Member{Name: s.Settings.Machine, Zone: s.Settings.Zone, Region: s.Settings.Region, Address: address}
 	parts := &collaboration{
 		list:   members.NewList(self, time.Now, s.Log),
 		server: listening,
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -37,8 +37,10 @@
 type Listen struct {
 	Callers string `yaml:"callers"`
 	Ready   string `yaml:"ready"`
-	Peers   string `yaml:"peers"`   // other daemons
-	Metrics string `yaml:"metrics"` // empty: none
+	Peers   string `yaml:"peers"` // other daemons
+	// Advertise is where other daemons reach Peers, if that differs.
+	Advertise string `yaml:"advertise"`
+	Metrics   string `yaml:"metrics"` // empty: none
 }
 
 // Store tells where the store is and what it takes.
