--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -127,11 +127,11 @@
 // handler counts requests under way around the gateway.
 func (s *Server) handler(parts *collaboration) http.Handler {
 	served := gateway.New(gateway.Options{
-		Zone:   s.Settings.Zone,
-		Wire:   s.Wire,
-		Routes: s.routes,
-		Fleet:  s.fleet,
-		Turns:  parts.turns,
+		Zone:          s.Settings.Zone,
+		Wire:          s.Wire,
+		Routes:        s.routes,
+		Fleet:         s.fleet,
+		Turns:         parts.turns,
 		Budgets:       parts.budgets,
 		Availability:  parts.availability,
 		Log:           s.Log,
