--- a/internal/lab/soak/engines.go
+++ b/internal/lab/soak/engines.go
@@ -56,7 +56,7 @@
 func newEngines(noted *evidence, writes *store) (*engines, error) {
 	made := &engines{evidence: noted, store: writes, stop: make(chan struct{})}
 	for _, service := range []string{serviceModel, serviceModel, serviceModel, serviceApp, serviceApp, serviceOther, serviceOther} {
-		if _, err := made.add(service, "127.0.0.1:0"); err != nil {
+		if err := made.add(service, "127.0.0.1:0"); err != nil {
 			return nil, err
 		}
 	}
@@ -65,15 +65,15 @@
 }
 
 // add starts an instance; its address may have been another one's.
-func (e *engines) add(service, address string) (*instance, error) {
+func (e *engines) add(service, address string) error {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return nil, eris.Wrap(err, "listen for an engine")
+		return eris.Wrap(err, "listen for an engine")
 	}
 	link, err := faultproxy.Listen(address, listener.Addr().String())
 	if err != nil {
 		_ = listener.Close()
-		return nil, err
+		return err
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -83,7 +83,7 @@
 	go func() { _ = made.server.Serve(listener) }()
 	e.all = append(e.all, made)
 	made.declare()
-	return made, nil
+	return nil
 }
 
 func (e *engines) close() {
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -357,12 +357,12 @@
 	time.Sleep(entryStays)
 	target.forget()
 	time.Sleep(addressRests - entryStays)
-	if _, err := w.engines.add(target.service, "127.0.0.1:0"); err != nil {
+	if err := w.engines.add(target.service, "127.0.0.1:0"); err != nil {
 		w.evidence.find("engines: %v", err)
 	}
 	if f.how%2 == 0 {
 		services := []string{serviceModel, serviceApp, serviceOther}
-		_, _ = w.engines.add(services[f.how/2%len(services)], address) // the port may be taken
+		_ = w.engines.add(services[f.how/2%len(services)], address) // the port may be taken
 	}
 }
 
@@ -382,7 +382,7 @@
 	if target == nil {
 		return
 	}
-	if _, err := w.engines.add(target.service, "127.0.0.1:0"); err != nil {
+	if err := w.engines.add(target.service, "127.0.0.1:0"); err != nil {
 		w.evidence.find("engines: %v", err)
 		return
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -58,7 +58,7 @@
 		verdict, err := soak.Run(ctx, soak.Options{
 			Binary: gatewayBinary, Seed: seed, Duration: time.Duration(seconds) * time.Second, Gateways: 3, Callers: 4, Untimed: true,
 			Environment: []string{"GORACE=halt_on_error=1"}, // a data race ends the process, which is a finding
-			Progress: func(format string, arguments ...any) { GinkgoWriter.Printf(format+"\n", arguments...) },
+			Progress:    func(format string, arguments ...any) { GinkgoWriter.Printf(format+"\n", arguments...) },
 		})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(verdict.Findings).To(BeEmpty())
