Logs of program shards, and the configuration, in the transactional store

Cause: the users' platform has a store that loses nothing acknowledged and may agree for the project; thymeloftd agreed among daemons without disks by itself, with an archive that lagged and foundings in doubt after a loss. Ruled out: a row for each program (sub-agents conflict on their budget; each step reads first); replica groups beside the store (two truths). Change: internal/shards keeps a log for each shard. Each batch is committed with the next head on condition of the former one, so that a leader that was replaced without its knowing commits nothing; a nonce tells a commit without an answer that was done.

--- /dev/null
+++ b/internal/configuration/stored/stored_test.go
@@ -0,0 +1,189 @@
+package stored_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/configuration"
+	"github.com/thymeloft/thymeloft/internal/configuration/stored"
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/problem"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+func TestStored(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "stored configuration")
+}
+
+const confirmBound = 400 * time.Millisecond
+
+// start makes one daemon's part and runs it.
+func start(store state.Store) *stored.Service {
+	GinkgoHelper()
+	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
+	client := state.NewClient(state.ClientOptions{Store: store, Availability: availability})
+	made, err := stored.New(stored.Options{Store: client, RowBytes: 200, ConfirmBound: confirmBound})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = made.Run(ctx) }()
+	DeferCleanup(func() { cancel(); Eventually(ended).Should(BeClosed()) })
+	return made
+}
+
+// change names some tenants, against a revision.
+func change(identifier string, base uint64, tenants ...string) configuration.Change {
+	made := configuration.Change{Identifier: identifier, BaseRevision: base, Operator: "op"}
+	for _, name := range tenants {
+		made.Document.Tenants = append(made.Document.Tenants, configuration.Tenant{Name: identity.Tenant(name)})
+	}
+	return made
+}
+
+var _ = Describe("Service", func() {
+	var store *memorystore.Store
+
+	BeforeEach(func() { store = memorystore.New() })
+
+	It("puts a change in force at every daemon, and keeps it for those that start later", func(ctx SpecContext) {
+		first, second := start(store), start(store)
+		var names []string
+		for number := range 50 { // more than one row holds
+			names = append(names, fmt.Sprintf("tenant-%02d", number))
+		}
+		result, err := first.Change(ctx, change("one", 0, names...))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result).To(Equal(configuration.ChangeResult{Accepted: true, Revision: 1}))
+		Expect(first.Current().Revision).To(BeEquivalentTo(1))
+		for _, each := range []*stored.Service{second, start(store)} {
+			Eventually(func() uint64 { return each.Current().Revision }).Should(BeEquivalentTo(1))
+			Expect(each.Current().Document.Tenants).To(HaveLen(50))
+			Eventually(each.Confirmed).Should(BeTrue())
+		}
+		revisions, err := second.History(ctx, 5)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revisions).To(HaveLen(1))
+		Expect(revisions[0].Operator).To(Equal("op"))
+	})
+
+	It("gives a repeat the first's result, refuses a stale base, and lists faults", func(ctx SpecContext) {
+		service := start(store)
+		for range 2 {
+			Expect(service.Change(ctx, change("one", 0, "a"))).To(Equal(configuration.ChangeResult{Accepted: true, Revision: 1}))
+		}
+		Expect(service.Change(ctx, change("two", 0, "b"))).To(Equal(configuration.ChangeResult{Revision: 1, Conflict: true}))
+		faulty, err := service.Change(ctx, change("three", 1, "a", "a"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(faulty.Accepted).To(BeFalse())
+		Expect(faulty.Faults).NotTo(BeEmpty())
+	})
+
+	It("tells a commit without an answer by its identifier", func(ctx SpecContext) {
+		service := start(store)
+		lost := 0
+		store.Misbehave(func(call memorystore.Call) memorystore.Fault {
+			if call.Name == "commit" && lost < 6 {
+				lost++
+				return memorystore.Lost
+			}
+			return memorystore.None
+		})
+		Expect(service.Change(ctx, change("one", 0, "a"))).To(Equal(configuration.ChangeResult{Accepted: true, Revision: 1}))
+		Expect(start(store).Change(ctx, change("two", 1, "a", "b"))).To(Equal(configuration.ChangeResult{Accepted: true, Revision: 2}))
+	})
+
+	It("says while the store is down that a change was not made, and is not confirmed after the bound", func(ctx SpecContext) {
+		service := start(store)
+		Expect(service.Change(ctx, change("one", 0, "a"))).To(HaveField("Accepted", true))
+		Eventually(service.Confirmed).Should(BeTrue())
+		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
+		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		_, err := service.Change(short, change("two", 1, "b"))
+		var told *problem.Problem
+		Expect(errors.As(err, &told)).To(BeTrue())
+		Expect(told.Outcome).To(Equal(problem.OutcomeNotRun))
+		Expect(told.RetryAfter).To(BeNumerically(">", 0))
+		Eventually(service.Confirmed).Should(BeFalse())
+		Expect(service.Current().Revision).To(BeEquivalentTo(1), "the former stays in force")
+		store.Misbehave(nil)
+		Eventually(service.Confirmed).Should(BeTrue())
+	})
+
+	It("never goes back, though readings are behind", func(ctx SpecContext) {
+		service := start(store)
+		Expect(service.Change(ctx, change("one", 0, "a"))).To(HaveField("Accepted", true))
+		store.AnswerReadings(&state.Page{})
+		store.ForgetHistory()
+		Consistently(func() uint64 { return service.Current().Revision }, "50ms").Should(BeEquivalentTo(1))
+		store.AnswerReadings(nil)
+		Eventually(service.Confirmed).Should(BeTrue())
+	})
+
+	DescribeTable("lets one of the operators win who race from one revision", func(ctx SpecContext, seed int) {
+		services := []*stored.Service{start(store), start(store), start(store)}
+		calls := 0
+		store.Misbehave(func(memorystore.Call) memorystore.Fault {
+			calls++
+			switch (calls*5 + seed) % 17 {
+			case 0, 1:
+				return memorystore.Lost
+			case 2:
+				return memorystore.Refused
+			}
+			return memorystore.None
+		})
+		base := uint64(0)
+		for round := range 4 {
+			var mutex sync.Mutex
+			winners := map[string]uint64{}
+			var racing sync.WaitGroup
+			for operator := range 5 {
+				racing.Go(func() {
+					defer GinkgoRecover()
+					name := fmt.Sprintf("t-%d-%d", round, operator)
+					result, err := services[operator%len(services)].Change(ctx, change(name, base, name))
+					Expect(err).NotTo(HaveOccurred())
+					mutex.Lock()
+					defer mutex.Unlock()
+					if result.Accepted {
+						winners[name] = result.Revision
+						return
+					}
+					Expect(result.Conflict).To(BeTrue())
+				})
+			}
+			racing.Wait()
+			Expect(winners).To(HaveLen(1))
+			base++
+			for name, revision := range winners {
+				Expect(revision).To(Equal(base))
+				for _, each := range services {
+					Eventually(func() string {
+						if each.Current().Revision != base {
+							return ""
+						}
+						return string(each.Current().Document.Tenants[0].Name)
+					}).Should(Equal(name))
+				}
+			}
+		}
+		revisions, err := services[0].History(ctx, 10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revisions).To(HaveLen(4))
+		for _, revision := range revisions {
+			Expect(strings.HasPrefix(revision.Identifier, "t-")).To(BeTrue())
+		}
+	}, Entry("as seed 1 has it", 1), Entry("as seed 2 has it", 2), Entry("as seed 3 has it", 3))
+})
--- /dev/null
+++ b/internal/shards/suite_test.go
@@ -0,0 +1,154 @@
+package shards
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+func TestShards(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
+	RunSpecs(t, "shards")
+}
+
+// list is a state machine: the commands in their order. Its result is how many
+// there were before.
+type list struct {
+	mutex    sync.Mutex
+	commands []string
+}
+
+func (l *list) Apply(_ uint64, command []byte) any {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.commands = append(l.commands, string(command))
+	return len(l.commands) - 1
+}
+
+func (l *list) Snapshot() ([]byte, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(l.commands)
+	return buffer.Bytes(), err
+}
+
+func (l *list) Restore(snapshot []byte) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&l.commands)
+}
+
+func (l *list) all() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Clone(l.commands)
+}
+
+// directory is a membership that tests set.
+type directory struct {
+	membership.Directory
+	mutex sync.Mutex
+	view  membership.View
+}
+
+func (d *directory) View() *membership.View {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	copied := membership.View{Members: slices.Clone(d.view.Members)}
+	return &copied
+}
+
+func (d *directory) set(state membership.State, process identity.Process) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.view.Members = slices.DeleteFunc(d.view.Members, func(member membership.Member) bool {
+		return member.Process.Machine == process.Machine
+	})
+	d.view.Members = append(d.view.Members, membership.Member{Process: process, State: state})
+}
+
+// fellow is one daemon under test.
+type fellow struct {
+	node     *Node
+	self     identity.Process
+	store    *memorystore.Store
+	stop     context.CancelFunc
+	ended    chan error
+	mutex    sync.Mutex
+	machines map[identity.Shard]*list
+}
+
+const testRowBytes = 64
+
+func processOf(name string, incarnation uint64) identity.Process {
+	return identity.Process{Machine: identity.Machine(name), Incarnation: identity.Incarnation(incarnation), Address: name + ":1"}
+}
+
+// join starts a daemon.
+func join(store *memorystore.Store, known *directory, self identity.Process, shardCount uint32, expect int) *fellow {
+	GinkgoHelper()
+	known.set(membership.StateAlive, self)
+	made := &fellow{self: self, store: store, ended: make(chan error, 1), machines: map[identity.Shard]*list{}}
+	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
+	var err error
+	made.node, err = NewNode(Options{
+		Self: self, Directory: known, Shards: shardCount, Expect: expect, RowBytes: testRowBytes, Reconcile: 2 * time.Millisecond, SnapshotAfter: 2000,
+		Store: state.NewClient(state.ClientOptions{Store: store, Availability: availability, Probe: state.Single(headKey(1))}),
+		NewMachine: func(shard identity.Shard) StateMachine {
+			made.mutex.Lock()
+			defer made.mutex.Unlock()
+			made.machines[shard] = &list{}
+			return made.machines[shard]
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	made.stop = cancel
+	go func() { made.ended <- made.node.Run(ctx) }()
+	go func() {
+		for {
+			select {
+			case <-made.node.Changes():
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	DeferCleanup(made.leave)
+	return made
+}
+
+// leave ends the daemon as a kill does: nothing is handed over.
+func (f *fellow) leave() {
+	f.stop()
+	Eventually(f.ended).Should(Receive())
+	f.ended <- nil
+}
+
+func (f *fellow) leads(shard identity.Shard) bool { return f.node.replica(shard) != nil }
+
+func (f *fellow) machine(shard identity.Shard) *list {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.machines[shard]
+}
+
+func (f *fellow) propose(ctx context.Context, shard identity.Shard, format string, arguments ...any) error {
+	_, err := f.node.Propose(ctx, shard, []byte(fmt.Sprintf(format, arguments...)))
+	return err
+}
