--- a/internal/configuration/stored/stored.go
+++ b/internal/configuration/stored/stored.go
@@ -151,13 +151,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	revision := found.Current().Revision
-	if revision <= s.Current().Revision && revision != 0 {
-		return
+	if revision <= s.Current().Revision {
+		return // the present one, or a reading that is behind
 	}
 	s.machine.Store(found)
-	if revision == 0 {
-		return
-	}
 	s.log.Info("configuration: revision in force.", zap.Uint64("revision", revision))
 	s.options.OnRevision(revision)
 	for _, subscriber := range s.subscribers {
