thymeloftd on the store; replica groups, their founding and their archive go

Ruled out: keeping both forms (two truths, twice the tests). Change: the daemon, execution, routing and the operators' calls use internal/shards and configuration/stored on the port internal/state; internal/replication, coordination, shardmap, the ports and clients of table and objects and their stand-ins are removed; the lab's fleets run the stand-in of the store by its published protocol. Where the removed tests' promises are shown now: - replication (simulation, view changes, barriers, transfer): internal/shards "leaders that fight", "lets a leader commit nothing", "keeps what was committed through the loss of all daemons", "says that a command is not taken"; - coordination (linearizability, racing, founding, restoration): configuration/stored "lets one of the operators win", "tells a commit without an answer", "is not confirmed after the bound", replays configuration-race, quorum-loss, total-loss (the last two stricter: calls after the loss must be answered); - shardmap (plan, balance, loss): internal/shards "who should lead"; - daemon "exits when the group was founded anew": there is no founding; - platform client, table and objects: breaker, queue and refused connections on the weight store's client; lost answers on internal/state. Traces: leader-kill-store-down has the store down for 2 s from each kill on, and pauses before two calls; random ones bound their outages and lost answers: without the store nothing can be promised to anybody. The routing, operator and whole-fleet tests name the leader where they named replicas.

--- a/cmd/thymeloftd/main.go
+++ b/cmd/thymeloftd/main.go
@@ -9,9 +9,15 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/thymeloft/thymeloft/internal/daemon"
+	"github.com/thymeloft/thymeloft/internal/server"
 	"github.com/thymeloft/thymeloft/internal/settings"
+	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/platform"
 )
 
 // Exit codes.
@@ -48,7 +54,14 @@
 		fmt.Fprintln(os.Stderr, "thymeloftd: stopped by a second signal before the drain was over")
 		os.Exit(exitFailed)
 	}()
-	return daemon.Run(ctx, loaded)
+	return daemon.Run(ctx, loaded, newStore)
+}
+
+// newStore makes the client of the platform's store.
+func newStore(address string, registry prometheus.Registerer) state.Store {
+	const patience = time.Second
+	calls := server.NewStoreCalls(registry)
+	return platform.NewStore(platform.StoreOptions{Address: address, Patience: patience, Observe: calls.Observe})
 }
 
 func version() string {
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -5,9 +5,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/callerapi"
-	"github.com/thymeloft/thymeloft/internal/coordination"
+	"github.com/thymeloft/thymeloft/internal/configuration/stored"
 	"github.com/thymeloft/thymeloft/internal/dispatch"
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/execution"
@@ -15,10 +16,10 @@
 	"github.com/thymeloft/thymeloft/internal/membership"
 	"github.com/thymeloft/thymeloft/internal/operatorapi"
 	"github.com/thymeloft/thymeloft/internal/platform"
-	"github.com/thymeloft/thymeloft/internal/program"
-	"github.com/thymeloft/thymeloft/internal/replication"
 	"github.com/thymeloft/thymeloft/internal/routing"
 	"github.com/thymeloft/thymeloft/internal/scheduling"
+	"github.com/thymeloft/thymeloft/internal/shards"
+	"github.com/thymeloft/thymeloft/internal/state"
 )
 
 // warmUp is the age from which an engine's report counts for nothing: until
@@ -32,8 +33,9 @@
 	d.closers = append(d.closers, d.platform.close)
 	for _, step := range []func() error{
 		d.assembleMembership,
-		d.assembleReplication,
-		d.assembleCoordination,
+		d.assembleStore,
+		d.assembleConfiguration,
+		d.assembleShards,
 		d.assembleFleet,
 		d.assembleExecution,
 		d.assembleRouter,
@@ -79,51 +81,59 @@
 	return addresses, nil
 }
 
-func (d *Daemon) assembleReplication() error {
-	timings := d.settings.Replication
-	var err error
-	d.node, err = replication.NewNode(d.self, d.pool, d.server, replication.Options{
-		HeartbeatInterval: timings.HeartbeatInterval,
-		ElectionTimeout:   timings.ElectionTimeout,
-		ProposeTimeout:    timings.ProposeTimeout,
-		CompactAfter:      timings.CompactAfter,
-	}, d.logger)
-	if err != nil {
-		return eris.Wrap(err, "make replication")
-	}
-	d.closers = append(d.closers, func() { _ = d.node.Close() })
+// assembleStore makes the client of the transactional store: one probe while
+// it is down, and no storm of calls at partitions that failed.
+func (d *Daemon) assembleStore() error {
+	availability := state.NewAvailability(time.Now, func(available bool, lasted time.Duration) {
+		if available {
+			d.logger.Info("store: answers again.", zap.Duration("after", lasted))
+			return
+		}
+		d.logger.Warn("store: does not answer.")
+	})
+	d.store = state.NewClient(state.ClientOptions{
+		Store: d.newStore(d.settings.Platform.Store, d.registry), Availability: availability,
+		Probe: state.Range{Table: storeProbeTable, Limit: 1},
+	})
 	return nil
 }
 
-// A shard of programs is restored when its group is founded anew.
-var _ coordination.Restorable = (*program.Shard)(nil)
+// storeProbeTable is read to learn whether the store answers again.
+const storeProbeTable = "shard-leaders"
+
+func (d *Daemon) assembleConfiguration() error {
+	var err error
+	d.configuration, err = stored.New(stored.Options{
+		Store: d.store, RowBytes: rowBytes, ConfirmBound: d.settings.ConfirmBound,
+		Log: d.logger, Registry: d.registry,
+		OnRevision: func(revision uint64) { d.directory.SetNews(membership.News{ConfigurationRevision: revision}) },
+	})
+	return eris.Wrap(err, "make the configuration")
+}
+
+// rowBytes is the most that a value of the store holds.
+const rowBytes = 64 << 10
 
-func (d *Daemon) assembleCoordination() error {
+func (d *Daemon) assembleShards() error {
 	var err error
-	d.coordination, err = coordination.New(coordination.Options{
-		Self:            d.self,
-		Groups:          d.node,
-		Directory:       d.directory,
-		Caller:          d.pool,
-		Registrar:       d.server,
-		Table:           d.platform.table,
-		Objects:         d.platform.objects,
-		NewShard:        func(shard identity.Shard) replication.StateMachine { return d.execution.NewShard(shard) },
-		Shards:          d.settings.Shards,
-		Replicas:        d.settings.Replicas,
-		BootstrapExpect: d.settings.BootstrapExpect,
-		ConfirmBound:    d.settings.ConfirmBound,
-		Logger:          d.logger,
-		Registerer:      d.registry,
+	d.node, err = shards.NewNode(shards.Options{
+		Self: d.self, Store: d.store, Directory: d.directory,
+		NewMachine: func(shard identity.Shard) shards.StateMachine { return d.execution.NewShard(shard) },
+		Idle:       func(shard identity.Shard) bool { return d.execution.Idle(shard) },
+		Shards:     d.settings.Shards,
+		Expect:     d.settings.BootstrapExpect,
+		RowBytes:   rowBytes,
+		Log:        d.logger,
+		Registry:   d.registry,
 	})
-	return eris.Wrap(err, "make coordination")
+	return eris.Wrap(err, "make the shards")
 }
 
 func (d *Daemon) assembleFleet() error {
 	var err error
 	d.fleet, err = engine.New(engine.Options{
 		Self:          d.self,
-		Configuration: d.coordination,
+		Configuration: d.configuration,
 		Directory:     d.directory,
 		Caller:        d.pool,
 		Registrar:     d.server,
@@ -147,11 +157,11 @@
 	d.execution, err = execution.New(execution.Options{
 		Self:          d.self,
 		Groups:        d.node,
-		ShardMap:      d.coordination.Maps(),
+		ShardMap:      d.node,
 		Dispatcher:    dispatcher,
 		Fleet:         d.fleet,
 		Policy:        scheduling.NewPolicy(schedulingSettings(&d.settings.Scheduling)),
-		Configuration: d.coordination,
+		Configuration: d.configuration,
 		Leaving:       d.fleet.Leaving,
 		Logger:        d.logger,
 		Registerer:    d.registry,
@@ -166,7 +176,7 @@
 		Self:       d.self,
 		Local:      d.execution,
 		Groups:     d.node,
-		Map:        d.coordination.Maps(),
+		Map:        d.node,
 		Caller:     d.pool,
 		Registrar:  d.server,
 		Logger:     d.logger,
@@ -179,7 +189,7 @@
 	limits := d.settings.Limits
 	d.callers = callerapi.NewHandler(callerapi.Options{
 		Programs:      d.router,
-		Configuration: d.coordination,
+		Configuration: d.configuration,
 		Limits: callerapi.Limits{
 			BodyBytes:       limits.BodyBytes,
 			Requests:        limits.Requests,
@@ -193,7 +203,7 @@
 		Draining:   d.lifecycle.draining,
 	})
 	d.operators = operatorapi.NewHandler(operatorapi.Options{
-		Administrator: d.coordination,
+		Administrator: d.configuration,
 		Programs:      d.router,
 		Directory:     d.directory,
 		Groups:        d.node,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,15 +13,16 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/thymeloft/thymeloft/internal/coordination"
+	"github.com/thymeloft/thymeloft/internal/configuration/stored"
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/execution"
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/membership"
 	"github.com/thymeloft/thymeloft/internal/peer"
-	"github.com/thymeloft/thymeloft/internal/replication"
 	"github.com/thymeloft/thymeloft/internal/routing"
 	"github.com/thymeloft/thymeloft/internal/settings"
+	"github.com/thymeloft/thymeloft/internal/shards"
+	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/telemetry"
 )
 
@@ -39,20 +40,25 @@
 	server   *peer.Server
 	pool     *peer.Pool
 
-	platform     *platformServices
-	directory    *membership.Service
-	node         *replication.Node
-	coordination *coordination.Service
-	fleet        *engine.Service
-	execution    *execution.Service
-	router       *routing.Router
+	platform      *platformServices
+	directory     *membership.Service
+	store         *state.Client
+	configuration *stored.Service
+	node          *shards.Node
+	fleet         *engine.Service
+	execution     *execution.Service
+	router        *routing.Router
 
 	callers   http.Handler
 	operators http.Handler
 
-	closers []func() // in the order of opening
+	newStore NewStore
+	closers  []func() // in the order of opening
 }
 
+// NewStore makes the client of the transactional store at the address.
+type NewStore func(address string, registry prometheus.Registerer) state.Store
+
 // Addresses are where the daemon listens, each "ip:port".
 type Addresses struct {
 	Caller   string
@@ -64,12 +70,12 @@
 // Run makes a daemon and runs it until the context ends and it is drained. An
 // error means that it could not start, that a part failed, or that the drain
 // cut something off.
-func Run(ctx context.Context, configured settings.Settings) error {
+func Run(ctx context.Context, configured settings.Settings, newStore NewStore) error {
 	logger, err := telemetry.NewLogger(configured.Log.Level, configured.Log.Format, os.Stderr)
 	if err != nil {
 		return err
 	}
-	created, err := New(configured, logger)
+	created, err := New(configured, newStore, logger)
 	if err != nil {
 		return err
 	}
@@ -77,11 +83,11 @@
 }
 
 // New opens the listeners and makes all parts; nothing is answered before Run.
-func New(configured settings.Settings, logger *zap.Logger) (*Daemon, error) {
+func New(configured settings.Settings, newStore NewStore, logger *zap.Logger) (*Daemon, error) {
 	if err := configured.Check(); err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: configured, registry: telemetry.NewRegistry()}
+	d := &Daemon{settings: configured, newStore: newStore, registry: telemetry.NewRegistry()}
 	d.logger = logger.With(zap.String("machine", configured.Machine), zap.String("zone", configured.Zone))
 	d.lifecycle = newLifecycle(d.logger.Named("daemon"))
 	for _, step := range []func() error{d.openListeners, d.assemble} {
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -9,31 +9,30 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/membership"
 )
 
 const (
-	// replaceTimeout bounds the wait for groups that go on without this daemon.
+	// replaceTimeout bounds the wait for others to lead what this daemon led.
 	replaceTimeout  = 20 * time.Second
 	replaceInterval = 20 * time.Millisecond
 )
 
 // drain is a planned stop: it takes no new work, lets calls under way end,
-// hands leadership over, leaves, waits until its groups go on without it and
-// its streams have ended. It returns nil when nothing was cut off. Leaving
-// comes after the calls: the groups are taken from a daemon that leaves, and
-// the attempts of calls under way with them.
+// hands its shards over, leaves, waits until others lead them and its streams
+// have ended. It returns nil when nothing was cut off. Leaving comes after the
+// calls: the shards are taken from a daemon that leaves, and the attempts of
+// calls under way with them.
 func (d *Daemon) drain() error {
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
 	defer cancel()
 	d.lifecycle.move(eventDrain)
+	d.node.Retire()
 	if err := d.execution.Drain(ctx); err != nil && ctx.Err() == nil {
-		// The others elect a leader after the election time-out; no call is under way here.
+		// Others take it once this process has ended; no call is under way here.
 		d.logger.Warn("daemon: a shard was not handed over.", zap.Error(err))
 	}
-	d.handOverConfiguration(ctx)
 	d.directory.Leave()
 	d.awaitReplaced(ctx)
 	var closing sync.WaitGroup
@@ -48,34 +47,21 @@
 	return nil
 }
 
-// handOverConfiguration passes on the configuration group if it is led here.
-// If that fails, the others elect a leader after the election time-out.
-func (d *Daemon) handOverConfiguration(ctx context.Context) {
-	for _, status := range d.node.Status() {
-		if status.Members.Group != identity.ConfigurationShard || !status.Leading || len(status.Members.Replicas) < 2 {
-			continue
-		}
-		if err := d.node.HandOver(ctx, identity.ConfigurationShard); err != nil {
-			d.logger.Warn("daemon: could not hand the configuration group over.", zap.Error(err))
-		}
-	}
-}
-
-// awaitReplaced waits until no group counts on this daemon: were it to end
-// before, the next planned stop could take a group's majority away.
+// awaitReplaced waits until other daemons lead what this one led, so that
+// callers find them at once.
 func (d *Daemon) awaitReplaced(parent context.Context) {
 	ctx, cancel := context.WithTimeout(parent, replaceTimeout)
 	defer cancel()
 	ticker := time.NewTicker(replaceInterval)
 	defer ticker.Stop()
 	for d.othersAlive() {
-		left := d.groupsLeft()
+		left := d.node.Left()
 		if left == 0 {
 			return
 		}
 		select {
 		case <-ctx.Done():
-			d.logger.Warn("daemon: groups still count on this daemon.", zap.Int("groups", left))
+			d.logger.Warn("daemon: shards are not led by others yet.", zap.Int("shards", left))
 			return
 		case <-ticker.C:
 		}
@@ -89,14 +75,3 @@
 		return member.Process != d.self && member.State == membership.StateAlive
 	})
 }
-
-// groupsLeft counts the groups whose membership names this process.
-func (d *Daemon) groupsLeft() int {
-	left := 0
-	for _, status := range d.node.Status() {
-		if slices.Contains(status.Members.Replicas, d.self) {
-			left++
-		}
-	}
-	return left
-}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -17,8 +17,6 @@
 // platformServices are the clients of the platform. One that has no URL in
 // the settings is nil: the daemon goes on without it.
 type platformServices struct {
-	table    platform.Table
-	objects  platform.Objects
 	machines platform.Machines
 	weights  platform.Weights
 	http     *http.Client
@@ -29,12 +27,6 @@
 		Timeout:   platformTimeout,
 		Transport: &http.Transport{MaxIdleConnsPerHost: platformConnections, IdleConnTimeout: time.Minute},
 	}}
-	if urls.Table != "" {
-		services.table = client.NewTable(urls.Table, services.http)
-	}
-	if urls.Objects != "" {
-		services.objects = client.NewObjects(urls.Objects, services.http)
-	}
 	if urls.Machines != "" {
 		services.machines = client.NewMachines(urls.Machines, services.http)
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -64,7 +64,8 @@
 		d.directory.Run(ctx)
 		return nil
 	})
-	run("coordination", d.coordination.Run)
+	run("configuration", d.configuration.Run)
+	run("shards", d.node.Run)
 	run("engine", d.fleet.Run)
 	run("execution", d.execution.Run)
 	run("callers", func(context.Context) error { return d.caller.serve(d.callers) })
@@ -79,9 +80,9 @@
 // conditions are what readiness asks for.
 func (d *Daemon) conditions() []condition {
 	return []condition{
-		{"the configuration group is not known", func() bool { return d.coordination.Generation() > 0 }},
-		{"the shard map is not known", func() bool { return d.coordination.Maps().Current() != nil }},
-		{"the configuration is not confirmed", d.coordination.Confirmed},
+		{"the store was not heard yet", d.configuration.Heard},
+		{"the shard map is not known", func() bool { return d.node.Current() != nil }},
+		{"the configuration is not confirmed", d.configuration.Confirmed},
 		{"draining", func() bool { return !d.lifecycle.draining() }},
 	}
 }
--- a/internal/daemon/tuning.go
+++ b/internal/daemon/tuning.go
@@ -35,7 +35,7 @@
 
 func executionLimits(told *settings.Settings) execution.Limits {
 	return execution.Limits{
-		ProposeTimeout:   told.Replication.ProposeTimeout,
+		ProposeTimeout:   told.CommitTimeout,
 		MaxQueued:        told.Scheduling.Waiting,
 		HoldPrefix:       told.Scheduling.HoldPrefix,
 		RetryShare:       orOff(told.Retries.Share),
--- a/internal/execution/attempt.go
+++ b/internal/execution/attempt.go
@@ -9,7 +9,7 @@
 	"github.com/thymeloft/thymeloft/internal/dispatch"
 	"github.com/thymeloft/thymeloft/internal/problem"
 	"github.com/thymeloft/thymeloft/internal/program"
-	"github.com/thymeloft/thymeloft/internal/replication"
+	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
 // cancelGrace is left to the dispatcher after the deadline of an attempt, to
@@ -58,7 +58,7 @@
 		Kind: program.CommandDispatch, Program: r.key.Program, Sequence: r.key.Sequence, Attempt: attempt,
 	})
 	switch {
-	case errors.Is(err, replication.ErrNotLeader):
+	case errors.Is(err, shards.ErrNotLeader):
 		r.pause(r.backoff.NextBackOff())
 		return attempt, false
 	case err != nil:
--- a/internal/execution/drain.go
+++ b/internal/execution/drain.go
@@ -11,16 +11,16 @@
 
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/program"
-	"github.com/thymeloft/thymeloft/internal/replication"
+	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
-// handOverTimeout bounds one hand-over: without a successor in this time, the
-// other replicas elect one after the election time-out.
+// handOverTimeout bounds one hand-over: a shard that was not handed over in
+// this time is taken by another daemon once this one has ended.
 const handOverTimeout = 5 * time.Second
 
-// Drain takes no new work and hands over each group led here, once its calls
+// Drain takes no new work and hands over each shard led here, once its calls
 // have ended. After Limits.DrainPatience, calls of models that may be repeated
-// go with their group: the next leader resumes their streams at the engine,
+// go with their shard: the next leader resumes their streams at the engine,
 // so that one long answer does not hold up the other programs. It returns the
 // context's error if calls are still under way then.
 func (s *Service) Drain(ctx context.Context) error {
@@ -29,9 +29,8 @@
 	patience := time.Now().Add(s.limits.DrainPatience)
 	var groups errgroup.Group
 	for _, status := range s.options.Groups.Status() {
-		number := status.Members.Group
-		if status.Leading && number != identity.ConfigurationShard {
-			groups.Go(func() error { return s.drainGroup(ctx, number, patience) })
+		if status.Leading {
+			groups.Go(func() error { return s.drainGroup(ctx, status.Shard, patience) })
 		}
 	}
 	err := groups.Wait()
@@ -52,7 +51,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	err := s.options.Groups.HandOver(ctx, number)
-	if errors.Is(err, replication.ErrNotLeader) || errors.Is(err, replication.ErrUnknownGroup) {
+	if errors.Is(err, shards.ErrNotLeader) {
 		return nil // Another leads it already.
 	}
 	return eris.Wrapf(err, "hand over shard %d", number)
@@ -82,3 +81,10 @@
 	}
 	return count
 }
+
+// Idle tells whether no call of the shard is under way here, so that it may be
+// handed over without anybody noticing.
+func (s *Service) Idle(number identity.Shard) bool {
+	lead := (*s.leaders.Load())[number]
+	return lead != nil && len(lead.running()) == 0
+}
--- a/internal/execution/leadership.go
+++ b/internal/execution/leadership.go
@@ -15,7 +15,7 @@
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/problem"
 	"github.com/thymeloft/thymeloft/internal/program"
-	"github.com/thymeloft/thymeloft/internal/replication"
+	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
 // Causes for which runners stop.
@@ -24,12 +24,12 @@
 	errProgramEnded = errors.New("the program ended")
 )
 
-// leadership is the time during which this daemon leads one shard in one view.
+// leadership is the time during which this daemon leads one shard for one term.
 type leadership struct {
 	service *Service
 	number  identity.Shard
 	shard   *program.Shard
-	change  replication.LeaderChange
+	change  shards.LeaderChange
 	ctx     context.Context // ends with the leadership
 	cancel  context.CancelCauseFunc
 
@@ -40,10 +40,7 @@
 	runs  map[program.CallKey]*run
 }
 
-func (s *Service) changed(ctx context.Context, change replication.LeaderChange) {
-	if change.Group == identity.ConfigurationShard {
-		return
-	}
+func (s *Service) changed(ctx context.Context, change shards.LeaderChange) {
 	if change.Leading {
 		s.begin(ctx, change)
 		return
@@ -53,18 +50,15 @@
 
 // begin starts a leadership. Requests are served once the calls that the
 // former leader left are known here.
-func (s *Service) begin(ctx context.Context, change replication.LeaderChange) {
-	if change.Group == identity.ConfigurationShard {
-		return
-	}
+func (s *Service) begin(ctx context.Context, change shards.LeaderChange) {
 	s.mutex.Lock()
-	shard := s.shards[change.Group]
+	shard := s.shards[change.Shard]
 	s.mutex.Unlock()
 	if shard == nil {
-		s.logger.Warn("execution: leads a shard that is not of programs.", zap.Uint32("shard", uint32(change.Group)))
+		s.logger.Warn("execution: leads a shard that is not of programs.", zap.Uint32("shard", uint32(change.Shard)))
 		return
 	}
-	if former := (*s.leaders.Load())[change.Group]; former != nil {
+	if former := (*s.leaders.Load())[change.Shard]; former != nil {
 		if former.change == change {
 			return
 		}
@@ -72,27 +66,27 @@
 	}
 	lead := &leadership{
 		service: s,
-		number:  change.Group,
+		number:  change.Shard,
 		shard:   shard,
 		change:  change,
 		runs:    make(map[program.CallKey]*run),
 	}
 	lead.ctx, lead.cancel = context.WithCancelCause(ctx)
-	s.setLeader(change.Group, lead)
-	s.logger.Info("execution: began to lead a shard.", zap.Uint32("shard", uint32(change.Group)), zap.Uint64("view", change.View))
+	s.setLeader(change.Shard, lead)
+	s.logger.Info("execution: began to lead a shard.", zap.Uint32("shard", uint32(change.Shard)), zap.Uint64("term", uint64(change.Term)))
 	s.running.Go(lead.resume)
 }
 
 // cease stops the runners. Nothing is cancelled at a back end: the next
 // leader looks the attempts up there.
-func (s *Service) cease(change replication.LeaderChange) {
-	lead := (*s.leaders.Load())[change.Group]
+func (s *Service) cease(change shards.LeaderChange) {
+	lead := (*s.leaders.Load())[change.Shard]
 	if lead == nil {
 		return
 	}
 	lead.stop()
-	s.setLeader(change.Group, nil)
-	s.logger.Info("execution: ceased to lead a shard.", zap.Uint32("shard", uint32(change.Group)))
+	s.setLeader(change.Shard, nil)
+	s.logger.Info("execution: ceased to lead a shard.", zap.Uint32("shard", uint32(change.Shard)))
 }
 
 func (s *Service) ceaseAll() {
@@ -165,7 +159,7 @@
 	if err == nil {
 		return result, nil
 	}
-	if errors.Is(err, replication.ErrNotLeader) || errors.Is(err, replication.ErrUnknownGroup) {
+	if errors.Is(err, shards.ErrNotLeader) {
 		return nil, l.service.notLeader(l.number, string(command.Kind))
 	}
 	return nil, problem.New(problem.KindUnavailable, string(command.Kind), "it may still be committed, repeat the same request: %v", err).
--- a/internal/execution/lease.go
+++ b/internal/execution/lease.go
@@ -100,10 +100,10 @@
 
 // share is this daemon's part of the fleet's shards; one if none are known.
 func (s *Service) share() float64 {
-	shards := s.options.ShardMap.Current()
+	known := s.options.ShardMap.Current()
 	led := len(*s.leaders.Load())
-	if shards == nil || shards.Shards == 0 || led == 0 {
+	if known == nil || known.Shards == 0 || led == 0 {
 		return 1
 	}
-	return min(float64(led)/float64(shards.Shards), 1)
+	return min(float64(led)/float64(known.Shards), 1)
 }
--- a/internal/execution/options.go
+++ b/internal/execution/options.go
@@ -11,16 +11,15 @@
 	"github.com/thymeloft/thymeloft/internal/dispatch"
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/replication"
 	"github.com/thymeloft/thymeloft/internal/scheduling"
-	"github.com/thymeloft/thymeloft/internal/shardmap"
+	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
 // Options are what a Service needs. Logger, Registerer, Leaving and Limits may be left out.
 type Options struct {
 	Self          identity.Process
-	Groups        replication.Groups
-	ShardMap      shardmap.Source // counts the shards, for creations
+	Groups        shards.Groups
+	ShardMap      shards.Source // counts the shards, for creations
 	Dispatcher    dispatch.Dispatcher
 	Fleet         engine.Fleet
 	Policy        scheduling.Policy
--- a/internal/execution/requests.go
+++ b/internal/execution/requests.go
@@ -55,11 +55,11 @@
 		}
 		return number, nil
 	}
-	shards := s.options.ShardMap.Current()
-	if shards == nil || shards.Shards == 0 {
+	known := s.options.ShardMap.Current()
+	if known == nil || known.Shards == 0 {
 		return 0, problem.New(problem.KindUnavailable, "create", "no shard map is known yet").WithRetryAfter(s.limits.RetryAfter)
 	}
-	return identity.ShardOfCreation(arguments.Tenant, arguments.CreationKey, shards.Shards), nil
+	return identity.ShardOfCreation(arguments.Tenant, arguments.CreationKey, known.Shards), nil
 }
 
 // limitsOf fills in the tenant's defaults. A sub-agent's budget comes from its parent.
@@ -127,9 +127,6 @@
 	var place *ticket
 	if !standing {
 		if place, fault = s.admit(ctx, lead, &head, arguments.Tenant, &spec); fault != nil {
-			if head.Doubts(spec.Sequence) {
-				fault.Outcome = problem.OutcomeUnknown // what ran before a restoration may be lost
-			}
 			return SubmitReply{Problem: fault}
 		}
 	}
@@ -243,7 +240,7 @@
 		Limits:    view.Limits,
 		CreatedAt: view.CreatedAt,
 		Spent:     view.Spent,
-		Reserved:  view.Reserved + view.Lost + view.Lent,
+		Reserved:  view.Reserved + view.Lent,
 		Calls:     view.Calls,
 		Messages:  view.Messages(),
 	}
--- a/internal/execution/service.go
+++ b/internal/execution/service.go
@@ -12,7 +12,7 @@
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/problem"
 	"github.com/thymeloft/thymeloft/internal/program"
-	"github.com/thymeloft/thymeloft/internal/replication"
+	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
 // Service implements Programs for the shards that this daemon leads. Safe for
@@ -74,7 +74,7 @@
 func (s *Service) warmingUp() bool { return time.Since(s.started) < s.limits.WarmUp }
 
 // NewShard makes the state machine of a shard and keeps it for reads.
-func (s *Service) NewShard(number identity.Shard) replication.StateMachine {
+func (s *Service) NewShard(number identity.Shard) shards.StateMachine {
 	shard := program.NewShard(number)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -91,7 +91,7 @@
 	s.running.Go(func() { s.waiting.run(ctx) })
 	for _, status := range s.options.Groups.Status() {
 		if status.Leading {
-			s.begin(ctx, replication.LeaderChange{Group: status.Members.Group, Epoch: status.Members.Epoch, View: status.View, Leading: true})
+			s.begin(ctx, shards.LeaderChange{Shard: status.Shard, Term: status.Term, Leading: true})
 		}
 	}
 	for {
@@ -109,11 +109,6 @@
 // led gives the leadership of a shard, or the problem that names the leader.
 func (s *Service) led(number identity.Shard, step string) (*leadership, *problem.Problem) {
 	if lead := (*s.leaders.Load())[number]; lead != nil {
-		if lead.shard.Awaiting() {
-			return nil, problem.New(problem.KindUnavailable, step, "shard %d is not restored yet", number).
-				WithPeer(s.options.Self.String()).
-				WithRetryAfter(s.limits.RetryAfter)
-		}
 		return lead, nil
 	}
 	return nil, s.notLeader(number, step)
--- a/internal/lab/replay/trace.go
+++ b/internal/lab/replay/trace.go
@@ -129,7 +129,7 @@
 	Overlap   bool           `yaml:"overlap,omitempty"`    // comes also while the fleet has not healed from another
 	IfReached bool           `yaml:"if_reached,omitempty"` // does not come if its call ends before the step; else that is an error
 	Restart   bool           `yaml:"restart,omitempty"`    // kill, stop: a new process starts on the machine after For
-	Of        string         `yaml:"of,omitempty"`         // rules, leave, drain: "table", "objects", "engines", or the name of a service or back end
+	Of        string         `yaml:"of,omitempty"`         // rules, leave, drain: "store", "engines", or the name of a service or back end
 	Rules     []standin.Rule `yaml:"rules,omitempty"`
 	Count     int            `yaml:"count,omitempty"` // race: operators
 }
--- a/internal/lab/scale/host.go
+++ b/internal/lab/scale/host.go
@@ -7,13 +7,17 @@
 	"net/http"
 	"os"
 	"sync"
+	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
 	"github.com/thymeloft/thymeloft/internal/daemon"
 	"github.com/thymeloft/thymeloft/internal/lab/standin"
 	"github.com/thymeloft/thymeloft/internal/settings"
+	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/telemetry"
+	"github.com/thymeloft/thymeloft/platform"
 )
 
 // HostCommand serves a number of hollow daemons in one process. It reads its
@@ -29,7 +33,7 @@
 	Regions  int
 	Shards   uint32
 	Expect   int
-	TableURL string
+	Store    string // address
 	Seeds    []string
 	LogLevel string
 }
@@ -61,7 +65,7 @@
 	}
 	h := &host{}
 	for number := range plan.Count {
-		created, err := daemon.New(plan.settings(plan.First+number), logger)
+		created, err := daemon.New(plan.settings(plan.First+number), newStore, logger)
 		if err != nil {
 			return eris.Wrap(err, "make a daemon")
 		}
@@ -114,6 +118,11 @@
 	standin.WriteJSON(w, http.StatusOK, count)
 }
 
+// newStore makes a client of the stand-in of the store.
+func newStore(address string, _ prometheus.Registerer) state.Store {
+	return platform.NewStore(platform.StoreOptions{Address: address, Patience: time.Second, Observe: func(state.CallResult) {}})
+}
+
 // settings are those of one hollow daemon; a planned stop is not waited for.
 func (p HostPlan) settings(number int) settings.Settings {
 	const anyPort = "127.0.0.1:0"
@@ -123,7 +132,7 @@
 	configured.Region = fmt.Sprintf("region-%d", number%p.Zones%p.Regions)
 	configured.Listen = settings.Listen{Caller: anyPort, Operator: anyPort, Peer: anyPort, Metrics: anyPort}
 	configured.Seeds = p.Seeds
-	configured.Platform.Table = p.TableURL
+	configured.Platform.Store = p.Store
 	configured.OperatorKeyHashes = []string{keyHash(operatorKey)}
 	configured.Shards = p.Shards
 	configured.BootstrapExpect = p.Expect
--- a/internal/operatorapi/handler.go
+++ b/internal/operatorapi/handler.go
@@ -17,7 +17,7 @@
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/execution"
 	"github.com/thymeloft/thymeloft/internal/membership"
-	"github.com/thymeloft/thymeloft/internal/replication"
+	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
 // Limits bound what operators may ask for; zero fields take the default.
@@ -43,7 +43,7 @@
 	Administrator configuration.Administrator
 	Programs      execution.Programs
 	Directory     membership.Directory
-	Groups        replication.Groups
+	Groups        shards.Groups
 	Fleet         engine.Fleet
 	// Keys are the operators' bearer keys, each as 64 hex digits of its
 	// SHA-256 or as "name:" and the digits. An empty list refuses all calls.
--- a/internal/operatorapi/status.go
+++ b/internal/operatorapi/status.go
@@ -9,8 +9,8 @@
 	"github.com/thymeloft/thymeloft/internal/configuration"
 	"github.com/thymeloft/thymeloft/internal/membership"
 	"github.com/thymeloft/thymeloft/internal/operatorapi/convert"
-	"github.com/thymeloft/thymeloft/internal/replication"
 	"github.com/thymeloft/thymeloft/internal/scheduling"
+	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
 var memberStates = map[membership.State]operatorv1.MemberState{
@@ -57,18 +57,17 @@
 	}
 }
 
-func groupToSchema(status *replication.Status) *operatorv1.Group {
+func groupToSchema(status *shards.Status) *operatorv1.Group {
 	group := &operatorv1.Group{
-		Shard:     uint32(status.Members.Group),
-		Epoch:     uint64(status.Members.Epoch),
-		View:      status.View,
+		Shard:     uint32(status.Shard),
+		Epoch:     uint64(status.Term),
 		Leader:    string(status.Leader.Machine),
 		Committed: status.Committed,
-		Normal:    status.Normal,
+		Normal:    status.Leader.Machine != "",
 	}
-	for _, replica := range status.Members.Replicas {
-		group.Replicas = append(group.Replicas, string(replica.Machine))
-		group.ReplicaIncarnations = append(group.ReplicaIncarnations, uint64(replica.Incarnation))
+	if group.Normal {
+		group.Replicas = []string{string(status.Leader.Machine)}
+		group.ReplicaIncarnations = []uint64{uint64(status.Leader.Incarnation)}
 	}
 	return group
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -1,6 +1,6 @@
-// Package platform has the ports to what the platform gives: a transactional
-// table, an object store, a weight store and a lagging list of machines. No
-// request's path waits for any of them.
+// Package platform has the ports to what the platform gives beside its store
+// (internal/state): a weight store and a lagging list of machines. No request's
+// path waits for either.
 package platform
 
 import (
@@ -20,36 +20,6 @@
 	ErrNotFound        = errors.New("not found")
 )
 
-// Row is one row of the table.
-type Row struct {
-	Key     string
-	Version uint64 // set by the table; 0 means absent
-	Value   []byte
-}
-
-// Write changes one row if its version is still IfVersion (0: absent).
-type Write struct {
-	Key       string
-	IfVersion uint64
-	Value     []byte // nil deletes
-}
-
-// Table is the transactional table service.
-type Table interface {
-	Get(ctx context.Context, key string) (Row, error)
-	List(ctx context.Context, prefix string) ([]Row, error)
-	// Commit applies all writes or none. The identifier makes a repeat safe.
-	Commit(ctx context.Context, identifier string, writes []Write) error
-}
-
-// Objects is the object store.
-type Objects interface {
-	Put(ctx context.Context, key string, value []byte) error
-	Get(ctx context.Context, key string) ([]byte, error)
-	List(ctx context.Context, prefix string) ([]string, error)
-	Delete(ctx context.Context, key string) error
-}
-
 // MachineState is what the machine list says of a machine.
 type MachineState string
 
--- a/internal/routing/route.go
+++ b/internal/routing/route.go
@@ -119,7 +119,7 @@
 }
 
 // candidate gives the next daemon to try in this round: the last hint, the
-// leader known to a replica here, the remembered leader, then every replica.
+// leader known here, the remembered one, then the one of the shard map.
 func (r *Router) candidate(shard identity.Shard, fate *fate, tried []string) string {
 	fresh := func(address string) bool { return address != "" && !slices.Contains(tried, address) }
 	if fate.last != nil && fresh(fate.last.Leader) {
@@ -131,14 +131,8 @@
 	if address := r.leaders.get(shard); fresh(address) {
 		return address
 	}
-	current := r.options.Map.Current()
-	if int(shard) >= len(current.Groups) {
-		return ""
-	}
-	for _, replica := range current.Groups[shard].Replicas {
-		if fresh(replica.Address) {
-			return replica.Address
-		}
+	if leader := r.options.Map.Current().Leaders[shard].Process; fresh(leader.Address) {
+		return leader.Address
 	}
 	return ""
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -17,8 +17,7 @@
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/problem"
-	"github.com/thymeloft/thymeloft/internal/replication"
-	"github.com/thymeloft/thymeloft/internal/shardmap"
+	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
 // Defaults of the options.
@@ -38,8 +37,8 @@
 type Options struct {
 	Self       identity.Process
 	Local      Local // for shards led by this daemon
-	Groups     replication.Groups
-	Map        shardmap.Source
+	Groups     shards.Groups
+	Map        shards.Source
 	Caller     peer.Caller
 	Registrar  peer.Registrar
 	Logger     *zap.Logger
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	sha256Bytes     = 32
-	largestReplicas = 5
-	leastHeartbeats = 3      // in one election timeout
-	largestShards   = 0xffff // a program identifier carries the shard in four hexadecimal digits
+	sha256Bytes   = 32
+	largestShards = 0xffff // a program identifier carries the shard in four hexadecimal digits
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
@@ -41,7 +39,7 @@
 	c.tlsFiles("tls.operator", s.TLS.Operator)
 	c.tlsFiles("tls.peer", s.TLS.Peer)
 	c.tlsFiles("tls.metrics", s.TLS.Metrics)
-	s.checkGroups(c)
+	s.checkShards(c)
 	s.checkLimits(c)
 	s.checkScheduling(c)
 	s.checkEngines(c)
@@ -73,8 +71,7 @@
 }
 
 func (s *Settings) checkPlatform(c *checker) {
-	c.url("platform.table", s.Platform.Table)
-	c.url("platform.objects", s.Platform.Objects)
+	c.reachable("platform.store", s.Platform.Store)
 	c.url("platform.machines", s.Platform.Machines)
 	c.url("platform.weights", s.Platform.Weights)
 }
@@ -89,27 +86,16 @@
 	}
 }
 
-func (s *Settings) checkGroups(c *checker) {
+func (s *Settings) checkShards(c *checker) {
 	if s.Shards < 1 || s.Shards > largestShards {
 		c.add("shards", "%d is not between 1 and %d", s.Shards, largestShards)
 	}
-	if s.Replicas < 1 || s.Replicas > largestReplicas || s.Replicas%2 == 0 {
-		c.add("replicas", "%d is not 1, 3 or 5", s.Replicas)
-	}
 	if s.BootstrapExpect < 1 {
 		c.add("bootstrap_expect", "%d is less than 1", s.BootstrapExpect)
 	}
 	c.positive("confirm_bound", s.ConfirmBound)
 	c.positive("drain_timeout", s.DrainTimeout)
-	c.positive("replication.heartbeat_interval", s.Replication.HeartbeatInterval)
-	c.positive("replication.election_timeout", s.Replication.ElectionTimeout)
-	c.positive("replication.propose_timeout", s.Replication.ProposeTimeout)
-	if s.Replication.ElectionTimeout < leastHeartbeats*s.Replication.HeartbeatInterval {
-		c.add("replication.election_timeout", "%s is less than %d heartbeat intervals of %s", s.Replication.ElectionTimeout, leastHeartbeats, s.Replication.HeartbeatInterval)
-	}
-	if s.Replication.CompactAfter < 1 {
-		c.add("replication.compact_after", "%d is less than 1", s.Replication.CompactAfter)
-	}
+	c.positive("commit_timeout", s.CommitTimeout)
 }
 
 func (s *Settings) checkLimits(c *checker) {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -7,13 +7,12 @@
 	return Settings{
 		Listen:          Listen{Caller: "127.0.0.1:8080", Operator: "127.0.0.1:8081", Peer: "127.0.0.1:8082", Metrics: "127.0.0.1:8083"},
 		Shards:          16,
-		Replicas:        3,
 		BootstrapExpect: 3,
 		ConfirmBound:    5 * time.Second,
+		CommitTimeout:   3 * time.Second,
 		DrainTimeout:    60 * time.Second,
 		Limits:          defaultLimits(),
 		Log:             Log{Level: "info", Format: "json"},
-		Replication:     defaultReplication(),
 		Scheduling:      defaultScheduling(),
 		Retries:         Retries{Share: 0.1, PerSecond: 10, Burst: 100},
 		Engines:         defaultEngines(),
@@ -35,15 +34,6 @@
 	}
 }
 
-func defaultReplication() Replication {
-	return Replication{
-		HeartbeatInterval: 150 * time.Millisecond,
-		ElectionTimeout:   900 * time.Millisecond,
-		ProposeTimeout:    3 * time.Second,
-		CompactAfter:      4096,
-	}
-}
-
 func defaultScheduling() Scheduling {
 	return Scheduling{
 		ExpectedOutput:  100,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,8 +7,8 @@
 
 // Settings are the settings of one daemon. The key of a field in the file is
 // its yaml tag, and a flag's name is the path of keys joined by "-" with
-// dashes for underscores ("replication.heartbeat_interval" is
-// "--replication-heartbeat-interval"). Durations are written like "250ms".
+// dashes for underscores ("limits.body_bytes" is
+// "--limits-body-bytes"). Durations are written like "250ms".
 type Settings struct {
 	Machine         string   `yaml:"machine" help:"Name of the machine; it stays the same when the process restarts." placeholder:"NAME"`
 	Zone            string   `yaml:"zone" help:"Failure domain of the machine." placeholder:"ZONE"`
@@ -23,17 +23,16 @@
 	TLS               TLS      `yaml:"tls" embed:"" prefix:"tls-"`
 
 	Shards          uint32        `yaml:"shards" help:"Number of program shards; fixed at the first start of the fleet." placeholder:"N"`
-	Replicas        int           `yaml:"replicas" help:"Replicas of each group: 1, 3 or 5." placeholder:"N"`
-	BootstrapExpect int           `yaml:"bootstrap_expect" help:"Daemons that must see each other before the first group is formed." placeholder:"N"`
+	BootstrapExpect int           `yaml:"bootstrap_expect" help:"Daemons that must see each other before the first shards are led." placeholder:"N"`
 	ConfirmBound    time.Duration `yaml:"confirm_bound" help:"Longest time that a configuration revision counts as confirmed; then new work is refused." placeholder:"DURATION"`
+	CommitTimeout   time.Duration `yaml:"commit_timeout" help:"Longest time of one commitment to the log of a shard." placeholder:"DURATION"`
 	DrainTimeout    time.Duration `yaml:"drain_timeout" help:"Longest time of a planned stop." placeholder:"DURATION"`
 
-	Limits      Limits      `yaml:"limits" embed:"" prefix:"limits-"`
-	Log         Log         `yaml:"log" embed:"" prefix:"log-"`
-	Replication Replication `yaml:"replication" embed:"" prefix:"replication-"`
-	Scheduling  Scheduling  `yaml:"scheduling" embed:"" prefix:"scheduling-"`
-	Retries     Retries     `yaml:"retries" embed:"" prefix:"retries-"`
-	Engines     Engines     `yaml:"engines" embed:"" prefix:"engines-"`
+	Limits     Limits     `yaml:"limits" embed:"" prefix:"limits-"`
+	Log        Log        `yaml:"log" embed:"" prefix:"log-"`
+	Scheduling Scheduling `yaml:"scheduling" embed:"" prefix:"scheduling-"`
+	Retries    Retries    `yaml:"retries" embed:"" prefix:"retries-"`
+	Engines    Engines    `yaml:"engines" embed:"" prefix:"engines-"`
 }
 
 // Listen holds the addresses of the listeners, "IP:PORT"; port 0 takes a free one.
@@ -44,11 +43,10 @@
 	Metrics  string `yaml:"metrics" help:"Listener for metrics and health, IP:PORT." placeholder:"IP:PORT"`
 }
 
-// Platform holds the base URLs of the platform's services; an empty URL
-// means that the service is not there.
+// Platform tells where the platform's services are. The store is needed; an
+// empty URL means that the service is not there.
 type Platform struct {
-	Table    string `yaml:"table" help:"Base URL of the transactional table service." placeholder:"URL"`
-	Objects  string `yaml:"objects" help:"Base URL of the object store." placeholder:"URL"`
+	Store    string `yaml:"store" help:"Address of the transactional store, IP:PORT." placeholder:"IP:PORT"`
 	Machines string `yaml:"machines" help:"Base URL of the list of machines." placeholder:"URL"`
 	Weights  string `yaml:"weights" help:"Base URL of the weight store." placeholder:"URL"`
 }
@@ -90,14 +88,6 @@
 	Format string `yaml:"format" help:"Format of the log: json or console." placeholder:"FORMAT"`
 }
 
-// Replication holds the timings of replica groups.
-type Replication struct {
-	HeartbeatInterval time.Duration `yaml:"heartbeat_interval" help:"Between heartbeats of a pair of daemons." placeholder:"DURATION"`
-	ElectionTimeout   time.Duration `yaml:"election_timeout" help:"Silence of a leader after which its group changes the view." placeholder:"DURATION"`
-	ProposeTimeout    time.Duration `yaml:"propose_timeout" help:"Longest time of one commitment." placeholder:"DURATION"`
-	CompactAfter      int           `yaml:"compact_after" help:"Commands kept in a log before a snapshot replaces them." placeholder:"N"`
-}
-
 // Scheduling weighs placements and bounds waits. A weight or count of zero
 // switches its part off.
 type Scheduling struct {
