Programs: nothing is restored in doubt any more

Cause: a shard that was founded anew from an archive might lack what was committed last, so its programs' calls were doubted. A log in the store lacks nothing.

--- a/internal/program/aggregate.go
+++ b/internal/program/aggregate.go
@@ -51,8 +51,6 @@
 	Charged         int64              `cbor:"17,keyasint,omitzero"` // what this program holds of its parent's budget
 	Depth           int                `cbor:"18,keyasint,omitzero"`
 	ContentBytes    int                `cbor:"19,keyasint,omitzero"`
-	Restored        uint64             `cbor:"20,keyasint,omitzero"` // calls left at the last restoration, and one; 0: never restored
-	Lost            int64              `cbor:"21,keyasint,omitzero"` // tokens of attempts that a restoration may have lost
 }
 
 func (a *aggregate) open() bool { return a.State == ProgramOpen }
@@ -64,7 +62,7 @@
 }
 
 // committed is what is spent, or may have been spent, by attempts and children.
-func (a *aggregate) committed() int64 { return a.Spent + a.Reserved + a.Lost + a.ChildrenCharged }
+func (a *aggregate) committed() int64 { return a.Spent + a.Reserved + a.ChildrenCharged }
 
 // underWay gives the call that is not final, if there is one.
 func (a *aggregate) underWay() *Call {
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -15,18 +15,12 @@
 		return &Result{Program: owner.ID, Joined: true, Call: &copied}
 	}
 	if fault := s.acceptFault(owner, &spec); fault != nil {
-		return rejected(owner.refused(fault.WithOutcome(problem.OutcomeNotRun), spec.Sequence))
+		return rejected(fault.WithOutcome(problem.OutcomeNotRun))
 	}
 	if fault, reason := runaway(owner, &spec); fault != nil {
-		return &Result{Problem: owner.refused(fault, spec.Sequence), Program: owner.ID, Ended: s.endTree(owner, reason)}
+		return &Result{Problem: fault, Program: owner.ID, Ended: s.endTree(owner, reason)}
 	}
 	accepted := &Call{Spec: spec, State: CallAccepted, AcceptedAt: s.now}
-	if spec.Sequence == owner.Restored {
-		owner.chargeLost(&spec)
-	}
-	if spec.NotRepeatable && owner.doubts(spec.Sequence) {
-		loseTrack(accepted)
-	}
 	owner.Calls = append(owner.Calls, accepted)
 	owner.ContentBytes += spec.contentBytes()
 	s.touch(owner)
@@ -77,8 +71,6 @@
 	switch {
 	case !owner.open():
 		return 0, programEnded(owner, "dispatch")
-	case call.Spec.NotRepeatable && owner.doubts(call.Spec.Sequence):
-		return 0, problem.New(problem.KindConflict, "dispatch", "a call not to be repeated may have run before its program was restored")
 	case call.Spec.NotRepeatable && call.Unreleased():
 		return 0, problem.New(problem.KindConflict, "dispatch", "an attempt of a call not to be repeated may have been sent")
 	case len(call.Attempts) >= MaxAttempts:
@@ -131,10 +123,6 @@
 	if call.State.Final() || call.Unreleased() {
 		return nil
 	}
-	if call.Spec.NotRepeatable && owner.doubts(call.Spec.Sequence) {
-		loseTrack(call)
-		return nil
-	}
 	return call.move(eventRelease)
 }
 
@@ -191,9 +179,6 @@
 		return fault
 	}
 	stored := *command.Problem
-	if stored.Outcome != problem.OutcomeUnknown && owner.doubts(call.Spec.Sequence) {
-		occurred, stored.Outcome = eventDoubt, problem.OutcomeUnknown
-	}
 	if fault := call.move(occurred); fault != nil {
 		return fault
 	}
--- a/internal/program/command.go
+++ b/internal/program/command.go
@@ -21,7 +21,6 @@
 	CommandGiveUp   CommandKind = "give-up"  // final without answer: not-run only if no attempt is open
 	CommandEnd      CommandKind = "end"      // ends the program and its children
 	CommandForget   CommandKind = "forget"   // drops ended programs after retention
-	CommandRestore  CommandKind = "restore"  // the first of a group that was founded anew: what is left of the former one
 )
 
 // Command is one entry of a shard's log.
@@ -45,7 +44,6 @@
 	Spent    int64            `cbor:"15,keyasint,omitzero"` // settle, give-up: tokens known to be generated; -1: unknown, the whole reservation stays
 	Reason   EndReason        `cbor:"16,keyasint,omitzero"` // end
 	Before   time.Time        `cbor:"17,keyasint,omitzero"` // forget: programs that ended before this
-	State    []byte           `cbor:"18,keyasint,omitzero"` // restore: a snapshot; empty: nothing is left
 }
 
 // Result is what a command returns to its proposer.
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -18,7 +18,6 @@
 	eventNotRun    event = "give-up-not-run"
 	eventFail      event = "give-up-failed"
 	eventLoseTrack event = "give-up-unknown"
-	eventDoubt     event = "doubt" // a restoration may have lost an attempt
 	eventEnd       event = "end"
 )
 
@@ -33,7 +32,6 @@
 		{Name: string(eventNotRun), Src: states(CallAccepted), Dst: string(CallNotRun)},
 		{Name: string(eventFail), Src: states(CallDispatched), Dst: string(CallFailed)},
 		{Name: string(eventLoseTrack), Src: states(CallDispatched), Dst: string(CallUnknown)},
-		{Name: string(eventDoubt), Src: states(CallAccepted, CallDispatched), Dst: string(CallUnknown)},
 	})
 	programLifecycle = deriveTransitions(ProgramOpen, fsm.Events{
 		{Name: string(eventEnd), Src: states(ProgramOpen), Dst: string(ProgramEnded)},
--- a/internal/program/programs.go
+++ b/internal/program/programs.go
@@ -152,15 +152,11 @@
 		return
 	}
 	changed := *call
-	outcome, occurred := problem.OutcomeNotRun, eventNotRun
-	if owner.doubts(call.Spec.Sequence) {
-		outcome, occurred = problem.OutcomeUnknown, eventDoubt
-	}
-	if fault := changed.move(occurred); fault != nil {
+	if fault := changed.move(eventNotRun); fault != nil {
 		return
 	}
 	changed.Problem = problem.New(problem.KindCancelled, "end", "the program ended: %s", owner.Reason).
-		WithOutcome(outcome)
+		WithOutcome(problem.OutcomeNotRun)
 	owner.replace(&changed)
 }
 
--- a/internal/program/shard.go
+++ b/internal/program/shard.go
@@ -8,7 +8,7 @@
 	"github.com/thymeloft/thymeloft/internal/problem"
 )
 
-// Shard is the state machine of one replica group of programs. Apply, Restore
+// Shard is the state machine of one shard of programs. Apply, Restore
 // and Snapshot are called by one goroutine at a time; reads are safe beside them.
 type Shard struct {
 	number identity.Shard
@@ -19,8 +19,6 @@
 	byKey    map[creationKey]identity.Program
 	active   map[identity.Program]struct{} // programs with a call that is not final
 	names    interner
-	awaiting bool   // takes nothing but CommandRestore
-	index    uint64 // of the last command; 0 after a restored snapshot
 }
 
 // creationKey finds the program of a repeated creation.
@@ -43,7 +41,6 @@
 	s.byKey = make(map[creationKey]identity.Program)
 	s.active = make(map[identity.Program]struct{})
 	s.names = make(interner)
-	s.awaiting = false
 }
 
 // adoptState takes over the programs of another shard, which is used no more.
@@ -56,14 +53,13 @@
 func (s *Shard) Number() identity.Shard { return s.number }
 
 // Apply runs one command of the log. The result is always a *Result.
-func (s *Shard) Apply(index uint64, encoded []byte) any {
+func (s *Shard) Apply(_ uint64, encoded []byte) any {
 	command, err := DecodeCommand(encoded)
 	if err != nil {
 		return rejected(problem.New(problem.KindInternal, "apply", "%v", err))
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.index = index
 	s.names.command(&command)
 	if command.Now.After(s.now) {
 		s.now = command.Now
@@ -72,12 +68,6 @@
 }
 
 func (s *Shard) run(command *Command) *Result {
-	switch {
-	case command.Kind == CommandRestore:
-		return s.restoreFormer(command)
-	case s.awaiting:
-		return rejected(problem.New(problem.KindUnavailable, string(command.Kind), "shard %d is not restored yet", s.number))
-	}
 	switch command.Kind {
 	case CommandCreate:
 		return s.create(command)
--- a/internal/program/snapshot.go
+++ b/internal/program/snapshot.go
@@ -24,7 +24,6 @@
 	Shard    identity.Shard `cbor:"2,keyasint"`
 	Now      time.Time      `cbor:"3,keyasint,omitzero"`
 	Programs []*aggregate   `cbor:"4,keyasint,omitzero"`
-	Awaiting bool           `cbor:"5,keyasint,omitzero"`
 }
 
 // Snapshot encodes the whole state.
@@ -36,7 +35,7 @@
 
 // collect gathers the state without copying it.
 func (s *Shard) collect() *snapshot {
-	whole := &snapshot{Version: snapshotVersion, Shard: s.number, Now: s.now, Awaiting: s.awaiting}
+	whole := &snapshot{Version: snapshotVersion, Shard: s.number, Now: s.now}
 	whole.Programs = make([]*aggregate, 0, len(s.programs))
 	for _, owner := range s.programs {
 		whole.Programs = append(whole.Programs, owner)
@@ -72,7 +71,6 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.adoptState(restored)
-	s.awaiting, s.index = whole.Awaiting, 0
 	return nil
 }
 
@@ -110,7 +108,7 @@
 			totals.count(&call.Attempts[j], 1)
 		}
 	}
-	return totals.Spent == a.Spent && totals.Reserved == a.Reserved && a.Lost >= 0 && a.Depth >= 0 && a.Depth <= MaxDepth
+	return totals.Spent == a.Spent && totals.Reserved == a.Reserved && a.Depth >= 0 && a.Depth <= MaxDepth
 }
 
 // checkFamilies checks that depths grow from parent to child, which excludes
--- a/internal/program/view.go
+++ b/internal/program/view.go
@@ -21,16 +21,14 @@
 	EndedAt    time.Time
 	LastActive time.Time
 	CallCount  int
-	Spent      int64  // known, of its own calls
-	Reserved   int64  // own attempts that are open or whose cost is unknown
-	Lent       int64  // held by children
-	Lost       int64  // may have been spent by attempts that a restoration lost
-	Restored   uint64 // calls left at the last restoration, and one; 0: never restored
+	Spent      int64 // known, of its own calls
+	Reserved   int64 // own attempts that are open or whose cost is unknown
+	Lent       int64 // held by children
 }
 
 // Available is what the program may still reserve.
 func (h *Head) Available() int64 {
-	return max(0, h.Limits.TokenBudget-h.Spent-h.Reserved-h.Lost-h.Lent)
+	return max(0, h.Limits.TokenBudget-h.Spent-h.Reserved-h.Lent)
 }
 
 // View is a program as committed. What it refers to never changes.
@@ -192,8 +190,6 @@
 		Spent:      a.Spent,
 		Reserved:   a.Reserved,
 		Lent:       a.ChildrenCharged,
-		Lost:       a.Lost,
-		Restored:   a.Restored,
 	}
 }
 
