--- a/internal/configuration/machine.go
+++ b/internal/configuration/machine.go
@@ -21,7 +21,7 @@
 	HistoryItems = 40000
 )
 
-// Machine is the state machine of the configuration (replication.StateMachine):
+// Machine is the state machine of the configuration, whose states the store keeps:
 // commands are encoded changes, results are *ChangeResult. Apply, Snapshot and
 // Restore belong to one goroutine at a time; the reads are safe from any.
 type Machine struct {
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -45,13 +45,10 @@
 // Tenant names a customer. Every program belongs to exactly one tenant.
 type Tenant string
 
-// Shard numbers a replica group; programs hash to shards. Shard 0 holds the
-// configuration and the shard map, and never programs.
+// Shard numbers a log of programs in the store; programs hash to shards. Shard
+// 0 never holds programs.
 type Shard uint32
 
-// ConfigurationShard is the replica group of the configuration.
-const ConfigurationShard Shard = 0
-
 // Program is the identifier of a program, issued by thymeloft, never by the
 // caller: "p<shard in hex>-<26 random characters>". It cannot be guessed.
 type Program string
