Budget: one daemon lends a program a part of its budget while the store is away

Cause: a program that begins in an outage of the store has no grant, and waits for its end.

Ruled out: letting turns run without a reservation (breaks BUDGET); the most of one turn alone as credit (a program of three turns needs about 1,100 tokens where one turn is at most 576); a record of loans in the store (not needed, see below).

Change: the store grants three quarters of a budget. One daemon of all, the first by claim among all members, lends the rest and the most of one turn while the store does not grant within 60 ms; in calm times the rest alone. It may lend if it founded the system, or joined ten minutes ago or more, so that no two processes lend to one program in the time in which it may come again (members.List.MayLend). What was lent is in nobody's grants, so no record is needed, and a loss of all daemons cannot double it. A founder is told by the settings (first_start), and proves it by writing a row that was not there.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -59,15 +59,21 @@
 	amount int64
 }
 
-// smallBudget is the size in tokens below which a budget is not divided: its
-// halves would hold too few turns. It must be the same at all processes, and
-// what turns ask for must not matter.
-const smallBudget = 640
+// Sizes in tokens. They must be the same at all processes, and what turns ask
+// for must not matter.
+const (
+	// smallBudget is the size below which nothing of a budget is withheld.
+	smallBudget = 640
+	// smallestDivided is the size below which what the store grants is not
+	// divided: its halves would hold too few turns.
+	smallestDivided = 640
+)
 
-// accountsOf divides a budget; all processes divide it alike.
+// accountsOf divides what the store grants of a budget; all processes divide it alike.
 func accountsOf(identifier string, total int64) []*account {
 	home := xxhash.Sum64String(identifier)
-	if total < smallBudget {
+	total -= withheld(total)
+	if total < smallestDivided {
 		return []*account{{key: keyOf(identifier, home), share: total}}
 	}
 	const elsewhere = partitions/2 + 1
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -55,6 +55,7 @@
 	programs *expirable.LRU[string, *program]
 	// reclaim, if set, asks other processes to release what they hold of a program.
 	reclaim func(ctx context.Context, identifier string)
+	lender  *Lender // nil: nothing is lent
 }
 
 // program is this process's part in a program's budget.
@@ -75,19 +76,27 @@
 	return &Ledger{store: store, programs: expirable.NewLRU[string, *program](entries, nil, keep)}
 }
 
+// LendWith lets the ledger lend while the store cannot be had. It is to be
+// called before the first use.
+func (l *Ledger) LendWith(lender *Lender) { l.lender = lender }
+
 // Reservation is what one turn may generate.
 type Reservation struct {
 	program *program
 	most    int64
 	once    sync.Once
+	loan    *loan // nil: granted by the store
 }
 
+// OnCredit tells whether the tokens were lent, not granted by the store.
+func (r *Reservation) OnCredit() bool { return r.loan != nil }
+
 // Reserve takes the most that a turn may generate from the program's budget.
 // It returns ErrSpent, or an error of the store or of the context.
 func (l *Ledger) Reserve(ctx context.Context, identifier string, total, most int64) (*Reservation, error) {
 	held := l.open(identifier, total)
 	for {
-		reservation, settled, err := l.tryReserve(ctx, held, identifier, most)
+		reservation, settled, err := l.tryReserve(ctx, held, turnNeed{identifier, total, most})
 		if reservation != nil || err != nil {
 			return reservation, err
 		}
@@ -99,17 +108,27 @@
 	}
 }
 
+// turnNeed is what one turn asks for.
+type turnNeed struct {
+	program     string
+	total, most int64
+}
+
 // tryReserve returns a channel to wait for when only turns under way stand
 // between the program and another turn.
-func (l *Ledger) tryReserve(ctx context.Context, held *program, identifier string, most int64) (*Reservation, <-chan struct{}, error) {
+func (l *Ledger) tryReserve(ctx context.Context, held *program, need turnNeed) (*Reservation, <-chan struct{}, error) {
 	held.mutex.Lock()
 	defer held.mutex.Unlock()
-	if held.available < most {
-		err := l.store.Repeat(ctx, func() error { return l.grant(ctx, held, most) })
-		if errors.Is(err, ErrSpent) && l.mayReclaim(held) {
-			l.askOthers(ctx, identifier)
-			held.forget()
-			err = l.store.Repeat(ctx, func() error { return l.grant(ctx, held, most) })
+	if held.available < need.most {
+		lent, err := l.fill(ctx, held, need)
+		if lent != nil {
+			return &Reservation{loan: lent}, nil, nil
+		}
+		if errors.Is(err, ErrSpent) {
+			lent = l.lender.lend(need, causeSpent)
+		}
+		if lent != nil {
+			return &Reservation{loan: lent}, nil, nil
 		}
 		if errors.Is(err, ErrSpent) && held.inFlight > 0 {
 			return nil, held.settled, nil
@@ -118,14 +137,57 @@
 			return nil, nil, err
 		}
 	}
-	held.available -= most
+	held.available -= need.most
 	held.inFlight++
 	held.used = time.Now()
-	return &Reservation{program: held, most: most}, nil, nil
+	return &Reservation{program: held, most: need.most}, nil, nil
+}
+
+// lendAfter is how long a turn waits for the store before it runs on credit:
+// several times what a sound store takes.
+const lendAfter = 60 * time.Millisecond
+
+// fill raises what is available to the need of a turn, or lends it when the
+// store does not grant it soon.
+func (l *Ledger) fill(ctx context.Context, held *program, need turnNeed) (*loan, error) {
+	if !l.store.Available() {
+		if lent := l.lender.lend(need, causeOutage); lent != nil {
+			return lent, nil
+		}
+		return nil, l.fillFromStore(ctx, held, need)
+	}
+	soon, cancel := context.WithTimeout(ctx, lendAfter)
+	defer cancel()
+	err := l.fillFromStore(soon, held, need)
+	if err == nil || errors.Is(err, ErrSpent) {
+		return nil, err
+	}
+	if lent := l.lender.lend(need, causeOutage); lent != nil {
+		return lent, nil
+	}
+	if ctx.Err() != nil {
+		return nil, err
+	}
+	return nil, l.fillFromStore(ctx, held, need)
+}
+
+func (l *Ledger) fillFromStore(ctx context.Context, held *program, need turnNeed) error {
+	grant := func() error { return l.grant(ctx, held, need.most) }
+	err := l.store.Repeat(ctx, grant)
+	if errors.Is(err, ErrSpent) && l.mayReclaim(held) {
+		l.askOthers(ctx, need.program)
+		held.forget()
+		err = l.store.Repeat(ctx, grant)
+	}
+	return err
 }
 
 // Settle gives back what the turn did not generate.
 func (r *Reservation) Settle(generated int64) {
+	if r.loan != nil {
+		r.loan.Settle(generated)
+		return
+	}
 	r.once.Do(func() {
 		r.program.mutex.Lock()
 		defer r.program.mutex.Unlock()
--- /dev/null
+++ b/internal/members/lender.go
@@ -0,0 +1,71 @@
+package members
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// One daemon of all may lend to a program, and the same one in all the time in
+// which the program may come again: the one with the first claim on it, if that
+// has been so for long enough.
+//
+// Guarantee: no two processes lend to one program within memoryOfPrograms of
+// each other. Rows of members are never removed, so a claim moves only to a
+// daemon that joins, and a process that is started again is another one:
+//   - one that joins lends only memoryOfPrograms after its row was committed, and
+//     a list is believed for lenderContact, which is far shorter;
+//   - the founders of a system lend soon, since there were no programs before. Each
+//     has written its row within founding of its start, or is none, and none lends
+//     on a list that it read before all founders had written theirs.
+const (
+	// founding is the time from the first start of the system within which a
+	// founder must have registered.
+	founding = 3500 * time.Millisecond
+	// foundersApart is how far apart the machines of a system start at most.
+	foundersApart = time.Second
+	// lenderContact is how long a list is believed.
+	lenderContact = time.Minute
+	// memoryOfPrograms is longer than lenderContact and the time within which a
+	// program may come again.
+	memoryOfPrograms = 10 * time.Minute
+)
+
+// seasoning is what a process knows of its own standing as a lender. Times are
+// nanoseconds since its start, by the steady clock.
+type seasoning struct {
+	started    time.Time
+	registered atomic.Int64 // when its row was acknowledged; 0: it was not
+	heard      atomic.Int64 // when the list was last heard; 0: it was not
+	founder    atomic.Bool
+}
+
+func (s *seasoning) elapsed(now time.Time) int64 { return max(int64(now.Sub(s.started)), 1) }
+
+// Heard notes that the store told the list as it stands.
+func (l *List) Heard() { l.seasoning.heard.Store(l.seasoning.elapsed(l.now())) }
+
+// MayLend tells whether this process is the only one that lends to a program.
+func (l *List) MayLend(program string) bool {
+	return l.seasoning.lends(l.now()) && l.Sweeps(program)
+}
+
+func (s *seasoning) lends(now time.Time) bool {
+	elapsed := s.elapsed(now)
+	heard, registered := s.heard.Load(), s.registered.Load()
+	if heard == 0 || registered == 0 || elapsed-heard > int64(lenderContact) {
+		return false
+	}
+	if s.founder.Load() {
+		return heard > int64(founding+foundersApart)
+	}
+	return elapsed-registered > int64(memoryOfPrograms)
+}
+
+// noteRegistered takes in that this process's row stands in the store. founder
+// tells that this is the first start of the system and no process of this name
+// was there before.
+func (l *List) noteRegistered(founder bool) {
+	elapsed := l.seasoning.elapsed(l.now())
+	l.seasoning.founder.Store(founder && elapsed < int64(founding))
+	l.seasoning.registered.Store(elapsed)
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -5,7 +5,9 @@
 package members
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -29,6 +31,8 @@
 	Zone    string `cbor:"z"`
 	Region  string `cbor:"r"`
 	Address string `cbor:"a"` // for calls between daemons
+	// Incarnation differs from start to start of a daemon.
+	Incarnation uint64 `cbor:"i"`
 }
 
 // List is the picture of all members. It is safe for concurrent use.
@@ -39,11 +43,13 @@
 	mutex   sync.Mutex // of changes
 	current atomic.Pointer[[]Member]
 	suspect sync.Map // address to the time until which it is avoided
+
+	seasoning seasoning
 }
 
 // NewList makes a list that holds only this daemon.
 func NewList(self Member, now func() time.Time, log *zap.Logger) *List {
-	made := &List{self: self, now: now, log: log}
+	made := &List{self: self, now: now, log: log, seasoning: seasoning{started: now()}}
 	made.current.Store(&[]Member{self})
 	return made
 }
@@ -51,17 +57,36 @@
 // Self is this daemon.
 func (l *List) Self() Member { return l.self }
 
-// Register writes this daemon's row, unless it stands there already.
-func (l *List) Register(ctx context.Context, store *state.Client) error {
+// Register writes this daemon's row. firstStart tells that the whole system was
+// never started before, as far as this process was told.
+func (l *List) Register(ctx context.Context, store *state.Client, firstStart bool) error {
 	value, err := cbor.Marshal(l.self)
 	if err != nil {
 		return eris.Wrap(err, "encode member")
 	}
-	key := state.Key{Table: Table, Name: l.self.Name}
-	return store.Repeat(ctx, func() error {
-		_, err := store.Commit(ctx, state.Commit{Puts: []state.Put{{Key: key, Value: value}}})
+	put := state.Put{Key: state.Key{Table: Table, Name: l.self.Name}, Value: value}
+	first := true
+	err = store.Repeat(ctx, func() error {
+		commit := state.Commit{Puts: []state.Put{put}}
+		if first {
+			commit.Conditions = []state.Condition{{Key: put.Key}}
+		}
+		_, err := store.Commit(ctx, commit)
+		var conflict *state.ConflictError
+		if !errors.As(err, &conflict) {
+			return eris.Wrap(err, "register member")
+		}
+		if found, exists := conflict.Find(put.Key); exists && bytes.Equal(found.Value, value) {
+			return nil // an earlier try without an answer was done
+		}
+		first = false
+		_, err = store.Commit(ctx, state.Commit{Puts: []state.Put{put}})
 		return eris.Wrap(err, "register member")
 	})
+	if err == nil {
+		l.noteRegistered(first && firstStart)
+	}
+	return err
 }
 
 // Replace implements watch.Follower.
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -55,7 +56,7 @@
 	if s.Settings.Listen.Advertise != "" {
 		address = s.Settings.Listen.Advertise
 	}
-	self := members.Member{Name: s.Settings.Machine, Zone: s.Settings.Zone, Region: s.Settings.Region, Address: address}
+	self := members.Member{Name: s.Settings.Machine, Zone: s.Settings.Zone, Region: s.Settings.Region, Address: address, Incarnation: rand.Uint64()}
 	parts := &collaboration{
 		list:   members.NewList(self, time.Now, s.Log),
 		server: listening,
@@ -70,6 +71,7 @@
 	})
 	parts.removal = retention.NewQueue(parts.client, time.Now, s.Log)
 	parts.ledger = budget.NewLedger(parts.client, programsKept, programsKeptFor)
+	parts.ledger.LendWith(budget.NewLender(parts.list.MayLend, time.Now, s.Log))
 	parts.budgets = budget.NewShared(parts.ledger, parts.list, parts.pool, parts.availability, s.Log)
 	parts.turns = turn.NewRecords(turn.Options{
 		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
@@ -105,13 +107,13 @@
 }
 
 // join tells the others of this daemon, and follows who they are.
-func (c *collaboration) join(ctx context.Context) {
+func (c *collaboration) join(ctx context.Context, firstStart bool) {
 	go func() {
-		if err := c.list.Register(ctx, c.client); err != nil {
+		if err := c.list.Register(ctx, c.client, firstStart); err != nil {
 			c.log.Warn("members: not registered.", zap.String("error", err.Error()))
 		}
 	}()
-	go watch.Run(ctx, watch.Options{Store: c.client, Table: members.Table, Wait: membersWait, Log: c.log}, c.list)
+	go watch.Run(ctx, watch.Options{Store: c.client, Table: members.Table, Wait: membersWait, Log: c.log, OnHeard: c.list.Heard}, c.list)
 	go c.removal.Run(ctx)
 	go turn.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
 	go budget.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -66,7 +66,7 @@
 // How the store's tables are followed.
 const (
 	instancesWait = 1500 * time.Millisecond
-	membersWait   = 12 * time.Second // they are hints, and changes come at once
+	membersWait   = 4 * time.Second // changes come at once; lenders must have heard lately
 	// pausesInDrain is how many changes of instances come within the time
 	// after which one that leaves must get nothing more.
 	pausesInDrain = 4
@@ -188,7 +188,7 @@
 		Store: parts.client, Table: s.Rows.InstancesTable(), Wait: instancesWait, Pause: s.Settings.drain() / pausesInDrain, Log: s.Log,
 		OnHeard: s.instancesHeard.now,
 	}, instances)
-	parts.join(ctx)
+	parts.join(ctx, s.Settings.FirstStart)
 }
 
 // ready tells whether callers should be sent here.
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -19,6 +19,9 @@
 	Region string `yaml:"region"`
 	Listen Listen `yaml:"listen"`
 	Store  Store  `yaml:"store"`
+	// FirstStart tells that the whole system was never started before. It is for
+	// the first start of each machine only; left out, it is false.
+	FirstStart bool `yaml:"first_start"`
 	// Grace is the time from a planned stop to the end by force, in seconds.
 	GraceSeconds float64 `yaml:"grace_seconds"`
 	// DrainMillis is how long after its entry changed an instance may get work.
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -116,6 +116,9 @@
 	return change, err
 }
 
+// Available tells whether the store is believed to answer.
+func (c *Client) Available() bool { return c.availability.Available() }
+
 // Prefer orders partitions: those that failed a moment ago come last.
 func (c *Client) Prefer(partitions []string) []string { return c.availability.Prefer(partitions) }
 
