--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -55,7 +55,7 @@
 		list := members.NewList(members.Member{Name: "self", Zone: "z"}, time.Now, zap.NewNop())
 		other := members.NewList(members.Member{Name: "other", Zone: "z", Address: server.Address()}, time.Now, zap.NewNop())
 		client := state.NewClient(state.ClientOptions{Store: memory, Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {})})
-		Expect(other.Register(context.Background(), client)).To(Succeed())
+		Expect(other.Register(context.Background(), client, false)).To(Succeed())
 		page, err := memory.Read(context.Background(), state.Range{Table: members.Table})
 		Expect(err).NotTo(HaveOccurred())
 		list.Replace(page.Rows, page.Version)
