Placement by the load of all daemons: one of them adds it up

Cause: a daemon placed by its own requests at an engine alone. With 12 daemons that is near nothing of an engine's places, so engines were chosen by a hash: the busiest had 1.26 to 1.29 times the mean.

Change: package load. Each daemon posts its requests under way to the board, the daemon with the first claim, ten times a second or every 3 ms for each member, and gets everybody's sum; placement adds the others' to its own. What was heard counts for a second.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -88,13 +88,13 @@
 
 // The weights of the cost, in tokens that an engine would have to read.
 const (
-	fullEngineCost = 4096.0 // an engine whose slots are all taken from here
+	fullEngineCost = 4096.0 // an engine whose slots are all taken
 	affinityCost   = 256.0  // spread of the affinity's order of preference
 	otherZoneCost  = 48.0
 	defaultSlots   = 4
 )
 
-// costOf adds what must be read anew, the load from here, and the preference
+// costOf adds what must be read anew, the load, and the preference
 // that all processes share without a message: a hash of affinity and instance.
 func costOf(instance *Instance, request *Request) float64 {
 	total := 0
@@ -118,10 +118,11 @@
 	if slots == 0 {
 		slots = defaultSlots
 	}
-	share := float64(instance.InFlight()) / float64(slots)
+	load := float64(instance.Load(request.Now))
+	share := load / float64(slots)
 	cost := fullEngineCost * share * share
 	if request.Affinity == "" {
-		cost = affinityCost * float64(instance.InFlight()) / 2
+		cost = affinityCost * load / 2
 	}
 	return cost
 }
--- a/internal/backend/instance.go
+++ b/internal/backend/instance.go
@@ -29,7 +29,8 @@
 	quality  quality
 	health   health
 	prefixes *prefixes
-	leftAt   atomic.Int64 // unix nanoseconds since when it is draining or gone; 0: it is not
+	others   atomic.Pointer[othersLoad] // nil: never heard
+	leftAt   atomic.Int64               // unix nanoseconds since when it is draining or gone; 0: it is not
 }
 
 // InFlight is how many requests of this process the instance works on.
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/budget"
+	"github.com/thymeloft/thymeloft/internal/load"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/retention"
@@ -28,6 +29,7 @@
 	turns        *turn.Records
 	list         *members.List
 	removal      *retention.Queue
+	poster       *load.Poster
 	server       *peer.Server
 	pool         *peer.Pool
 	log          *zap.Logger
@@ -77,6 +79,7 @@
 		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
 		Now: time.Now, Removal: parts.removal, Others: &turn.Others{List: parts.list, Caller: parts.pool},
 	})
+	parts.poster = &load.Poster{List: parts.list, Caller: parts.pool, Board: load.NewBoard(time.Now), Fleet: s.fleet}
 	if err := s.register(parts); err != nil {
 		return nil, err
 	}
@@ -92,6 +95,9 @@
 	if err := listening.Register(turn.ServiceName, turn.NewService(parts.turns)); err != nil {
 		return eris.Wrap(err, "serve recent turns")
 	}
+	if err := listening.Register(load.ServiceName, parts.poster.Board); err != nil {
+		return eris.Wrap(err, "serve the board of loads")
+	}
 	relay := storerelay.NewService(s.Store, parts.client.DirectUsable)
 	return eris.Wrap(listening.Register(storerelay.ServiceName, relay), "serve the store's relay")
 }
@@ -115,6 +121,7 @@
 	}()
 	go watch.Run(ctx, watch.Options{Store: c.client, Table: members.Table, Wait: membersWait, Log: c.log, OnHeard: c.list.Heard}, c.list)
 	go c.removal.Run(ctx)
+	go c.poster.Run(ctx)
 	go turn.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
 	go budget.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
 }
