Placement: the holder of a budget tells where a program's prompt was read

Engines here stand still for all while they read.

What waits at a daemon is lost to engines, since places are seen late, and the load was the reading again, not the count of turns.

Change: each turn is reserved and settled with the holder of its program's budget already. The settlement now names the engine and the last part of the prompt, the reservation the parts; the answer names the engine that read the longest of them, and the daemon places by it as by what it sent itself. It also tells what the program attained.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -56,6 +56,7 @@
 	// reclaim, if set, asks other processes to release what they hold of a program.
 	reclaim func(ctx context.Context, identifier string)
 	lender  *Lender // nil: nothing is lent
+	trails  *Trails
 }
 
 // program is this process's part in a program's budget.
@@ -66,6 +67,7 @@
 	settled   chan struct{} // closed and replaced when a reservation is settled
 	accounts  []*account
 	used      time.Time // when a turn was last reserved or settled
+	generated int64     // by turns that were settled
 
 	reclaimed    time.Time     // when others were last asked to release
 	reclaimPause time.Duration // until they are asked again; grows
@@ -73,7 +75,7 @@
 
 // NewLedger makes a ledger that remembers so many programs for so long.
 func NewLedger(store *state.Client, entries int, keep time.Duration) *Ledger {
-	return &Ledger{store: store, programs: expirable.NewLRU[string, *program](entries, nil, keep)}
+	return &Ledger{store: store, programs: expirable.NewLRU[string, *program](entries, nil, keep), trails: newTrails(entries, keep)}
 }
 
 // LendWith lets the ledger lend while the store cannot be had. It is to be
@@ -82,12 +84,16 @@
 
 // Reservation is what one turn may generate.
 type Reservation struct {
-	program *program
-	most    int64
-	once    sync.Once
-	loan    *loan // nil: granted by the store
+	program  *program
+	most     int64
+	attained int64
+	once     sync.Once
+	loan     *loan // nil: granted by the store
 }
 
+// Attained implements Settler.
+func (r *Reservation) Attained() int64 { return r.attained }
+
 // OnCredit tells whether the tokens were lent, not granted by the store.
 func (r *Reservation) OnCredit() bool { return r.loan != nil }
 
@@ -122,13 +128,13 @@
 	if held.available < need.most {
 		lent, err := l.fill(ctx, held, need)
 		if lent != nil {
-			return &Reservation{loan: lent}, nil, nil
+			return l.onCredit(held, lent), nil, nil
 		}
 		if errors.Is(err, ErrSpent) {
 			lent = l.lender.lend(need, causeSpent)
 		}
 		if lent != nil {
-			return &Reservation{loan: lent}, nil, nil
+			return l.onCredit(held, lent), nil, nil
 		}
 		if errors.Is(err, ErrSpent) && held.inFlight > 0 {
 			return nil, held.settled, nil
@@ -140,7 +146,11 @@
 	held.available -= need.most
 	held.inFlight++
 	held.used = time.Now()
-	return &Reservation{program: held, most: need.most}, nil, nil
+	return &Reservation{program: held, most: need.most, attained: held.generated}, nil, nil
+}
+
+func (l *Ledger) onCredit(held *program, lent *loan) *Reservation {
+	return &Reservation{program: held, attained: held.generated, loan: lent}
 }
 
 // lendAfter is how long a turn waits for the store before it runs on credit:
@@ -184,13 +194,14 @@
 
 // Settle gives back what the turn did not generate.
 func (r *Reservation) Settle(generated int64) {
-	if r.loan != nil {
-		r.loan.Settle(generated)
-		return
-	}
 	r.once.Do(func() {
 		r.program.mutex.Lock()
 		defer r.program.mutex.Unlock()
+		r.program.generated += generated
+		if r.loan != nil {
+			r.loan.settle(generated)
+			return
+		}
 		r.program.available += max(0, r.most-generated)
 		r.program.inFlight--
 		r.program.used = time.Now()
--- a/internal/budget/credit.go
+++ b/internal/budget/credit.go
@@ -132,15 +132,12 @@
 	lender *Lender
 	credit *credit
 	most   int64
-	once   sync.Once
 }
 
-// Settle implements Settler.
-func (l *loan) Settle(generated int64) {
-	l.once.Do(func() {
-		l.lender.mutex.Lock()
-		defer l.lender.mutex.Unlock()
-		l.credit.lent -= max(0, l.most-generated)
-		l.credit.used = l.lender.now()
-	})
+// settle gives back what was not generated; it is to be called once.
+func (l *loan) settle(generated int64) {
+	l.lender.mutex.Lock()
+	defer l.lender.mutex.Unlock()
+	l.credit.lent -= max(0, l.most-generated)
+	l.credit.used = l.lender.now()
 }
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -31,6 +31,7 @@
 	Program     string
 	Total       int64
 	Most        int64
+	Parts       []string // of the turn's prompt, in order
 }
 
 // Result is a holder's verdict.
@@ -46,14 +47,25 @@
 
 // ReserveReply is a holder's answer.
 type ReserveReply struct {
-	Result Result
-	Detail string
+	Result   Result
+	Detail   string
+	Attained int64  // tokens that the program generated before
+	Engine   string // that read the longest part of the prompt; empty: not known
+	Read     int    // parts that it read
 }
 
 // SettleRequest tells a holder what a turn generated.
 type SettleRequest struct {
 	Reservation string
 	Generated   int64
+	Ran         Ran
+}
+
+// Ran tells where a turn ran.
+type Ran struct {
+	Program string
+	Engine  string // empty: nowhere
+	Part    string // the last of the prompt
 }
 
 // SettleReply is empty.
@@ -90,8 +102,9 @@
 		reply.Result = resultStopping
 		return nil
 	}
-	if _, known := h.open.Get(request.Reservation); known {
-		reply.Result = resultReserved
+	reply.Engine, reply.Read = h.ledger.trails.find(request.Program, request.Parts)
+	if reservation, known := h.open.Get(request.Reservation); known {
+		reply.Result, reply.Attained = resultReserved, reservation.Attained()
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), holderWait)
@@ -101,7 +114,7 @@
 	switch {
 	case err == nil:
 		h.open.Add(request.Reservation, reservation)
-		reply.Result = resultReserved
+		reply.Result, reply.Attained = resultReserved, reservation.Attained()
 	case errors.As(err, &spent):
 		reply.Result, reply.Detail = resultSpent, spent.Error()
 	case errors.Is(err, ErrSpent):
@@ -114,6 +127,7 @@
 
 // Settle is called by other daemons.
 func (h *Holder) Settle(request SettleRequest, _ *SettleReply) error {
+	h.ledger.trails.note(request.Ran.Program, request.Ran.Part, request.Ran.Engine)
 	if reservation, known := h.open.Get(request.Reservation); known {
 		h.open.Remove(request.Reservation)
 		reservation.Settle(request.Generated)
@@ -123,6 +137,14 @@
 
 // Settler ends a reservation.
 type Settler interface {
+	// Attained is how many tokens the program generated before, as far as the
+	// holder of its budget knows. It is a hint.
+	Attained() int64
+	// ReadAt is the engine that read the longest part of the turn's prompt, and how
+	// many of its parts; "" if that is not known. It is a hint.
+	ReadAt() (engine string, parts int)
+	// RanAt tells where the turn ran. It is to be called before Settle.
+	RanAt(engine string)
 	// Settle gives back what was not generated; only the first call counts.
 	Settle(generated int64)
 }
@@ -147,9 +169,8 @@
 }
 
 // Reserve takes the most that a turn may generate from its program's budget.
-// The reservation's name must be its own.
-func (s *Shared) Reserve(ctx context.Context, name, program string, total, most int64) (Settler, error) {
-	request := ReserveRequest{Reservation: name, Program: program, Total: total, Most: most}
+// The reservation's name must be its own. The parts are those of the turn's prompt.
+func (s *Shared) Reserve(ctx context.Context, request ReserveRequest) (Settler, error) {
 	for {
 		settler, err := s.reserveOnce(ctx, request)
 		if !errors.Is(err, errNoStore) || ctx.Err() != nil {
@@ -177,7 +198,44 @@
 	if err != nil {
 		return nil, err
 	}
-	return reservation, nil
+	engine, read := s.ledger.trails.find(request.Program, request.Parts)
+	return &local{Reservation: reservation, trails: s.ledger.trails, place: place{request: request, engine: engine, read: read}}, nil
+}
+
+// place is where a turn's prompt was read, and where the turn ran.
+type place struct {
+	request ReserveRequest
+	engine  string
+	read    int
+	ran     string
+}
+
+// ReadAt implements Settler.
+func (p *place) ReadAt() (engine string, parts int) { return p.engine, p.read }
+
+// RanAt implements Settler.
+func (p *place) RanAt(engine string) { p.ran = engine }
+
+func (p *place) outcome() Ran {
+	ran := Ran{Program: p.request.Program, Engine: p.ran}
+	if count := len(p.request.Parts); count > 0 {
+		ran.Part = p.request.Parts[count-1]
+	}
+	return ran
+}
+
+// local is a reservation at this daemon itself.
+type local struct {
+	*Reservation
+	place
+	trails *Trails
+}
+
+// Settle implements Settler.
+func (l *local) Settle(generated int64) {
+	ran := l.outcome()
+	l.trails.note(ran.Program, ran.Part, ran.Engine)
+	l.Reservation.Settle(generated)
 }
 
 // ask returns a settler, or ErrSpent, or errNoStore, or another error if the
@@ -187,7 +245,7 @@
 	defer cancel()
 	var reply ReserveReply
 	err := s.caller.Call(limited, home.Address, peer.Control, methodReserve, request, &reply)
-	granted := &remote{shared: s, home: home, name: request.Reservation}
+	granted := &remote{shared: s, home: home, place: place{request: request}}
 	if err != nil {
 		if ctx.Err() == nil {
 			s.avoid(home, suspectWait, err.Error())
@@ -200,6 +258,8 @@
 	s.list.Trust(home)
 	switch reply.Result {
 	case resultReserved:
+		granted.attained = reply.Attained
+		granted.engine, granted.read = reply.Engine, reply.Read
 		return granted, nil
 	case resultSpent:
 		return nil, &HeldError{Holder: home.Name, Detail: reply.Detail}
@@ -234,21 +294,25 @@
 
 // remote is a reservation at another daemon.
 type remote struct {
-	shared *Shared
-	home   members.Member
-	name   string
+	place
+	shared   *Shared
+	home     members.Member
+	attained int64
 }
 
+// Attained implements Settler.
+func (r *remote) Attained() int64 { return r.attained }
+
 // Settle implements Settler; it does not wait for the holder.
 func (r *remote) Settle(generated int64) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleWait)
 		defer cancel()
-		request := SettleRequest{Reservation: r.name, Generated: generated}
+		request := SettleRequest{Reservation: r.request.Reservation, Generated: generated, Ran: r.outcome()}
 		err := r.shared.caller.Call(ctx, r.home.Address, peer.Control, methodSettle, request, &SettleReply{})
 		if err != nil && !errors.Is(err, rpc.ErrShutdown) {
 			r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", r.home.Name),
-				zap.String("reservation", r.name), zap.Int64("generated", generated), zap.String("cause", err.Error()))
+				zap.String("reservation", r.request.Reservation), zap.Int64("generated", generated), zap.String("cause", err.Error()))
 		}
 	}()
 }
--- a/internal/budget/shared_test.go
+++ b/internal/budget/shared_test.go
@@ -74,7 +74,7 @@
 	BeforeEach(func() { store = memorystore.New() })
 
 	reserve := func(ctx context.Context, one *member, name string, total, most int64) (Settler, error) {
-		return one.shared.Reserve(ctx, name, "p", total, most)
+		return one.shared.Reserve(ctx, ReserveRequest{Reservation: name, Program: "p", Total: total, Most: most})
 	}
 
 	It("spends one grant at all members of a region", func(ctx SpecContext) {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -181,16 +181,44 @@
 	if e.call.Program == "" || e.call.Budget <= 0 || e.call.MostTokens <= 0 {
 		return nil
 	}
-	reservation, err := e.gateway.Budgets.Reserve(ctx, e.call.ID, e.call.Program, e.call.Budget, e.call.MostTokens)
+	reservation, err := e.gateway.Budgets.Reserve(ctx, budget.ReserveRequest{
+		Reservation: e.call.ID, Program: e.call.Program, Total: e.call.Budget, Most: e.call.MostTokens, Parts: partNames(e.call.Prefix),
+	})
 	if err != nil {
 		return err
 	}
 	e.reservation = reservation
+	e.rememberReader()
 	return nil
 }
 
+// rememberReader takes over which engine read the prompt's parts, as the holder of
+// the budget knows: earlier turns may have come through other daemons.
+func (e *execution) rememberReader() {
+	engine, read := e.reservation.ReadAt()
+	if engine == "" || read > len(e.call.Prefix) {
+		return
+	}
+	for _, instance := range e.gateway.Fleet.Of(e.service.Name) {
+		if instance.ID == engine {
+			instance.Remember(e.call.Prefix[:read])
+		}
+	}
+}
+
+func partNames(parts []backend.PromptPart) []string {
+	names := make([]string, len(parts))
+	for index, part := range parts {
+		names[index] = part.Name
+	}
+	return names
+}
+
 // settle gives back what the turn did not generate.
 func (e *execution) settle() {
+	if e.instance != nil && e.events.begun() > 0 {
+		e.reservation.RanAt(e.instance.ID)
+	}
 	e.reservation.Settle(int64(e.events.begun() * e.service.TokensPerEvent))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,7 +37,7 @@
 // Budgets reserves what a turn may generate from its program's budget.
 type Budgets interface {
 	// Reserve returns budget.ErrSpent if the budget holds no further turn.
-	Reserve(ctx context.Context, name, program string, total, most int64) (budget.Settler, error)
+	Reserve(ctx context.Context, request budget.ReserveRequest) (budget.Settler, error)
 }
 
 // Gateway is the handler of callers' requests.
@@ -125,6 +125,12 @@
 	if e.tries > 1 {
 		fields = append(fields, zap.Int("tries", e.tries))
 	}
+	if e.call.ProgramDeadline > 0 {
+		fields = append(fields, zap.Duration("programLeft", e.call.ProgramDeadline))
+	}
+	if e.reservation != nil {
+		fields = append(fields, zap.Int64("attained", e.reservation.Attained()))
+	}
 	if e.waited > 0 {
 		fields = append(fields, zap.Duration("storeWait", e.waited))
 	}
