--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -86,10 +86,15 @@
 // advance is what a process is granted at once for a need, of what is left of
 // the account. One holder spends for all daemons of a region, so the first
 // half of a budget goes to it whole; those that follow a lost holder, and those
-// of other regions, find enough in the other half.
+// of other regions, find enough in the other half. Of an account that holds few
+// turns only the need is granted, since a lost holder takes along what it has.
 func (a *account) advance(left, need int64) int64 {
+	const halves, fewHalves = 2, 3 // an account with less than one turn and a half is not granted in advance
+	if halves*left < fewHalves*need {
+		return need
+	}
 	if a.whole {
-		return max(need, left)
+		return left
 	}
 	const holdersLeft = 2
 	return max(need, left/holdersLeft)
--- a/internal/budget/credit.go
+++ b/internal/budget/credit.go
@@ -18,17 +18,18 @@
 // mayLend promises (see members.Lenders). What was lent needs no record: it is
 // in nobody's grants.
 
-// withheldShare is the part of a budget, one in so many, that the store does not
-// grant. A quarter carries a program of usual turns through an outage, and
-// leaves three quarters for those whose lender is lost.
-const withheldShare = 4
+// Of what a budget has beyond a small one, three tenths are withheld: with a
+// turn more, that carries a program of usual turns through an outage. With a
+// quarter of the whole, programs of two turns had too little left once a holder
+// was lost in the middle of one; with a fifth, those of three did not get through.
+const (
+	withheldParts = 3
+	withheldOf    = 10
+)
 
 // withheld must be the same at all processes, and hang on nothing but the budget.
 func withheld(total int64) int64 {
-	if total < smallBudget {
-		return 0
-	}
-	return total / withheldShare
+	return max(total-smallBudget, 0) * withheldParts / withheldOf
 }
 
 // Bounds of what is remembered of loans.
