Settings: mechanisms that an experiment goes without

For the ablation: each mechanism is switched off by a checked setting (disabled), not by an edit. None of them guards a promise. In service the list is empty; nothing changes then.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/thymeloft/thymeloft/internal/mechanism"
 )
 
 // Request is what placement needs to know of a request.
@@ -19,6 +21,8 @@
 	// when there is no other: its entry may have lapsed while it serves on.
 	LeavingAllowed time.Duration
 	Now            time.Time
+	// Off is what placement goes without; for experiments.
+	Off mechanism.Off
 }
 
 // Choose picks an instance, or nil if none is fit. It is a pure function of
@@ -72,9 +76,12 @@
 		}
 		return classUnfit
 	}
-	if instance.health.ejected(request.Now) {
+	if instance.health.ejected(request.Now) && !request.Off.Has(mechanism.Ejection) {
 		return classEjected
 	}
+	if request.Off.Has(mechanism.QualityClasses) {
+		return classReady
+	}
 	shown := instance.quality.measure(request.Now)
 	switch {
 	case shown.failing():
@@ -101,10 +108,13 @@
 	for _, part := range request.Prefix {
 		total += part.Tokens
 	}
-	cost := float64(total - instance.prefixes.cached(request.Prefix))
+	cost := float64(total)
+	if !request.Off.Has(mechanism.PrefixGuess) {
+		cost -= float64(instance.prefixes.cached(request.Prefix))
+	}
 	cost += loadCost(instance, request)
 	cost += affinityCost * preference(instance, request)
-	if instance.Zone != request.Zone {
+	if instance.Zone != request.Zone && !request.Off.Has(mechanism.ZoneCost) {
 		cost += otherZoneCost
 	}
 	return cost
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -159,6 +159,8 @@
 	caller peer.Caller
 	store  *state.Availability
 	log    *zap.Logger
+	// Alone makes this daemon hold what it spends itself; for experiments.
+	Alone bool
 }
 
 // NewShared makes the reserving side.
@@ -186,7 +188,7 @@
 // daemon's own ledger.
 func (s *Shared) reserveOnce(ctx context.Context, request ReserveRequest) (Settler, error) {
 	for _, home := range s.list.Homes(request.Program) {
-		if home.Name == s.list.Self().Name {
+		if s.Alone || home.Name == s.list.Self().Name {
 			break
 		}
 		settler, err := s.ask(ctx, home, request)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,7 @@
 		Excluded:       excluded,
 		Random:         rand.Uint64(),
 		LeavingAllowed: e.gateway.InstanceGrace,
+		Off:            e.gateway.Off,
 	}
 	if e.service.Model {
 		request.Affinity = e.affinity()
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -11,6 +11,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/budget"
+	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/turn"
 )
@@ -196,7 +197,7 @@
 // the budget knows: earlier turns may have come through other daemons.
 func (e *execution) rememberReader() {
 	engine, read := e.reservation.ReadAt()
-	if engine == "" || read > len(e.call.Prefix) {
+	if engine == "" || e.gateway.Off.Has(mechanism.Trails) || read > len(e.call.Prefix) {
 		return
 	}
 	for _, instance := range e.gateway.Fleet.Of(e.service.Name) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/budget"
+	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/turn"
@@ -30,6 +31,8 @@
 	Metrics      *Metrics
 	// InstanceGrace is how long an instance whose entry is gone may still be used.
 	InstanceGrace time.Duration
+	// Off is what an experiment goes without.
+	Off mechanism.Off
 	// Ages tells how long ago the store was heard about configuration and instances.
 	Ages func() (configuration, instances time.Duration)
 }
--- /dev/null
+++ b/internal/mechanism/mechanism_test.go
@@ -0,0 +1,28 @@
+package mechanism_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/mechanism"
+)
+
+func TestMechanism(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "mechanism")
+}
+
+var _ = Describe("Off", func() {
+	It("is empty in service", func() {
+		Expect(mechanism.Off(nil).Check()).To(Succeed())
+		Expect(mechanism.Off(nil).Has(mechanism.Trails)).To(BeFalse())
+	})
+
+	It("names what is no mechanism, and those that are", func() {
+		off := mechanism.Off{mechanism.Trails, "trials"}
+		Expect(off.Has(mechanism.Trails)).To(BeTrue())
+		Expect(off.Check()).To(MatchError(And(ContainSubstring(`"trials"`), ContainSubstring("load-board"))))
+	})
+})
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -10,6 +10,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/load"
+	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/retention"
@@ -30,6 +31,7 @@
 	list         *members.List
 	removal      *retention.Queue
 	poster       *load.Poster
+	posting      bool
 	server       *peer.Server
 	pool         *peer.Pool
 	log          *zap.Logger
@@ -67,19 +69,28 @@
 	}
 	parts.availability = state.NewAvailability(time.Now, s.noteStore)
 	parts.availability.PaceTries(func() time.Duration { return triesApart(len(parts.list.All())) })
-	parts.client = state.NewClient(state.ClientOptions{
-		Store: s.Store, Alternative: storerelay.NewRelay(parts.list, parts.pool), Availability: parts.availability,
+	off := s.Settings.Disabled
+	storeOptions := state.ClientOptions{
+		Store: s.Store, Availability: parts.availability, NotHedged: off.Has(mechanism.HedgedCalls),
 		Probe: state.Single(s.Rows.ConfigurationKey()), OnFailure: s.noteCall,
-	})
+	}
+	if !off.Has(mechanism.StoreRelay) {
+		storeOptions.Alternative = storerelay.NewRelay(parts.list, parts.pool)
+	}
+	parts.client = state.NewClient(storeOptions)
 	parts.removal = retention.NewQueue(parts.client, time.Now, s.Log)
 	parts.ledger = budget.NewLedger(parts.client, programsKept, programsKeptFor)
-	parts.ledger.LendWith(budget.NewLender(parts.list.MayLend, time.Now, s.Log))
+	if !off.Has(mechanism.Lending) {
+		parts.ledger.LendWith(budget.NewLender(parts.list.MayLend, time.Now, s.Log))
+	}
 	parts.budgets = budget.NewShared(parts.ledger, parts.list, parts.pool, parts.availability, s.Log)
+	parts.budgets.Alone = off.Has(mechanism.SharedBudgets)
 	parts.turns = turn.NewRecords(turn.Options{
 		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
 		Now: time.Now, Removal: parts.removal, Others: &turn.Others{List: parts.list, Caller: parts.pool},
 	})
 	parts.poster = &load.Poster{List: parts.list, Caller: parts.pool, Board: load.NewBoard(time.Now), Fleet: s.fleet}
+	parts.posting = !off.Has(mechanism.LoadBoard)
 	if err := s.register(parts); err != nil {
 		return nil, err
 	}
@@ -121,7 +132,9 @@
 	}()
 	go watch.Run(ctx, watch.Options{Store: c.client, Table: members.Table, Wait: membersWait, Log: c.log, OnHeard: c.list.Heard}, c.list)
 	go c.removal.Run(ctx)
-	go c.poster.Run(ctx)
+	if c.posting {
+		go c.poster.Run(ctx)
+	}
 	go turn.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
 	go budget.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
 }
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"slices"
 	"syscall"
 	"time"
@@ -70,7 +71,7 @@
 		return
 	}
 	waiting := r.current.needingStart(next)
-	changed := next != r.current
+	changed := !reflect.DeepEqual(next, r.current)
 	r.current = next
 	r.Apply(next)
 	r.Log.Info("server: settings reloaded.", zap.Bool("changed", changed), zap.Strings("untilNextStart", waiting))
@@ -87,6 +88,7 @@
 		"drain_millis":             s.DrainMillis != next.DrainMillis,
 		"contact_millis":           s.ContactMillis != next.ContactMillis,
 		"memory_mb":                s.MemoryMB != next.MemoryMB,
+		"disabled":                 !slices.Equal(s.Disabled, next.Disabled),
 		"log_successes_per_second": s.LogSuccessesPerSecond != next.LogSuccessesPerSecond,
 	}
 	names := []string{}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -137,6 +137,7 @@
 		Log:           s.Log,
 		Metrics:       s.metrics,
 		InstanceGrace: s.instanceGrace(),
+		Off:           s.Settings.Disabled,
 		Ages: func() (configuration, instances time.Duration) {
 			return s.configurationHeard.age(), s.instancesHeard.age()
 		},
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -9,6 +9,8 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/mechanism"
 )
 
 // Settings are what one process is told by its file.
@@ -31,6 +33,8 @@
 	// to the configuration in force, also to one that came before. Left out, it
 	// is 0: silence is noticed as soon as it may be.
 	ContactMillis float64 `yaml:"contact_millis"`
+	// Disabled are mechanisms that an experiment goes without; empty in service.
+	Disabled mechanism.Off `yaml:"disabled"`
 	// LogSuccessesPerSecond bounds the lines about requests that went well; 0: no bound.
 	LogSuccessesPerSecond int `yaml:"log_successes_per_second"`
 }
@@ -91,6 +95,9 @@
 	demand(s.ContactMillis >= 0, "contact_millis: expected a number, 0 or above")
 	demand(s.MemoryMB >= 0, "memory_mb: expected a number, 0 or above")
 	demand(s.LogSuccessesPerSecond >= 0, "log_successes_per_second: expected a number, 0 or above")
+	if err := s.Disabled.Check(); err != nil {
+		faults = append(faults, eris.Errorf("disabled: %v", err))
+	}
 	return errors.Join(faults...)
 }
 
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -11,6 +11,8 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/thymeloft/thymeloft/internal/mechanism"
 )
 
 func TestServer(t *testing.T) {
@@ -65,6 +67,14 @@
 			ContainSubstring("listen.callers: missing, expected IP:PORT"), ContainSubstring("memory_mb: expected a number, 0 or above"))))
 	})
 
+	It("knows the mechanisms that an experiment may go without", func() {
+		settings, err := Load(written(validSettings + "disabled: [trails, zone-cost]\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.Disabled.Has(mechanism.Trails)).To(BeTrue())
+		_, err = Load(written(validSettings + "disabled: [trials]\n"))
+		Expect(err).To(MatchError(ContainSubstring(`disabled: "trials" is no mechanism`)))
+	})
+
 	It("names line and field of what it does not know", func() {
 		_, err := Load(written(validSettings + "grace: 9\n"))
 		Expect(err).To(MatchError(And(ContainSubstring("[12:1]"), ContainSubstring("grace"))))
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -43,6 +43,8 @@
 	Probe Range
 	// OnFailure, if given, hears each call without a verdict.
 	OnFailure func(Failure)
+	// NotHedged makes one try of each call.
+	NotHedged bool
 }
 
 // NewClient wraps a store.
@@ -54,6 +56,7 @@
 		probe:        options.Probe,
 		onFailure:    options.OnFailure,
 	}
+	made.hedger.off = options.NotHedged
 	if made.onFailure == nil {
 		made.onFailure = func(Failure) {}
 	}
--- a/internal/state/hedge.go
+++ b/internal/state/hedge.go
@@ -12,6 +12,7 @@
 type hedger struct {
 	typical atomic.Int64 // nanoseconds, weighted mean of answered calls
 	budget  retryBudget
+	off     bool // one try of each call
 }
 
 const (
@@ -21,6 +22,7 @@
 	shortestHedge   = 40 * time.Millisecond
 	longestHedge    = 600 * time.Millisecond
 	mostHedgedTries = 3
+	neverHedged     = time.Hour // longer than any call takes
 )
 
 func (h *hedger) observe(took time.Duration) {
@@ -32,6 +34,9 @@
 }
 
 func (h *hedger) delay() time.Duration {
+	if h.off {
+		return neverHedged
+	}
 	typical := time.Duration(h.typical.Load())
 	if typical == 0 {
 		typical = firstTypical
