Placement: a full engine costs 1,300 tokens; tests of the board of loads

The spec is right.

Change: 1,300, above what the spec's prompt and the affinity's spread can weigh together. Tests: the board, its posters and a board that is gone, the age of what is heard, lending on a silent store.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -95,7 +95,7 @@
 
 // The weights of the cost, in tokens that an engine would have to read.
 const (
-	fullEngineCost = 1024.0 // an engine whose slots are all taken
+	fullEngineCost = 1300.0 // an engine whose slots are all taken
 	affinityCost   = 256.0  // spread of the affinity's order of preference
 	otherZoneCost  = 48.0
 	defaultSlots   = 4
--- /dev/null
+++ b/internal/backend/load_test.go
@@ -0,0 +1,35 @@
+package backend
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Load", func() {
+	It("adds what others have under way to the own, while that is fresh", func() {
+		fleet, moved := fleetOf("a")
+		instance := fleet.Of("s")[0]
+		instance.Begin()
+		own := fleet.UnderWay()
+		Expect(own).To(Equal(map[string]int{"a": 1}))
+		fleet.Learn(map[string]int{"a": 4}, own, 2)
+		instance.Begin()
+		Expect(instance.Load(moved.now)).To(Equal(5))
+		Expect(instance.Load(moved.now.Add(loadBelieved))).To(Equal(2))
+	})
+
+	It("never counts others below nothing", func() {
+		fleet, moved := fleetOf("a")
+		instance := fleet.Of("s")[0]
+		fleet.Learn(map[string]int{}, map[string]int{"a": 3}, 2)
+		Expect(instance.Load(moved.now)).To(BeZero())
+	})
+
+	It("decides placement though nothing is under way here", func() {
+		fleet, moved := fleetOf("a", "b", "c")
+		with := func(request *Request) { request.Affinity = "p" }
+		first := choose(fleet, moved.now, with)
+		fleet.Learn(map[string]int{first.ID: 4}, nil, 2)
+		Expect(choose(fleet, moved.now, with)).NotTo(BeIdenticalTo(first))
+	})
+})
--- a/internal/budget/credit_test.go
+++ b/internal/budget/credit_test.go
@@ -12,12 +12,21 @@
 	"pgregory.net/rapid"
 
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/state"
 )
 
 func always(string) bool { return true }
 
 func refuseAll(memorystore.Call) memorystore.Fault { return memorystore.Refused }
 
+// silentStore gives no verdict on commits.
+type silentStore struct{ *memorystore.Store }
+
+func (silentStore) Commit(ctx context.Context, _ state.Commit) (state.Version, error) {
+	<-ctx.Done()
+	return 0, state.ErrUnknown
+}
+
 var _ = Describe("Lender", func() {
 	var store *memorystore.Store
 
@@ -76,6 +85,14 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	It("lends when the store is up and takes too long", func(ctx SpecContext) {
+		ledger := newLedger(silentStore{store})
+		ledger.LendWith(NewLender(always, time.Now, zap.NewNop()))
+		reservation, err := ledger.Reserve(ctx, "p", 2600, 576)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reservation.OnCredit()).To(BeTrue())
+	}, SpecTimeout(time.Minute))
+
 	It("does not lend while the store grants", func(ctx SpecContext) {
 		reservation, err := lending(always).Reserve(ctx, "p", 2600, 576)
 		Expect(err).NotTo(HaveOccurred())
