--- a/cmd/thymeloft-lab/main.go
+++ b/cmd/thymeloft-lab/main.go
@@ -10,7 +10,6 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/thymeloft/thymeloft/internal/lab/experiment"
-	"github.com/thymeloft/thymeloft/internal/lab/scale"
 )
 
 type commands struct {
@@ -19,8 +18,6 @@
 	Record     recordCommand      `cmd:"" help:"Record callers' programs at a daemon as a trace."`
 	Experiment experiment.Command `cmd:"" help:"Compare scheduling strategies on emulated fleets."`
 	Soak       soakCommand        `cmd:"" help:"Run gateways as processes under random faults and check the promises."`
-	Scale      scale.Command      `cmd:"" help:"Measure the cost of control at growing sizes."`
-	Host       scale.HostCommand  `cmd:"" name:"scale-host" hidden:""`
 	Engine     engineCommand      `cmd:"" help:"Serve a model engine."`
 	Service    serviceCommand     `cmd:"" help:"Serve an application service."`
 	Tool       toolCommand        `cmd:"" help:"Serve a tool."`
