--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,8 +17,11 @@
 
 // Bounds of the search for an instance.
 const (
-	mostOffers    = 4 // instances that a request is offered to
+	mostOffers    = 4 // instances that a request is offered to in one search
 	engineRecheck = 40 * time.Millisecond
+	// Pauses until full instances are asked again.
+	firstRoomPause   = 20 * time.Millisecond
+	longestRoomPause = 100 * time.Millisecond
 )
 
 // ready is an answer whose first bytes arrived.
@@ -35,9 +38,27 @@
 	r.end()
 }
 
-// obtain finds an instance that begins to answer the request.
+// obtain finds an instance that begins to answer the request. When all that are
+// fit refuse it for want of room, it asks them again for a part of its time.
 func (e *execution) obtain(ctx context.Context) (*ready, error) {
+	schedule := pause.Growing(firstRoomPause, longestRoomPause)
+	for {
+		reply, err := e.search(ctx)
+		if err == nil || reasonOf(err) != ReasonEnginesFull {
+			return reply, err
+		}
+		wait := schedule.NextBackOff()
+		if time.Since(e.arrived)+wait > e.storePatience() || !pause.For(ctx, wait) {
+			return nil, err
+		}
+		e.searches++
+	}
+}
+
+// search offers the request to one instance after the other.
+func (e *execution) search(ctx context.Context) (*ready, error) {
 	var excluded []string
+	offers := 0
 	var last error
 	for {
 		instance, err := e.place(ctx, excluded, last)
@@ -45,6 +66,7 @@
 			return nil, err
 		}
 		e.tries++
+		offers++
 		excluded = append(excluded, instance.ID)
 		reply, err := e.offer(ctx, instance)
 		if err == nil {
@@ -53,7 +75,7 @@
 		if ctx.Err() != nil {
 			return nil, e.ended(err)
 		}
-		if !e.mayOfferAgain(err) {
+		if !e.mayOfferAgain(err, offers) {
 			return nil, e.exhausted(err)
 		}
 		e.gateway.Log.Info("request: offered again.",
@@ -199,8 +221,8 @@
 
 // mayOfferAgain tells whether the error proves that nothing ran, or the
 // request may be repeated, and the bounds allow it.
-func (e *execution) mayOfferAgain(err error) bool {
-	if e.tries >= mostOffers {
+func (e *execution) mayOfferAgain(err error, offers int) bool {
+	if offers >= mostOffers {
 		return false
 	}
 	var lost *backend.LostError
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -33,6 +33,7 @@
 
 	instance  *backend.Instance
 	tries     int // instances that the request was offered to
+	searches  int // further searches, after all had refused for want of room
 	runs      int // those that may have begun to run it
 	firstByte time.Duration
 	began     time.Time     // when the first byte arrived
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,9 @@
 	if e.reservation != nil {
 		fields = append(fields, zap.Int64("attained", e.reservation.Attained()))
 	}
+	if e.searches > 0 {
+		fields = append(fields, zap.Int("searches", e.searches))
+	}
 	if e.waited > 0 {
 		fields = append(fields, zap.Duration("storeWait", e.waited))
 	}
