explain: a program's time by cause, over all its turns and daemons

Cause: on-call engineers had a request's way, and no answer to "why was this program late?" but adding lines up by hand.

--- a/internal/commandline/explain.go
+++ b/internal/commandline/explain.go
@@ -1,6 +1,7 @@
 package commandline
 
 import (
+	"errors"
 	"os"
 
 	"github.com/rotisserie/eris"
@@ -8,9 +9,10 @@
 	"github.com/thymeloft/thymeloft/internal/explain"
 )
 
-// explainCommand tells from logs why a request ended as it did.
+// explainCommand tells from logs why a request ended as it did, or where a
+// program's time went.
 type explainCommand struct {
-	Request string   `arg:"" help:"Identifier of the request."`
+	Request string   `arg:"" help:"Identifier of the request, or of a program."`
 	Logs    []string `arg:"" type:"existingfile" help:"Logs of the daemons of its time."`
 }
 
@@ -25,6 +27,21 @@
 		lines = append(lines, found...)
 	}
 	explained, err := explain.Of(c.Request, lines)
+	var notFound *explain.NotFoundError
+	if errors.As(err, &notFound) {
+		return c.explainProgram(s, lines)
+	}
+	if err != nil {
+		return err
+	}
+	if s.json() {
+		return s.printJSON(explained)
+	}
+	return explained.Print(s.streams.Out)
+}
+
+func (c *explainCommand) explainProgram(s *session, lines []explain.Line) error {
+	explained, err := explain.OfProgram(c.Request, lines)
 	if err != nil {
 		return err
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -190,6 +190,10 @@
 	if outcome.Message == messageAnswered {
 		return fmt.Sprintf("answered with status %v by engine %s", outcome.Fields[fieldStatus], outcome.text(fieldEngine))
 	}
+	return causeFor(reason)
+}
+
+func causeFor(reason string) string {
 	if cause, known := causes[reason]; known {
 		return cause
 	}
@@ -198,8 +202,8 @@
 
 // shown are the fields printed with a line, in this order.
 var shown = []string{
-	"request", "route", "status", "reason", "took", "storeWait", "firstByte", "tries", "events", "program", "previous",
-	"reservation", "budget", "most", "holder", "engine", "revision", "configurationAge", "enginesAge", "call", "table",
+	"request", "route", "status", "reason", "took", "storeWait", "firstByte", "tries", "searches", "events", "program", "programLeft", "previous",
+	"reservation", "budget", "most", "attained", "lent", "limit", "holder", "engine", "revision", "configurationAge", "enginesAge", "call", "table",
 	"partition", "key", "for", "after", "underWay", "cause",
 }
 
