Soak: gateways are founders, and budgets are held to the budget and the most of one turn

With lending the promise is the users' own: budget and the most of one turn. A new entry shows the check finding one item more than that; all others stay. Files still say first_start at later starts, so the soak also plays that such a process lends nothing.

--- a/internal/lab/soak/checks_test.go
+++ b/internal/lab/soak/checks_test.go
@@ -78,6 +78,11 @@
 	}, "lost:"),
 	Entry("a turn that goes on from none", func(_ *evidence, all map[string]*attempt) { all["r2"].previous = "r9" }, "lost:"),
 	Entry("a budget exceeded", func(_ *evidence, all map[string]*attempt) { all["r1"].items = 100 }, "budget:"),
+	Entry("a budget and a turn exceeded by one item", func(_ *evidence, all map[string]*attempt) {
+		const budgetAndTurn = 3 * mostItems // the budget is two turns
+		all["r1"].most, all["r2"].most = mostPerTurn, mostPerTurn
+		all["r1"].items = budgetAndTurn - all["r2"].items + 1
+	}, "budget:"),
 	Entry("a configuration that is not in force", func(e *evidence, _ map[string]*attempt) { e.runs["r3"][0].service = serviceApp }, "configuration:"),
 	Entry("work for an engine that left", func(e *evidence, _ map[string]*attempt) {
 		e.departures["e"] = departure{acknowledged: time.Now().Add(-10 * time.Minute)}
--- a/internal/lab/soak/gateway.go
+++ b/internal/lab/soak/gateway.go
@@ -79,6 +79,8 @@
 		GraceSeconds: grace.Seconds(), DrainMillis: float64(drainBound.Milliseconds()),
 		ContactMillis: float64(contact.Milliseconds()),
 		MemoryMB:      256,
+		// Also at later starts: a gateway that wrote its row before is no founder.
+		FirstStart: true,
 	}
 	return made, made.writeSettings()
 }
