Watch: the store counts as heard once the follower has taken its answer in

The watch called OnHeard before it gave the rows to its follower; a process that was set aside in between counted as having heard the latest revision, which it took for 0. Ruled out: readings that are behind (refused by the version), a change of this work (the order is older). Change: OnHeard comes after Replace and Change. Lenders (members.Heard) go by the same call, so a list is believed only once it is taken in. Test: "says that it heard once the follower has taken the answer in", seen failing without the change.

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -35,7 +35,8 @@
 	// Pause is the least time between two changes, so that many small ones
 	// come together.
 	Pause time.Duration
-	// OnHeard, if given, is told each time the store answered.
+	// OnHeard, if given, is told each time the store answered, once the follower has
+	// taken the answer in: who goes by the time of the last answer then knows it.
 	OnHeard func()
 	Log     *zap.Logger
 }
@@ -82,12 +83,13 @@
 	if err != nil {
 		return err
 	}
-	w.OnHeard()
 	w.version = max(w.version, change.Version)
 	if len(change.Rows) == 0 {
+		w.OnHeard()
 		return nil
 	}
 	w.follower.Change(change.Rows)
+	w.OnHeard()
 	pause.For(ctx, w.Pause)
 	return nil
 }
@@ -115,10 +117,10 @@
 	if oldest < w.version {
 		return eris.Errorf("a reading of %s is behind: version %d after %d", w.Table, oldest, w.version)
 	}
-	w.OnHeard()
 	w.version = oldest
 	w.read = true
 	w.follower.Replace(rows, oldest)
+	w.OnHeard()
 	w.Log.Info("watch: table read.", zap.String("table", w.Table), zap.Int("rows", len(rows)), zap.Uint64("version", uint64(oldest)))
 	return nil
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -91,6 +91,29 @@
 		Eventually(followed.seen).Should(Equal(map[string]string{"a": "1"}))
 	})
 
+	It("says that it heard once the follower has taken the answer in", func() {
+		atFirst := make(chan map[string]string, 1)
+		late := &follower{}
+		running, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			watch.Run(running, watch.Options{
+				Store: store, Table: "t", Wait: 20 * time.Millisecond, Log: zap.NewNop(),
+				OnHeard: func() {
+					select {
+					case atFirst <- late.seen():
+					default:
+					}
+				},
+			}, late)
+		}()
+		DeferCleanup(func() { cancel(); <-done })
+		var first map[string]string
+		Eventually(atFirst).Should(Receive(&first))
+		Expect(first).To(Equal(map[string]string{"a": "1"}))
+	})
+
 	It("hears changes and removals", func(ctx SpecContext) {
 		write(ctx, "b", "2")
 		Eventually(followed.seen).Should(Equal(map[string]string{"a": "1", "b": "2"}))
