Planned stop: a connection is closed as idle only if no byte of a request was read from it

The HTTP server counts a connection as idle until a whole header is read; SetKeepAlivesEnabled(false) closes idle ones, also while a header is being read. Change: a connection of our own notes whether bytes were read since it last rested. Resting ones without are closed, others get "Connection: close" with the answer that begins next, or are closed when they rest. Once closed, nothing read reaches the server. Test: "answers a request that is being read when it stops", failing with the server's own closing in place.

--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -15,9 +15,10 @@
 // front serves callers on one listener. Connections are bound by the limits
 // in force when they were accepted; new limits hold for new connections.
 type front struct {
-	handler  http.Handler
-	listener net.Listener
-	errors   *log.Logger
+	handler     http.Handler
+	listener    net.Listener
+	errors      *log.Logger
+	connections *callerConnections
 
 	mutex    sync.Mutex
 	limits   routetable.Limits
@@ -36,7 +37,10 @@
 }
 
 func newFront(listener net.Listener, handler http.Handler, errorLog *log.Logger) *front {
-	made := &front{handler: handler, listener: listener, errors: errorLog}
+	made := &front{listener: listener, errors: errorLog, connections: newCallerConnections()}
+	made.handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		handler.ServeHTTP(&answerWriter{ResponseWriter: writer, stopping: &made.connections.stopping}, request)
+	})
 	made.Limit(firstLimits)
 	go made.accept()
 	return made
@@ -59,6 +63,7 @@
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ErrorLog:          f.errors,
+		ConnState:         f.connections.note,
 	}
 	f.feed = newFeed(f.listener.Addr())
 	go func(server *http.Server, connections *feed) {
@@ -81,7 +86,7 @@
 		f.mutex.Lock()
 		current := f.feed
 		f.mutex.Unlock()
-		current.give(accepted)
+		current.give(&callerConnection{Conn: accepted})
 	}
 }
 
@@ -90,9 +95,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.stopping = true
-	for _, server := range append(f.former, f.server) {
-		server.SetKeepAlivesEnabled(false)
-	}
+	f.connections.stop()
 }
 
 // Stop accepts nothing more and waits until all requests are answered.
--- a/internal/server/front_test.go
+++ b/internal/server/front_test.go
@@ -59,6 +59,35 @@
 		Expect(ask(open, large).StatusCode).To(Equal(200))
 	})
 
+	It("answers a request that is being read when it stops", func() {
+		kept := dial()
+		Expect(ask(kept, 10).Close).To(BeFalse())
+		_, err := io.WriteString(kept, "GET / HTTP/1.1\r\nHost: h\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(served.connections.begun).Should(Equal(1))
+		served.CloseIdle()
+		_, err = io.WriteString(kept, "\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(kept), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(200))
+		Expect(response.Close).To(BeTrue())
+		Expect(response.Body.Close()).To(Succeed())
+	})
+
+	It("passes nothing on that arrives on a connection that it closed", func() {
+		near, far := net.Pipe()
+		connection := &callerConnection{Conn: near}
+		read := make(chan error, 1)
+		go func() {
+			_, err := connection.Read(make([]byte, 8))
+			read <- err
+		}()
+		connection.retire()
+		Eventually(read).Should(Receive(HaveOccurred()))
+		Expect(far.Close()).To(Succeed())
+	})
+
 	It("tells callers to leave once it stops, on connections of all limits", func() {
 		old := dial()
 		Expect(ask(old, 10).Close).To(BeFalse())
