Budget and board of loads: simpler, and a reservation has a new name for each question

Change: the second and later questions are named r/1, r/2. Lending decides in one place (fill), only after an end without a verdict or a spent budget, not after any error. The board no longer counts members, which nobody read; one way to post. Test: "asks again under another name, so that a late settlement frees nothing that is used".

--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -25,7 +25,7 @@
 }
 
 // Learn takes in what all processes have under way; own is this one's part.
-func (f *Fleet) Learn(all, own map[string]int, _ int) {
+func (f *Fleet) Learn(all, own map[string]int) {
 	now := f.now()
 	for _, instances := range *f.current.Load() {
 		for _, instance := range instances {
--- a/internal/backend/load_test.go
+++ b/internal/backend/load_test.go
@@ -12,7 +12,7 @@
 		instance.Begin()
 		own := fleet.UnderWay()
 		Expect(own).To(Equal(map[string]int{"a": 1}))
-		fleet.Learn(map[string]int{"a": 4}, own, 2)
+		fleet.Learn(map[string]int{"a": 4}, own)
 		instance.Begin()
 		Expect(instance.Load(moved.now)).To(Equal(5))
 		Expect(instance.Load(moved.now.Add(loadBelieved))).To(Equal(2))
@@ -21,7 +21,7 @@
 	It("never counts others below nothing", func() {
 		fleet, moved := fleetOf("a")
 		instance := fleet.Of("s")[0]
-		fleet.Learn(map[string]int{}, map[string]int{"a": 3}, 2)
+		fleet.Learn(map[string]int{}, map[string]int{"a": 3})
 		Expect(instance.Load(moved.now)).To(BeZero())
 	})
 
@@ -29,7 +29,7 @@
 		fleet, moved := fleetOf("a", "b", "c")
 		with := func(request *Request) { request.Affinity = "p" }
 		first := choose(fleet, moved.now, with)
-		fleet.Learn(map[string]int{first.ID: 4}, nil, 2)
+		fleet.Learn(map[string]int{first.ID: 4}, nil)
 		Expect(choose(fleet, moved.now, with)).NotTo(BeIdenticalTo(first))
 	})
 })
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -127,19 +127,12 @@
 	defer held.mutex.Unlock()
 	if held.available < need.most {
 		lent, err := l.fill(ctx, held, need)
-		if lent != nil {
-			return l.onCredit(held, lent), nil, nil
-		}
-		if errors.Is(err, ErrSpent) {
-			lent = l.lender.lend(need, causeSpent)
-		}
-		if lent != nil {
-			return l.onCredit(held, lent), nil, nil
-		}
-		if errors.Is(err, ErrSpent) && held.inFlight > 0 {
+		switch {
+		case lent != nil:
+			return &Reservation{program: held, attained: held.generated, loan: lent}, nil, nil
+		case errors.Is(err, ErrSpent) && held.inFlight > 0:
 			return nil, held.settled, nil
-		}
-		if err != nil {
+		case err != nil:
 			return nil, nil, err
 		}
 	}
@@ -149,36 +142,34 @@
 	return &Reservation{program: held, most: need.most, attained: held.generated}, nil, nil
 }
 
-func (l *Ledger) onCredit(held *program, lent *loan) *Reservation {
-	return &Reservation{program: held, attained: held.generated, loan: lent}
-}
-
 // lendAfter is how long a turn waits for the store before it runs on credit:
 // several times what a sound store takes.
 const lendAfter = 60 * time.Millisecond
 
-// fill raises what is available to the need of a turn, or lends it when the
-// store does not grant it soon.
+// fill raises what is available to the need of a turn, or lends it: when the
+// store does not grant it soon, or has granted all that it may.
 func (l *Ledger) fill(ctx context.Context, held *program, need turnNeed) (*loan, error) {
-	if !l.store.Available() {
+	err := l.fillSoon(ctx, held, need)
+	if state.NoVerdict(err) {
 		if lent := l.lender.lend(need, causeOutage); lent != nil {
 			return lent, nil
 		}
-		return nil, l.fillFromStore(ctx, held, need)
+		err = l.fillFromStore(ctx, held, need)
 	}
-	soon, cancel := context.WithTimeout(ctx, lendAfter)
-	defer cancel()
-	err := l.fillFromStore(soon, held, need)
-	if err == nil || errors.Is(err, ErrSpent) {
-		return nil, err
-	}
-	if lent := l.lender.lend(need, causeOutage); lent != nil {
-		return lent, nil
+	if errors.Is(err, ErrSpent) {
+		return l.lender.lend(need, causeSpent), err
 	}
-	if ctx.Err() != nil {
-		return nil, err
+	return nil, err
+}
+
+// fillSoon gives the store a short time, and none when it is known to be down.
+func (l *Ledger) fillSoon(ctx context.Context, held *program, need turnNeed) error {
+	if !l.store.Available() {
+		return state.ErrNotDone
 	}
-	return nil, l.fillFromStore(ctx, held, need)
+	soon, cancel := context.WithTimeout(ctx, lendAfter)
+	defer cancel()
+	return l.fillFromStore(soon, held, need)
 }
 
 func (l *Ledger) fillFromStore(ctx context.Context, held *program, need turnNeed) error {
--- a/internal/budget/credit.go
+++ b/internal/budget/credit.go
@@ -15,7 +15,7 @@
 // one turn. The store grants at most the budget less the part withheld, and one
 // daemon lends at most the part withheld and the most of one turn. That there
 // is one such daemon in all the time in which a program may come again is what
-// mayLend promises (see members.Lenders). What was lent needs no record: it is
+// mayLend promises (members.List.MayLend). What was lent needs no record: it is
 // in nobody's grants.
 
 // Of what a budget has beyond a small one, three tenths are withheld: with a
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/rpc"
 	"time"
 
@@ -173,7 +174,8 @@
 // Reserve takes the most that a turn may generate from its program's budget.
 // The reservation's name must be its own. The parts are those of the turn's prompt.
 func (s *Shared) Reserve(ctx context.Context, request ReserveRequest) (Settler, error) {
-	for {
+	name := request.Reservation
+	for question := 1; ; question++ {
 		settler, err := s.reserveOnce(ctx, request)
 		if !errors.Is(err, errNoStore) || ctx.Err() != nil {
 			return settler, err
@@ -181,6 +183,8 @@
 		if err := s.store.Wait(ctx); err != nil || !pause.For(ctx, noStorePause) {
 			return nil, errNoStore
 		}
+		// A new name: the settlement of a question without answer may come late.
+		request.Reservation = fmt.Sprintf("%s/%d", name, question)
 	}
 }
 
--- a/internal/budget/shared_test.go
+++ b/internal/budget/shared_test.go
@@ -68,6 +68,22 @@
 	return holder, others
 }
 
+// recordingCaller notes the names of reservations that are asked for.
+type recordingCaller struct {
+	peer.Caller
+	names    []string
+	answered func() // after each answer
+}
+
+func (r *recordingCaller) Call(ctx context.Context, address string, class peer.Class, method string, arguments, reply any) error {
+	err := r.Caller.Call(ctx, address, class, method, arguments, reply)
+	if asked, is := arguments.(ReserveRequest); is {
+		r.names = append(r.names, asked.Reservation)
+		r.answered()
+	}
+	return err
+}
+
 var _ = Describe("Shared", func() {
 	var store *memorystore.Store
 
@@ -107,6 +123,18 @@
 		}
 	})
 
+	It("asks again under another name, so that a late settlement frees nothing that is used", func(ctx SpecContext) {
+		all := fellowship(store, "a", "a", "a")
+		_, others := home(all, "p")
+		recorded := &recordingCaller{Caller: others[0].shared.caller}
+		others[0].shared.caller = recorded
+		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
+		recorded.answered = func() { store.Misbehave(nil) }
+		_, err := reserve(ctx, others[0], "r", 13000, 288)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(recorded.names).To(Equal([]string{"r", "r/1"}))
+	})
+
 	It("passes over a holder that is gone or stopping", func(ctx SpecContext) {
 		all := fellowship(store, "a", "a", "a")
 		holder, others := home(all, "p")
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -48,6 +48,10 @@
 	prefixRequest   = "request:"
 )
 
+// questionMark parts a request's identifier from the number of the question in the
+// name of a reservation that was asked for again.
+const questionMark = "/"
+
 // around is how far before a request's arrival the state of its daemon matters.
 const around = 5 * time.Second
 
@@ -135,7 +139,7 @@
 func concerns(line, outcome Line) bool {
 	request, program, previous := outcome.text(fieldRequest), outcome.text(fieldProgram), outcome.text(fieldPrevious)
 	for _, named := range []string{line.text(fieldRequest), line.text(fieldReservation), line.text(fieldKey)} {
-		if named == request || named != "" && named == previous {
+		if named == request || strings.HasPrefix(named, request+questionMark) || named != "" && named == previous {
 			return true
 		}
 	}
--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -25,7 +25,6 @@
 // Picture is what all daemons have under way, as far as the board heard.
 type Picture struct {
 	UnderWay map[string]int // by engine, the asking daemon's own included
-	Members  int            // that posted lately
 }
 
 // postKept is how long a post counts after the daemon was last heard.
@@ -62,6 +61,5 @@
 			picture.UnderWay[engine] += count
 		}
 	}
-	picture.Members = len(b.posts)
 	return nil
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -41,7 +41,7 @@
 		post("a", map[string]int{"e1": 2, "e2": 1})
 		post("b", map[string]int{"e1": 3})
 		picture := post("c", map[string]int{"e3": 1})
-		Expect(picture).To(Equal(Picture{UnderWay: map[string]int{"e1": 5, "e2": 1, "e3": 1}, Members: 3}))
+		Expect(picture).To(Equal(Picture{UnderWay: map[string]int{"e1": 5, "e2": 1, "e3": 1}}))
 	})
 
 	It("counts a daemon's last post alone", func() {
@@ -52,7 +52,7 @@
 	It("forgets daemons that post no more", func() {
 		post("a", map[string]int{"e1": 9})
 		now = now.Add(postKept + time.Millisecond)
-		Expect(post("b", nil)).To(Equal(Picture{UnderWay: map[string]int{}, Members: 1}))
+		Expect(post("b", nil)).To(Equal(Picture{UnderWay: map[string]int{}}))
 	})
 })
 
@@ -64,7 +64,7 @@
 
 func (e *engines) UnderWay() map[string]int { return e.own }
 
-func (e *engines) Learn(all, _ map[string]int, _ int) { e.learned <- all }
+func (e *engines) Learn(all, _ map[string]int) { e.learned <- all }
 
 var _ = Describe("Poster", func() {
 	// daemons are posters on one list, each with one request at an engine of its name.
--- a/internal/load/poster.go
+++ b/internal/load/poster.go
@@ -14,7 +14,7 @@
 	// UnderWay counts this daemon's requests by engine.
 	UnderWay() map[string]int
 	// Learn takes in what all daemons have under way; own is what this one posted.
-	Learn(all, own map[string]int, members int)
+	Learn(all, own map[string]int)
 }
 
 // Poster keeps one daemon's picture up to date.
@@ -51,21 +51,20 @@
 
 func (p *Poster) post(ctx context.Context) {
 	own := p.Fleet.UnderWay()
-	post := Post{Member: p.List.Self().Name, UnderWay: own}
-	var picture Picture
 	board := p.List.Homes(boardKey)[0]
+	var picture Picture
+	if err := p.postTo(ctx, board, Post{Member: p.List.Self().Name, UnderWay: own}, &picture); err == nil {
+		p.Fleet.Learn(picture.UnderWay, own)
+	} else if ctx.Err() == nil {
+		p.List.Suspect(board, passOver)
+	}
+}
+
+func (p *Poster) postTo(ctx context.Context, board members.Member, post Post, picture *Picture) error {
 	if board.Name == p.List.Self().Name {
-		_ = p.Board.Post(post, &picture) // it never fails
-		p.Fleet.Learn(picture.UnderWay, own, picture.Members)
-		return
+		return p.Board.Post(post, picture)
 	}
 	limited, cancel := context.WithTimeout(ctx, postWait)
 	defer cancel()
-	if err := p.Caller.Call(limited, board.Address, peer.Control, methodPost, post, &picture); err != nil {
-		if ctx.Err() == nil {
-			p.List.Suspect(board, passOver)
-		}
-		return
-	}
-	p.Fleet.Learn(picture.UnderWay, own, picture.Members)
+	return p.Caller.Call(limited, board.Address, peer.Control, methodPost, post, picture)
 }
