Lab and scheduling spec: engines answer while they make long texts, and the place is held until all calls wait

Logs: the lab's engine did not answer /v1/state for ten seconds, since it made the texts of eleven answers of 100,000 tokens under its lock; the report was then older than 8 s, and the call was refused truthfully (429, not run, come back), which the spec did not. Ruled out: the supervisors' race for the engine's fence at the start (seen in the logs, over in milliseconds). Change: the engine makes a request's text before it takes its lock. The spec takes the place with a program of its own, waits until all daemons know, hands the six calls in, sees that none arrives, and ends that program. All former checks stay, one is new.

--- a/internal/lab/modelengine/engine.go
+++ b/internal/lab/modelengine/engine.go
@@ -74,6 +74,7 @@
 // submit takes a request, or joins the one with the same identifier. The
 // refusal is not empty when the request certainly did not start.
 func (e *Engine) submit(wire enginev1.CompletionRequest) (found *request, refusal string) {
+	added := newRequest(wire) // long answers take long to make: not under the lock
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if known, ok := e.requests[wire.RequestID]; ok {
@@ -83,7 +84,7 @@
 		return nil, refusal
 	}
 	e.arrivals++
-	added := newRequest(wire, e.arrivals, time.Now())
+	added.accept(e.arrivals, time.Now())
 	e.requests[wire.RequestID] = added
 	e.order = append(e.order, added)
 	e.waiting = append(e.waiting, added)
--- a/internal/lab/modelengine/request.go
+++ b/internal/lab/modelengine/request.go
@@ -33,18 +33,23 @@
 	changed  chan struct{} // closed and replaced at each change
 }
 
-func newRequest(wire enginev1.CompletionRequest, arrival uint64, now time.Time) *request {
-	created := &request{wire: wire, arrival: arrival, arrived: now, state: stateWaiting, changed: make(chan struct{})}
+func newRequest(wire enginev1.CompletionRequest) *request {
+	created := &request{wire: wire, state: stateWaiting, changed: make(chan struct{})}
 	created.prompt = render(wire.Messages)
 	created.hashes = hashBlocks(created.prompt)
 	created.answer, created.finish = Answer(wire.Model, wire.Adapter, wire.Messages, wire.MaxTokens)
 	created.usage.PromptTokens = countTokens(created.prompt)
-	if wire.DeadlineMS > 0 {
-		created.expires = now.Add(time.Duration(wire.DeadlineMS) * time.Millisecond)
-	}
 	return created
 }
 
+// accept counts the request in.
+func (r *request) accept(arrival uint64, now time.Time) {
+	r.arrival, r.arrived = arrival, now
+	if r.wire.DeadlineMS > 0 {
+		r.expires = now.Add(time.Duration(r.wire.DeadlineMS) * time.Millisecond)
+	}
+}
+
 func (r *request) final() bool {
 	return r.state == stateFinished || r.state == stateCancelled || r.state == stateFailed
 }
--- a/test/scheduling/caller_test.go
+++ b/test/scheduling/caller_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
 
 	enginev1 "github.com/thymeloft/thymeloft/api/engine/v1"
 	"github.com/thymeloft/thymeloft/internal/callerapi"
@@ -126,18 +127,23 @@
 			response.Body.Close()
 		}()
 	}
+	awaitKnown(ctx, running, engine, BeNumerically(">=", requests))
+}
+
+// awaitKnown waits until all daemons know of so many requests at an engine.
+func awaitKnown(ctx context.Context, running *fleet.Fleet, engine *fleet.Engine, requests types.GomegaMatcher) {
 	for _, daemon := range running.Daemons {
 		Eventually(func() int64 {
 			status, err := running.Status(ctx, daemon)
 			if err != nil {
-				return 0
+				return -1
 			}
 			for _, known := range status.Engines {
 				if known.Name == engine.Name {
 					return known.Running + known.Waiting
 				}
 			}
-			return 0
-		}).Should(BeNumerically(">=", requests))
+			return -1
+		}).Should(requests)
 	}
 }
--- a/test/scheduling/scheduling_test.go
+++ b/test/scheduling/scheduling_test.go
@@ -97,6 +97,14 @@
 		caller.submit(started, 2, "a second turn tokens=5")
 		Eventually(func() []identity.Program { return arrivals(engine, 1+oldSlots) }).Should(Equal([]identity.Program{started}), "it may wait at its holder")
 
+		// Until all wait, the place is taken by a program that is then ended, and
+		// all daemons know that none is free.
+		caller.awaitAnswer(started, 2)
+		awaitKnown(ctx, running, engine, BeEquivalentTo(oldSlots-1))
+		blocker := caller.create("blocker", "interactive")
+		caller.submit(blocker, 1, "tokens=100000")
+		Eventually(func() []identity.Program { return arrivals(engine, 2+oldSlots) }).Should(Equal([]identity.Program{blocker}))
+		awaitKnown(ctx, running, engine, BeEquivalentTo(oldSlots))
 		var expected []identity.Program
 		for _, class := range []string{"batch", "standard", "interactive"} {
 			var ofClass []identity.Program
@@ -107,10 +115,12 @@
 			}
 			expected = append(ofClass, expected...)
 		}
+		Expect(arrivals(engine, 3+oldSlots)).To(BeEmpty(), "all wait")
+		caller.end(blocker)
 		for _, waits := range expected {
 			caller.awaitAnswer(waits, 1)
 		}
-		Expect(arrivals(engine, 2+oldSlots)).To(Equal(expected))
+		Expect(arrivals(engine, 3+oldSlots)).To(Equal(expected))
 	}, SpecTimeout(2*patience))
 
 	It("keep a program's turns with the engine that holds its prefix, and leave it when it is overloaded", func(ctx SpecContext) {
