--- a/internal/budget/shared_test.go
+++ b/internal/budget/shared_test.go
@@ -68,20 +68,22 @@
 	return holder, others
 }
 
-// recordingCaller notes the names of reservations that are asked for.
-type recordingCaller struct {
+// busyOnceCaller answers the first question in the holder's place, as one that
+// does not reach the store, and notes the names of all reservations asked for.
+type busyOnceCaller struct {
 	peer.Caller
-	names    []string
-	answered func() // after each answer
+	names []string
 }
 
-func (r *recordingCaller) Call(ctx context.Context, address string, class peer.Class, method string, arguments, reply any) error {
-	err := r.Caller.Call(ctx, address, class, method, arguments, reply)
+func (b *busyOnceCaller) Call(ctx context.Context, address string, class peer.Class, method string, arguments, reply any) error {
 	if asked, is := arguments.(ReserveRequest); is {
-		r.names = append(r.names, asked.Reservation)
-		r.answered()
+		b.names = append(b.names, asked.Reservation)
 	}
-	return err
+	if answer, is := reply.(*ReserveReply); is && len(b.names) == 1 {
+		answer.Result = resultNoStore
+		return nil
+	}
+	return b.Caller.Call(ctx, address, class, method, arguments, reply)
 }
 
 var _ = Describe("Shared", func() {
@@ -125,14 +127,19 @@
 
 	It("asks again under another name, so that a late settlement frees nothing that is used", func(ctx SpecContext) {
 		all := fellowship(store, "a", "a", "a")
-		_, others := home(all, "p")
-		recorded := &recordingCaller{Caller: others[0].shared.caller}
-		others[0].shared.caller = recorded
-		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
-		recorded.answered = func() { store.Misbehave(nil) }
-		_, err := reserve(ctx, others[0], "r", 13000, 288)
+		holder, others := home(all, "p")
+		caller := &busyOnceCaller{Caller: others[0].shared.caller}
+		others[0].shared.caller = caller
+		_, err := reserve(ctx, others[0], "r", 500, 288)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(recorded.names).To(Equal([]string{"r", "r/1"}))
+		Expect(caller.names).To(Equal([]string{"r", "r/1"}))
+
+		limited, cancel := context.WithTimeout(ctx, settleWait)
+		defer cancel()
+		late := SettleRequest{Reservation: "r"}
+		Expect(caller.Call(limited, holder.list.Self().Address, peer.Control, methodSettle, late, &SettleReply{})).To(Succeed())
+		_, err = reserve(ctx, others[1], "next", 500, 288)
+		Expect(err).To(MatchError(ErrSpent))
 	})
 
 	It("passes over a holder that is gone or stopping", func(ctx SpecContext) {
