Placement: a part that programs share counts as read at every engine

The hash of a program names one engine at all daemons, but the first engine to which a daemon had sent the 12,600 shared tokens outweighed it; after a loss that choice falls anew. Change: a part that a second program names is shared, and costs no engine anything as long as all that are shared fit into half of an engine's memory. Lines of requests tell the load and the tokens to read that placement believed; switch shared-parts.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/mechanism"
 )
 
 func TestBackend(t *testing.T) {
@@ -115,6 +117,39 @@
 		Expect(choose(fleet, start, withPrefix)).NotTo(BeIdenticalTo(held))
 	})
 
+	It("sends a program to the same engine whether or not one is known to keep what all share", func() {
+		parts := []PromptPart{{Name: "shared", Tokens: 12_600}, {Name: "own", Tokens: 400}}
+		for _, program := range []string{"p1", "p2", "p3", "p4", "p5"} {
+			with := func(request *Request) {
+				request.Affinity, request.Prefix, request.Everywhere = program, parts, 1
+			}
+			started, _ := fleetOf("a", "b", "c", "d")
+			home := choose(started, start, with)
+			running, _ := fleetOf("a", "b", "c", "d")
+			for _, instance := range running.Of("s") {
+				if instance.ID != home.ID {
+					instance.Remember(parts[:1])
+				}
+			}
+			Expect(choose(running, start, with).ID).To(Equal(home.ID))
+		}
+	})
+
+	It("tells what an engine has to read", func() {
+		fleet, _ := fleetOf("a")
+		only := fleet.Of("s")[0]
+		request := &Request{Prefix: []PromptPart{{Name: "shared", Tokens: 600}, {Name: "own", Tokens: 400}, {Name: "new", Tokens: 50}}}
+		Expect(Missing(only, request)).To(Equal(1050))
+		request.Everywhere = 1
+		Expect(Missing(only, request)).To(Equal(450))
+		only.Remember(request.Prefix[1:2])
+		Expect(Missing(only, request)).To(Equal(50))
+		request.Off = mechanism.Off{mechanism.SharedParts}
+		Expect(Missing(only, request)).To(Equal(1050))
+		request.Off = mechanism.Off{mechanism.PrefixGuess}
+		Expect(Missing(only, request)).To(Equal(0))
+	})
+
 	It("sends requests of one affinity to one instance at every process", func() {
 		one, _ := fleetOf("a", "b", "c", "d")
 		other, _ := fleetOf("d", "c", "b", "a")
--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -13,10 +13,12 @@
 type Request struct {
 	Affinity string // requests with the same text share prefixes; empty: none
 	Prefix   []PromptPart
-	Zone     string // of this process
-	Slots    int    // of the service's engines, if declared
-	Excluded []string
-	Random   uint64
+	// Everywhere is how many parts of the prefix every engine keeps (Sharing.Note).
+	Everywhere int
+	Zone       string // of this process
+	Slots      int    // of the service's engines, if declared
+	Excluded   []string
+	Random     uint64
 	// LeavingAllowed is how long an instance that is gone may still be used
 	// when there is no other: its entry may have lapsed while it serves on.
 	LeavingAllowed time.Duration
@@ -104,14 +106,7 @@
 // costOf adds what must be read anew, the load, and the preference
 // that all processes share without a message: a hash of affinity and instance.
 func costOf(instance *Instance, request *Request) float64 {
-	total := 0
-	for _, part := range request.Prefix {
-		total += part.Tokens
-	}
-	cost := float64(total)
-	if !request.Off.Has(mechanism.PrefixGuess) {
-		cost -= float64(instance.prefixes.cached(request.Prefix))
-	}
+	cost := float64(Missing(instance, request))
 	cost += loadCost(instance, request)
 	cost += affinityCost * preference(instance, request)
 	if instance.Zone != request.Zone && !request.Off.Has(mechanism.ZoneCost) {
@@ -120,6 +115,19 @@
 	return cost
 }
 
+// Missing is how many tokens of the prompt the instance would have to read, as far
+// as this process knows.
+func Missing(instance *Instance, request *Request) int {
+	if request.Off.Has(mechanism.PrefixGuess) {
+		return 0
+	}
+	everywhere := request.Everywhere
+	if request.Off.Has(mechanism.SharedParts) {
+		everywhere = 0
+	}
+	return instance.prefixes.missing(request.Prefix, everywhere)
+}
+
 func loadCost(instance *Instance, request *Request) float64 {
 	slots := instance.Slots
 	if slots == 0 {
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -8,6 +8,8 @@
 
 // Fleet is the picture of all instances. Readers take it without a lock.
 type Fleet struct {
+	// Sharing is what programs share of their prompts.
+	Sharing *Sharing
 	now     func() time.Time
 	mutex   sync.Mutex
 	known   map[string]*Instance
@@ -16,7 +18,7 @@
 
 // NewFleet makes an empty picture.
 func NewFleet(now func() time.Time) *Fleet {
-	fleet := &Fleet{now: now, known: map[string]*Instance{}}
+	fleet := &Fleet{Sharing: NewSharing(), now: now, known: map[string]*Instance{}}
 	fleet.current.Store(&map[string][]*Instance{})
 	return fleet
 }
--- a/internal/backend/prefixes.go
+++ b/internal/backend/prefixes.go
@@ -33,14 +33,16 @@
 	}
 }
 
-// cached counts the tokens of the leading parts that are kept.
-func (p *prefixes) cached(parts []PromptPart) int {
+// missing counts the tokens of a prompt that the instance would have to read, if
+// it keeps so many parts as every instance does, and those guessed here.
+func (p *prefixes) missing(parts []PromptPart, everywhere int) int {
 	tokens := 0
-	for _, part := range parts {
-		if !p.parts.Contains(part.Name) {
-			break
+	kept := true
+	for index, part := range parts {
+		kept = kept && (index < everywhere || p.parts.Contains(part.Name))
+		if !kept {
+			tokens += part.Tokens
 		}
-		tokens += part.Tokens
 	}
 	return tokens
 }
--- /dev/null
+++ b/internal/backend/sharing_test.go
@@ -0,0 +1,65 @@
+package backend
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Sharing", func() {
+	const memory = 100_000
+	var sharing *Sharing
+	prompt := []PromptPart{{Name: "shared", Tokens: 12_000}, {Name: "own", Tokens: 1_000}}
+
+	BeforeEach(func() { sharing = NewSharing() })
+
+	It("knows a part as shared once a second program named it", func() {
+		for range 3 {
+			Expect(sharing.Note("p1", prompt, memory)).To(Equal(0), "one program's own parts are not shared")
+		}
+		other := []PromptPart{prompt[0], {Name: "other", Tokens: 1_000}}
+		Expect(sharing.Note("p2", other, memory)).To(Equal(1))
+		Expect(sharing.Note("p1", prompt, memory)).To(Equal(1))
+	})
+
+	It("counts no part that comes after one of the program's own", func() {
+		sharing.Note("p1", prompt, memory)
+		Expect(sharing.Note("p2", []PromptPart{{Name: "new", Tokens: 10}, prompt[0]}, memory)).To(Equal(0))
+	})
+
+	It("takes nothing in that no program named", func() {
+		sharing.Note("", prompt, memory)
+		sharing.Note("", prompt, memory)
+		Expect(sharing.Note("p1", prompt, memory)).To(Equal(0))
+	})
+
+	It("counts none as kept everywhere when all that are shared do not fit in", func() {
+		share := func(number int) int {
+			part := []PromptPart{{Name: fmt.Sprintf("shared %d", number), Tokens: 12_000}}
+			sharing.Note("p1", part, memory)
+			return sharing.Note("p2", part, memory)
+		}
+		for number := range 4 {
+			Expect(share(number)).To(Equal(1))
+		}
+		Expect(share(5)).To(Equal(0), "60,000 of 100,000 tokens")
+		Expect(sharing.Note("p3", []PromptPart{{Name: "shared 1", Tokens: 12_000}}, memory)).To(Equal(0))
+		Expect(sharing.Note("p3", []PromptPart{{Name: "shared 1", Tokens: 12_000}}, 2*memory)).To(Equal(1))
+		Expect(sharing.Note("p3", []PromptPart{{Name: "shared 1", Tokens: 12_000}}, 0)).To(Equal(0), "a memory that is not known")
+	})
+
+	It("gives room back for shared parts that nobody named for long", func() {
+		share := func(name string) int {
+			part := []PromptPart{{Name: name, Tokens: memory / 3}}
+			sharing.Note("p1", part, memory)
+			return sharing.Note("p2", part, memory)
+		}
+		Expect(share("old")).To(Equal(1))
+		Expect(share("next")).To(Equal(0))
+		for number := range partsNoted - 1 {
+			sharing.Note("p1", []PromptPart{{Name: fmt.Sprint(number), Tokens: 1}}, memory)
+		}
+		Expect(sharing.Note("p3", []PromptPart{{Name: "next", Tokens: memory / 3}}, memory)).To(Equal(1))
+	})
+})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,10 +84,17 @@
 	}
 }
 
+// placement is what an instance was believed to be when it was chosen.
+type placement struct {
+	load    int // requests under way there, of all daemons
+	missing int // tokens of the prompt that it had to read
+}
+
 // place chooses an instance; it waits while there is none at all.
 func (e *execution) place(ctx context.Context, excluded []string, last error) (*backend.Instance, error) {
 	request := &backend.Request{
 		Prefix:         e.call.Prefix,
+		Everywhere:     e.everywhere,
 		Zone:           e.gateway.Zone,
 		Slots:          e.service.Slots,
 		Excluded:       excluded,
@@ -104,6 +111,7 @@
 		}
 		request.Now = time.Now()
 		if chosen := backend.Choose(e.gateway.Fleet.Of(e.service.Name), request); chosen != nil {
+			e.believed = placement{load: chosen.Load(request.Now), missing: backend.Missing(chosen, request)}
 			return chosen, nil
 		}
 		if last != nil {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -30,11 +30,13 @@
 	input       []byte
 	history     turn.Record
 	reservation budget.Settler
+	everywhere  int // parts of the prompt that every engine keeps
 
 	instance  *backend.Instance
-	tries     int // instances that the request was offered to
-	searches  int // further searches, after all had refused for want of room
-	runs      int // those that may have begun to run it
+	believed  placement // of the instance, when it was chosen
+	tries     int       // instances that the request was offered to
+	searches  int       // further searches, after all had refused for want of room
+	runs      int       // those that may have begun to run it
 	firstByte time.Duration
 	began     time.Time     // when the first byte arrived
 	waited    time.Duration // for the store
@@ -93,6 +95,7 @@
 		return &Refusal{Status: http.StatusBadRequest, Reason: ReasonMalformed, Err: err}
 	}
 	e.service = e.table.Service(route.NextService())
+	e.everywhere = e.gateway.Fleet.Sharing.Note(e.call.Program, e.call.Prefix, e.service.MemoryTokens)
 	e.events.collect = route.Recorded
 	return e.readInput()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,10 @@
 		fields = append(fields, zap.Int64("budget", e.call.Budget), zap.Int64("most", e.call.MostTokens))
 	}
 	if e.instance != nil {
-		fields = append(fields, zap.String("engine", e.instance.ID), zap.Duration("firstByte", e.firstByte))
+		fields = append(fields, zap.String("engine", e.instance.ID), zap.Duration("firstByte", e.firstByte), zap.Int("engineLoad", e.believed.load))
+	}
+	if e.believed.missing > 0 {
+		fields = append(fields, zap.Int("toRead", e.believed.missing))
 	}
 	if e.table != nil {
 		configurationAge, instancesAge := e.gateway.Ages()
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -24,13 +24,14 @@
 	QualityClasses Name = "quality-classes" // slow and failing engines come last
 	Ejection       Name = "ejection"        // an engine that failed several times rests
 	PrefixGuess    Name = "prefix-guess"    // what an engine has read counts in placement
+	SharedParts    Name = "shared-parts"    // what programs share counts as read at every engine
 	ZoneCost       Name = "zone-cost"       // engines of other zones cost more
 )
 
 // All lists the mechanisms.
 func All() []Name {
 	return []Name{
-		Lending, LoadBoard, Trails, SharedBudgets, StoreRelay, HedgedCalls, QualityClasses, Ejection, PrefixGuess, ZoneCost,
+		Lending, LoadBoard, Trails, SharedBudgets, StoreRelay, HedgedCalls, QualityClasses, Ejection, PrefixGuess, SharedParts, ZoneCost,
 	}
 }
 
