--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -3,18 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net/rpc"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
-	"github.com/rotisserie/eris"
-	"go.uber.org/zap"
-
-	"github.com/thymeloft/thymeloft/internal/members"
-	"github.com/thymeloft/thymeloft/internal/pause"
-	"github.com/thymeloft/thymeloft/internal/peer"
-	"github.com/thymeloft/thymeloft/internal/state"
 )
 
 // Service is the name under which a holder is called by other daemons.
@@ -84,12 +75,8 @@
 	reservationsKept    = 4096
 	reservationsKeptFor = 2 * time.Minute
 	// holderWait is how long a holder waits for its store, and for turns under
-	// way, before it answers; the caller waits a little longer.
-	holderWait  = 250 * time.Millisecond
-	answerWait  = 400 * time.Millisecond
-	settleWait  = time.Second
-	suspectWait = time.Second
-	leavingWait = 10 * time.Second
+	// way, before it answers; who asks waits a little longer (answerWait).
+	holderWait = 250 * time.Millisecond
 )
 
 // NewHolder makes the service.
@@ -135,190 +122,3 @@
 	}
 	return nil
 }
-
-// Settler ends a reservation.
-type Settler interface {
-	// Attained is how many tokens the program generated before, as far as the
-	// holder of its budget knows. It is a hint.
-	Attained() int64
-	// ReadAt is the engine that read the longest part of the turn's prompt, and how
-	// many of its parts; "" if that is not known. It is a hint.
-	ReadAt() (engine string, parts int)
-	// RanAt tells where the turn ran. It is to be called before Settle.
-	RanAt(engine string)
-	// Settle gives back what was not generated; only the first call counts.
-	Settle(generated int64)
-}
-
-// Shared reserves at the daemon of the region that holds a program's budget, so
-// that all daemons of the region spend one grant, and needs no store while that
-// lasts. A holder that does not answer is passed over; then this daemon takes
-// a grant of its own, which the store keeps within the budget.
-type Shared struct {
-	ledger *Ledger
-	list   *members.List
-	caller peer.Caller
-	store  *state.Availability
-	log    *zap.Logger
-	// Alone makes this daemon hold what it spends itself; for experiments.
-	Alone bool
-}
-
-// NewShared makes the reserving side.
-func NewShared(ledger *Ledger, list *members.List, caller peer.Caller, store *state.Availability, log *zap.Logger) *Shared {
-	made := &Shared{ledger: ledger, list: list, caller: caller, store: store, log: log}
-	ledger.reclaim = made.Reclaim
-	return made
-}
-
-// Reserve takes the most that a turn may generate from its program's budget.
-// The reservation's name must be its own. The parts are those of the turn's prompt.
-func (s *Shared) Reserve(ctx context.Context, request ReserveRequest) (Settler, error) {
-	name := request.Reservation
-	for question := 1; ; question++ {
-		settler, err := s.reserveOnce(ctx, request)
-		if !errors.Is(err, errNoStore) || ctx.Err() != nil {
-			return settler, err
-		}
-		if err := s.store.Wait(ctx); err != nil || !pause.For(ctx, noStorePause) {
-			return nil, errNoStore
-		}
-		// A new name: the settlement of a question without answer may come late.
-		request.Reservation = fmt.Sprintf("%s/%d", name, question)
-	}
-}
-
-// reserveOnce asks the holders of the region in their order, down to this
-// daemon's own ledger.
-func (s *Shared) reserveOnce(ctx context.Context, request ReserveRequest) (Settler, error) {
-	for _, home := range s.list.Homes(request.Program) {
-		if s.Alone || home.Name == s.list.Self().Name {
-			break
-		}
-		settler, err := s.ask(ctx, home, request)
-		if settler != nil || errors.Is(err, ErrSpent) || errors.Is(err, errNoStore) || ctx.Err() != nil {
-			return settler, err
-		}
-	}
-	reservation, err := s.ledger.Reserve(ctx, request.Program, request.Total, request.Most)
-	if err != nil {
-		return nil, err
-	}
-	engine, read := s.ledger.trails.find(request.Program, request.Parts)
-	return &local{Reservation: reservation, trails: s.ledger.trails, place: place{request: request, engine: engine, read: read}}, nil
-}
-
-// place is where a turn's prompt was read, and where the turn ran.
-type place struct {
-	request ReserveRequest
-	engine  string
-	read    int
-	ran     string
-}
-
-// ReadAt implements Settler.
-func (p *place) ReadAt() (engine string, parts int) { return p.engine, p.read }
-
-// RanAt implements Settler.
-func (p *place) RanAt(engine string) { p.ran = engine }
-
-func (p *place) outcome() Ran {
-	ran := Ran{Program: p.request.Program, Engine: p.ran}
-	if count := len(p.request.Parts); count > 0 {
-		ran.Part = p.request.Parts[count-1]
-	}
-	return ran
-}
-
-// local is a reservation at this daemon itself.
-type local struct {
-	*Reservation
-	place
-	trails *Trails
-}
-
-// Settle implements Settler.
-func (l *local) Settle(generated int64) {
-	ran := l.outcome()
-	l.trails.note(ran.Program, ran.Part, ran.Engine)
-	l.Reservation.Settle(generated)
-}
-
-// ask returns a settler, or ErrSpent, or errNoStore, or another error if the
-// holder did not answer.
-func (s *Shared) ask(ctx context.Context, home members.Member, request ReserveRequest) (Settler, error) {
-	limited, cancel := context.WithTimeout(ctx, answerWait)
-	defer cancel()
-	var reply ReserveReply
-	err := s.caller.Call(limited, home.Address, peer.Control, methodReserve, request, &reply)
-	granted := &remote{shared: s, home: home, place: place{request: request}}
-	if err != nil {
-		if ctx.Err() == nil {
-			s.avoid(home, suspectWait, err.Error())
-		}
-		if !errors.Is(err, peer.ErrNotSent) {
-			granted.Settle(0) // it may have reserved all the same
-		}
-		return nil, err
-	}
-	s.list.Trust(home)
-	switch reply.Result {
-	case resultReserved:
-		granted.attained = reply.Attained
-		granted.engine, granted.read = reply.Engine, reply.Read
-		return granted, nil
-	case resultSpent:
-		return nil, &HeldError{Holder: home.Name, Detail: reply.Detail}
-	case resultStopping:
-		s.avoid(home, leavingWait, "stopping")
-		return nil, errStopping
-	default:
-		return nil, eris.Wrapf(errNoStore, "holder %s: %s", home.Name, reply.Detail)
-	}
-}
-
-var errNoStore = errors.New("the holder of the budget does not reach the store")
-
-// noStorePause spreads the calls after an outage.
-const noStorePause = 20 * time.Millisecond
-
-var errStopping = errors.New("the holder is stopping")
-
-// HeldError is ErrSpent as a holder told it.
-type HeldError struct{ Holder, Detail string }
-
-// Error implements error.
-func (e *HeldError) Error() string { return ErrSpent.Error() + " at " + e.Holder + ": " + e.Detail }
-
-// Is makes it an ErrSpent.
-func (e *HeldError) Is(target error) bool { return target == ErrSpent }
-
-func (s *Shared) avoid(home members.Member, wait time.Duration, cause string) {
-	s.list.Suspect(home, wait)
-	s.log.Warn("budget: holder passed over.", zap.String("holder", home.Name), zap.Duration("for", wait), zap.String("cause", cause))
-}
-
-// remote is a reservation at another daemon.
-type remote struct {
-	place
-	shared   *Shared
-	home     members.Member
-	attained int64
-}
-
-// Attained implements Settler.
-func (r *remote) Attained() int64 { return r.attained }
-
-// Settle implements Settler; it does not wait for the holder.
-func (r *remote) Settle(generated int64) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), settleWait)
-		defer cancel()
-		request := SettleRequest{Reservation: r.request.Reservation, Generated: generated, Ran: r.outcome()}
-		err := r.shared.caller.Call(ctx, r.home.Address, peer.Control, methodSettle, request, &SettleReply{})
-		if err != nil && !errors.Is(err, rpc.ErrShutdown) {
-			r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", r.home.Name),
-				zap.String("reservation", r.request.Reservation), zap.Int64("generated", generated), zap.String("cause", err.Error()))
-		}
-	}()
-}
--- a/internal/shards/replica.go
+++ b/internal/shards/replica.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
@@ -216,51 +212,6 @@
 	return nil
 }
 
-// swap commits the next head on condition of the former one.
-func (n *Node) swap(ctx context.Context, shard identity.Shard, version state.Version, former, next head, puts []state.Put) (state.Version, error) {
-	commit := state.Commit{Conditions: []state.Condition{{Key: headKey(shard), Version: version}}, Puts: puts}
-	onlyChecks := former == next && len(puts) == 0
-	if !onlyChecks {
-		next.Nonce = rand.Uint64()
-		commit.Puts = append([]state.Put{{Key: headKey(shard), Value: encode(next)}}, puts...)
-	}
-	var written state.Version
-	doubtful := false // a try may have been done
-	err := n.options.Store.Repeat(ctx, func() error {
-		var err error
-		written, err = n.options.Store.Commit(ctx, commit)
-		doubtful = doubtful || errors.Is(err, state.ErrUnknown)
-		return err
-	})
-	var conflict *state.ConflictError
-	switch {
-	case err == nil && onlyChecks:
-		return version, nil
-	case err == nil:
-		return written, nil
-	case errors.As(err, &conflict):
-		return n.afterConflict(shard, conflict, next, doubtful, onlyChecks)
-	case doubtful:
-		return 0, eris.Wrapf(ErrUncertain, "commit: %v", err)
-	default:
-		return 0, eris.Wrapf(ErrNotLeader, "commit: %v", err)
-	}
-}
-
-// afterConflict tells an earlier try of ours that was done from another leader.
-func (n *Node) afterConflict(shard identity.Shard, conflict *state.ConflictError, next head, doubtful, onlyChecks bool) (state.Version, error) {
-	row, found := conflict.Find(headKey(shard))
-	var present head
-	if found && cbor.Unmarshal(row.Value, &present) == nil && !onlyChecks && present.Nonce == next.Nonce {
-		return row.Version, nil
-	}
-	text := fmt.Sprintf("%s leads with term %d", present.Leader, present.Term)
-	if doubtful && present.Last >= next.Last && !onlyChecks {
-		return 0, eris.Wrap(ErrUncertain, text)
-	}
-	return 0, eris.Wrap(ErrNotLeader, text)
-}
-
 // giveUp writes that nobody leads the shard.
 func (r *replica) giveUp(ctx context.Context) error {
 	next := r.head
@@ -268,70 +219,3 @@
 	row := leaderRow{Term: next.Term, Former: r.node.options.Self}
 	return r.swap(ctx, next, []state.Put{{Key: leaderKey(r.shard), Value: encode(row)}})
 }
-
-func (r *replica) snapshotIsDue() bool {
-	return r.logBytes > r.node.options.SnapshotAfter+r.stateLen || r.head.Last-r.head.Snapshot > mostLogBatches
-}
-
-// snapshot writes the state and removes what it replaces. The rows of the
-// state are written first, under a name of their own; only the head makes
-// them count.
-func (r *replica) snapshot(ctx context.Context) bool {
-	content, err := r.machine.Snapshot()
-	if err != nil {
-		r.node.log.Error("shards: no snapshot.", zap.Uint32("shard", uint32(r.shard)), zap.String("cause", err.Error()))
-		r.logBytes = 0 // tried again after as much more
-		return true
-	}
-	next := r.head
-	next.Snapshot = r.head.Last
-	next.StateName = fmt.Sprintf("%s%016x-%016x/", prefixState, next.Snapshot, rand.Uint64())
-	puts := piecesOf(r.shard, next.StateName, content, r.node.options.RowBytes)
-	next.StateRows = len(puts)
-	if err := r.node.putAll(ctx, puts); err != nil {
-		return ctx.Err() == nil
-	}
-	if err := r.swap(ctx, next, nil); err != nil {
-		return false
-	}
-	r.logBytes, r.stateLen = 0, len(content)
-	r.node.clean(ctx, r.shard, r.head)
-	return true
-}
-
-// putAll writes rows in as many commits as they take.
-func (n *Node) putAll(ctx context.Context, puts []state.Put) error {
-	for len(puts) > 0 {
-		count, size := 0, 0
-		for count < len(puts) && count < mostBatchRows && size+len(puts[count].Value) <= mostBatchBytes {
-			size += len(puts[count].Value)
-			count++
-		}
-		together := puts[:max(count, 1)]
-		err := n.options.Store.Repeat(ctx, func() error {
-			_, err := n.options.Store.Commit(ctx, state.Commit{Puts: together})
-			return err
-		})
-		if err != nil {
-			return eris.Wrap(err, "write a snapshot")
-		}
-		puts = puts[len(together):]
-	}
-	return nil
-}
-
-// clean removes rows that no head needs. What stays is removed the next time.
-func (n *Node) clean(ctx context.Context, shard identity.Shard, current head) {
-	rows, err := n.read(ctx, shard)
-	if err != nil {
-		return
-	}
-	keys := superseded(rows, current)
-	for len(keys) > 0 {
-		together := keys[:min(len(keys), mostBatchRows)]
-		if _, err := n.options.Store.Commit(ctx, state.Commit{Removals: together}); err != nil {
-			return
-		}
-		keys = keys[len(together):]
-	}
-}
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -9,12 +9,9 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/golang-lru/v2/expirable"
 	"github.com/rotisserie/eris"
@@ -227,58 +224,6 @@
 	}
 }
 
-// rowsOf cuts a record into rows: NAME, NAME/1, NAME/2 and so on.
-func rowsOf(identifier, partition string, value []byte, rowBytes int) ([]state.Put, error) {
-	var puts []state.Put
-	for piece := range slices.Chunk(value, rowBytes) {
-		name := identifier
-		if len(puts) > 0 {
-			name += separator + strconv.Itoa(len(puts))
-		}
-		puts = append(puts, state.Put{Key: state.Key{Table: table, Partition: partition, Name: name}, Value: piece})
-	}
-	if len(puts) > maxRowsPerTurn {
-		return nil, eris.Wrapf(ErrTooLarge, "cut turn of %d bytes into rows", len(value))
-	}
-	return puts, nil
-}
-
-// decode joins the rows of a record.
-func decode(identifier string, rows []state.Row) (Record, error) {
-	pieces := make(map[string][]byte, len(rows))
-	for _, row := range rows {
-		pieces[row.Key.Name] = row.Value
-	}
-	value, found := pieces[identifier]
-	if !found {
-		return Record{}, ErrNotFound
-	}
-	for number := 1; ; number++ {
-		piece, more := pieces[identifier+separator+strconv.Itoa(number)]
-		if !more {
-			break
-		}
-		value = append(slices.Clip(value), piece...)
-	}
-	var record Record
-	if err := cbor.Unmarshal(value, &record); err != nil {
-		return Record{}, eris.Wrap(err, "decode turn")
-	}
-	return record, nil
-}
-
-// placesOf spreads turns over the partitions, since the store commits within
-// one partition in turn, and gives each turn several different ones.
-func placesOf(identifier string) []string {
-	hash := xxhash.Sum64String(identifier)
-	home, step := hash%partitions, 2*(hash>>32%(partitions/2))+1
-	var chosen []string
-	for number := range uint64(places) {
-		chosen = append(chosen, strconv.FormatUint((home+number*step)%partitions, 16))
-	}
-	return chosen
-}
-
 // Leftovers sweeps turns that lost daemons left behind. mine tells which
 // partitions this daemon sweeps.
 func Leftovers(store *state.Client, mine func(partition string) bool, now func() time.Time, log *zap.Logger) *retention.Sweep {
