--- a/internal/budget/release.go
+++ b/internal/budget/release.go
@@ -141,7 +141,7 @@
 
 func (s *Shared) askRelease(ctx context.Context, holder members.Member, program string) (int64, error) {
 	var reply ReleaseReply
-	err := s.caller.Call(ctx, holder.Address, peer.Control, methodRelease, ReleaseRequest{Program: program}, &reply)
+	err := s.caller.Call(ctx, holder.Process.Address, peer.Control, methodRelease, ReleaseRequest{Program: program}, &reply)
 	if errors.Is(err, peer.ErrNotSent) {
 		s.list.Suspect(holder, suspectWait)
 	}
--- a/internal/budget/shared.go
+++ b/internal/budget/shared.go
@@ -79,8 +79,10 @@
 // reserveOnce asks the holders of the region in their order, down to this
 // daemon's own ledger.
 func (s *Shared) reserveOnce(ctx context.Context, request ReserveRequest) (Settler, error) {
-	for _, home := range s.list.Homes(request.Program) {
-		if s.Alone || home.Name == s.list.Self().Name {
+	homes := s.list.Homes(request.Program)
+	for order := range homes.Len() {
+		home := homes.At(order)
+		if s.Alone || home.Process == s.list.Self() {
 			break
 		}
 		settler, err := s.ask(ctx, home, request)
@@ -138,7 +140,7 @@
 	limited, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
 	var reply ReserveReply
-	err := s.caller.Call(limited, home.Address, peer.Control, methodReserve, request, &reply)
+	err := s.caller.Call(limited, home.Process.Address, peer.Control, methodReserve, request, &reply)
 	granted := &remote{shared: s, home: home, place: place{request: request}}
 	if err != nil {
 		if ctx.Err() == nil {
@@ -156,12 +158,12 @@
 		granted.engine, granted.read = reply.Engine, reply.Read
 		return granted, nil
 	case resultSpent:
-		return nil, &HeldError{Holder: home.Name, Detail: reply.Detail}
+		return nil, &HeldError{Holder: string(home.Process.Machine), Detail: reply.Detail}
 	case resultStopping:
 		s.avoid(home, leavingWait, "stopping")
 		return nil, errStopping
 	default:
-		return nil, eris.Wrapf(errNoStore, "holder %s: %s", home.Name, reply.Detail)
+		return nil, eris.Wrapf(errNoStore, "holder %s: %s", home.Process.Machine, reply.Detail)
 	}
 }
 
@@ -183,7 +185,7 @@
 
 func (s *Shared) avoid(home members.Member, wait time.Duration, cause string) {
 	s.list.Suspect(home, wait)
-	s.log.Warn("budget: holder passed over.", zap.String("holder", home.Name), zap.Duration("for", wait), zap.String("cause", cause))
+	s.log.Warn("budget: holder passed over.", zap.String("holder", string(home.Process.Machine)), zap.Duration("for", wait), zap.String("cause", cause))
 }
 
 // remote is a reservation at another daemon.
@@ -203,9 +205,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), settleWait)
 		defer cancel()
 		request := SettleRequest{Reservation: r.request.Reservation, Generated: generated, Ran: r.outcome()}
-		err := r.shared.caller.Call(ctx, r.home.Address, peer.Control, methodSettle, request, &SettleReply{})
+		err := r.shared.caller.Call(ctx, r.home.Process.Address, peer.Control, methodSettle, request, &SettleReply{})
 		if err != nil && !errors.Is(err, rpc.ErrShutdown) {
-			r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", r.home.Name),
+			r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", string(r.home.Process.Machine)),
 				zap.String("reservation", r.request.Reservation), zap.Int64("generated", generated), zap.String("cause", err.Error()))
 		}
 	}()
--- a/internal/budget/shared_test.go
+++ b/internal/budget/shared_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/lab/acquaintance"
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
@@ -28,6 +30,7 @@
 func fellowship(store state.Store, regions ...string) []*member {
 	GinkgoHelper()
 	var made []*member
+	var lists []*members.List
 	for index, region := range regions {
 		name := region + string(rune('1'+index))
 		server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
@@ -35,31 +38,30 @@
 		DeferCleanup(server.Close)
 		pool := peer.NewPool(peer.Options{})
 		DeferCleanup(pool.Close)
-		self := members.Member{Name: name, Zone: "zone of " + name, Region: region, Address: server.Address()}
+		self := members.Member{Process: identity.Process{
+			Machine: identity.Machine(name), Zone: identity.Zone("zone of " + name), Region: identity.Region(region), Address: server.Address(),
+		}}
 		availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
 		client := state.NewClient(state.ClientOptions{Store: store, Availability: availability})
 		one := &member{ledger: NewLedger(client, 64, time.Hour), server: server}
 		one.list = members.NewList(self, time.Now, zap.NewNop())
 		one.shared = NewShared(one.ledger, one.list, pool, availability, zap.NewNop())
 		Expect(server.Register(Service, NewHolder(one.ledger, func() bool { return one.stopping }))).To(Succeed())
-		Expect(one.list.Register(context.Background(), client, false)).To(Succeed())
 		made = append(made, one)
+		lists = append(lists, one.list)
 	}
-	page, err := store.Read(context.Background(), state.Range{Table: members.Table})
-	Expect(err).NotTo(HaveOccurred())
-	for _, one := range made {
-		one.list.Replace(page.Rows, page.Version)
-	}
+	Expect(acquaintance.Make(lists...)).To(Succeed())
 	return made
 }
 
 // home returns the member that holds the program, and the others.
 func home(all []*member, program string) (*member, []*member) {
-	name := all[0].list.Homes(program)[0].Name
+	homes := all[0].list.Homes(program)
+	self := homes.At(0).Process
 	var holder *member
 	var others []*member
 	for _, one := range all {
-		if one.list.Self().Name == name {
+		if one.list.Self() == self {
 			holder = one
 			continue
 		}
@@ -148,7 +150,10 @@
 		holder.stopping = true
 		_, err := reserve(ctx, others[0], "r1", 13000, 288)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(others[0].list.Homes("p")).NotTo(ContainElement(holder.list.Self()))
+		homes := others[0].list.Homes("p")
+		for order := range homes.Len() {
+			Expect(homes.At(order).Process).NotTo(Equal(holder.list.Self()))
+		}
 		Expect(holder.server.Close()).To(Succeed())
 		_, err = reserve(ctx, others[1], "r2", 13000, 288)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -13,9 +13,8 @@
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/execution"
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/operatorapi"
-	"github.com/thymeloft/thymeloft/internal/platform"
 	"github.com/thymeloft/thymeloft/internal/routing"
 	"github.com/thymeloft/thymeloft/internal/scheduling"
 	"github.com/thymeloft/thymeloft/internal/shards"
@@ -32,8 +31,8 @@
 	d.platform = newPlatform(d.settings.Platform)
 	d.closers = append(d.closers, d.platform.close)
 	for _, step := range []func() error{
-		d.assembleMembership,
 		d.assembleStore,
+		d.assembleMembers,
 		d.assembleConfiguration,
 		d.assembleShards,
 		d.assembleFleet,
@@ -48,37 +47,18 @@
 	return nil
 }
 
-func (d *Daemon) assembleMembership() error {
-	options := membership.Options{
-		Self:      d.self,
-		News:      membership.News{CallerAddress: firstSet(d.settings.AdvertiseCaller, d.caller.address())},
-		Seeds:     d.settings.Seeds,
-		Caller:    d.pool,
-		Registrar: d.server,
-		Logger:    d.logger,
-		Metrics:   d.registry,
-	}
-	if d.platform.machines != nil {
-		options.MoreSeeds = d.listedDaemons
-	}
-	var err error
-	d.directory, err = membership.New(options)
-	return eris.Wrap(err, "make membership")
-}
+// shortestRenewal makes a lease end two to three seconds after its daemon died:
+// others then lead its shards.
+const shortestRenewal = 500 * time.Millisecond
 
-// listedDaemons reads the peer addresses of daemons out of the machine list.
-func (d *Daemon) listedDaemons(ctx context.Context) ([]string, error) {
-	listed, err := d.platform.machines.List(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var addresses []string
-	for _, machine := range listed {
-		if machine.Kind == platform.MachineDaemon && machine.Address != "" {
-			addresses = append(addresses, machine.Address)
-		}
-	}
-	return addresses, nil
+// membersWait is how long the list's feed may be silent before it is asked again.
+const membersWait = 2 * time.Second
+
+func (d *Daemon) assembleMembers() error {
+	self := members.Member{Process: d.self, CallerAddress: firstSet(d.settings.AdvertiseCaller, d.caller.address())}
+	d.directory = members.NewList(self, time.Now, d.logger)
+	d.lease = &members.Lease{List: d.directory, Store: d.store, ShortestRenewal: shortestRenewal, Log: d.logger}
+	return eris.Wrap(d.directory.Measure(d.registry), "measure members")
 }
 
 // assembleStore makes the client of the transactional store: one probe while
@@ -106,7 +86,7 @@
 	d.configuration, err = stored.New(stored.Options{
 		Store: d.store, RowBytes: rowBytes, ConfirmBound: d.settings.ConfirmBound,
 		Log: d.logger, Registry: d.registry,
-		OnRevision: func(revision uint64) { d.directory.SetNews(membership.News{ConfigurationRevision: revision}) },
+		OnRevision: func(revision uint64) { d.lease.Revision.Store(revision) },
 	})
 	return eris.Wrap(err, "make the configuration")
 }
@@ -206,6 +186,7 @@
 		Administrator: d.configuration,
 		Programs:      d.router,
 		Directory:     d.directory,
+		Revisions:     d.lease.Revisions,
 		Groups:        d.node,
 		Fleet:         d.fleet,
 		Keys:          d.settings.OperatorKeyHashes,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,7 @@
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/execution"
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/routing"
 	"github.com/thymeloft/thymeloft/internal/settings"
@@ -41,7 +41,8 @@
 	pool     *peer.Pool
 
 	platform      *platformServices
-	directory     *membership.Service
+	directory     *members.List
+	lease         *members.Lease
 	store         *state.Client
 	configuration *stored.Service
 	node          *shards.Node
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -9,13 +9,15 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 )
 
 const (
 	// replaceTimeout bounds the wait for others to lead what this daemon led.
 	replaceTimeout  = 20 * time.Second
 	replaceInterval = 20 * time.Millisecond
+	// tellEndTimeout bounds the last call to the store.
+	tellEndTimeout = 500 * time.Millisecond
 )
 
 // drain is a planned stop: it takes no new work, lets calls under way end,
@@ -33,7 +35,9 @@
 		// Others take it once this process has ended; no call is under way here.
 		d.logger.Warn("daemon: a shard was not handed over.", zap.Error(err))
 	}
-	d.directory.Leave()
+	if err := d.lease.Leave(ctx); err != nil {
+		d.logger.Warn("daemon: leaving was not told; others learn of it at the end.", zap.Error(err))
+	}
 	d.awaitReplaced(ctx)
 	var closing sync.WaitGroup
 	closing.Go(func() { d.caller.shutdown(ctx) })
@@ -69,9 +73,19 @@
 	d.logger.Warn("daemon: no other daemon is left to take over.")
 }
 
+// tellEnd tells the others that this process is over, so that they need not wait
+// until its lease runs out.
+func (d *Daemon) tellEnd() {
+	ctx, cancel := context.WithTimeout(context.Background(), tellEndTimeout)
+	defer cancel()
+	if err := d.lease.End(ctx); err != nil {
+		d.logger.Warn("daemon: the end was not told; the lease runs out by itself.", zap.Error(err))
+	}
+}
+
 // othersAlive says whether any other daemon takes work.
 func (d *Daemon) othersAlive() bool {
-	return slices.ContainsFunc(d.directory.View().Members, func(member membership.Member) bool {
-		return member.Process != d.self && member.State == membership.StateAlive
+	return slices.ContainsFunc(d.directory.View().Members, func(member members.Member) bool {
+		return member.Process != d.self && member.State == members.StateAlive
 	})
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -91,10 +91,8 @@
 	f.serve("engine", f.engine)
 	f.serve("service", f.service)
 	f.serve("store", platformstore.New(platformstore.Options{}))
-	var seeds []string
 	for number := range count {
-		started := f.startMember(number, count, seeds)
-		seeds = append(seeds, started.Addresses().Peer)
+		f.startMember(number, count)
 	}
 	for _, started := range f.members {
 		Eventually(started.Ready).Should(BeTrue())
@@ -103,13 +101,12 @@
 }
 
 // settingsOf gives the settings of one daemon of a fleet; all ports are the kernel's choice.
-func settingsOf(number, count int, seeds []string, store string) settings.Settings {
+func settingsOf(number, count int, store string) settings.Settings {
 	configured := settings.Default()
 	configured.Machine = fmt.Sprintf("m%d", number)
 	configured.Zone = fmt.Sprintf("zone-%d", number)
 	configured.Region = "region"
 	configured.Listen = settings.Listen{Caller: "127.0.0.1:0", Operator: "127.0.0.1:0", Peer: "127.0.0.1:0", Metrics: "127.0.0.1:0"}
-	configured.Seeds = seeds
 	configured.Platform.Store = strings.TrimPrefix(store, "http://")
 	configured.OperatorKeyHashes = []string{hashOf(operatorKey)}
 	configured.Shards = fleetShards
@@ -123,9 +120,9 @@
 	return platform.NewStore(platform.StoreOptions{Address: address, Patience: time.Second, Observe: calls.Observe})
 }
 
-func (f *fleet) startMember(number, count int, seeds []string) *member {
+func (f *fleet) startMember(number, count int) *member {
 	GinkgoHelper()
-	configured := settingsOf(number, count, seeds, f.urls["store"])
+	configured := settingsOf(number, count, f.urls["store"])
 	client, scheme := http.DefaultClient, "http"
 	if f.secrets != nil {
 		configured.TLS = f.secrets.settings()
--- a/internal/daemon/metrics_page_test.go
+++ b/internal/daemon/metrics_page_test.go
@@ -48,7 +48,7 @@
 		Expect(found).To(BeTrue(), "no begin of the reference")
 		table, _, found := strings.Cut(rest, metricsEnd)
 		Expect(found).To(BeTrue(), "no end of the reference")
-		created, err := daemon.New(settingsOf(0, 1, nil, "127.0.0.1:1"), newStore, logger())
+		created, err := daemon.New(settingsOf(0, 1, "127.0.0.1:1"), newStore, logger())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(created.Close)
 		expected := "| metric | labels | meaning |\n| --- | --- | --- |\n" + strings.Join(metricRows(created.Metrics()), "")
--- a/internal/daemon/rolling_test.go
+++ b/internal/daemon/rolling_test.go
@@ -127,13 +127,7 @@
 	Eventually(leaving.ended).Should(Receive(&ended))
 	leaving.ended <- ended
 	Expect(ended).NotTo(HaveOccurred())
-	var seeds []string
-	for other, member := range f.members {
-		if other != number {
-			seeds = append(seeds, member.Addresses().Peer)
-		}
-	}
-	started := f.startMember(number, len(f.members), seeds)
+	started := f.startMember(number, len(f.members))
 	f.members = f.members[:len(f.members)-1]
 	f.members[number] = started
 	Eventually(started.Ready).Should(BeTrue())
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -8,6 +8,8 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
 // readyInterval is the time between two looks at readiness before the first time.
@@ -36,7 +38,9 @@
 	drained := d.drain()
 	stop()
 	d.metrics.close()
-	return errors.Join(drained, parts.Wait())
+	ended := parts.Wait()
+	d.tellEnd()
+	return errors.Join(drained, ended)
 }
 
 func (d *Daemon) closeEndpoints() {
@@ -60,8 +64,12 @@
 		})
 	}
 	run("metrics", func(context.Context) error { return d.metrics.serve(healthHandler(d.registry, d.conditions())) })
-	run("membership", func(ctx context.Context) error {
-		d.directory.Run(ctx)
+	run("members", func(ctx context.Context) error {
+		watch.Run(ctx, d.directory.Watch(d.store, membersWait), d.directory)
+		return nil
+	})
+	run("lease", func(ctx context.Context) error {
+		d.lease.Run(ctx)
 		return nil
 	})
 	run("configuration", d.configuration.Run)
--- a/internal/engine/fakes_test.go
+++ b/internal/engine/fakes_test.go
@@ -15,7 +15,7 @@
 	enginev1 "github.com/thymeloft/thymeloft/api/engine/v1"
 	"github.com/thymeloft/thymeloft/internal/configuration"
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/platform"
 )
@@ -148,11 +148,11 @@
 type network struct {
 	mutex     sync.Mutex
 	receivers map[string]*Receiver
-	view      *membership.View
+	view      *members.View
 }
 
 func newNetwork() *network {
-	return &network{receivers: map[string]*Receiver{}, view: &membership.View{}}
+	return &network{receivers: map[string]*Receiver{}, view: &members.View{}}
 }
 
 type fakeDaemon struct {
@@ -182,24 +182,22 @@
 	return nil
 }
 
-func (n fakeDaemon) View() *membership.View {
+func (n fakeDaemon) View() *members.View {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return n.view
 }
 
 func (n fakeDaemon) Self() identity.Process     { return n.self }
-func (n fakeDaemon) SetNews(membership.News)    {}
 func (n fakeDaemon) Subscribe() <-chan struct{} { return nil }
-func (n fakeDaemon) Leave()                     {}
 
 // setMembers replaces the view by the alive daemons.
 func (n *network) setMembers(processes ...identity.Process) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	next := &membership.View{Version: n.view.Version + 1}
+	next := &members.View{Version: n.view.Version + 1}
 	for _, process := range processes {
-		next.Members = append(next.Members, membership.Member{Process: process, State: membership.StateAlive})
+		next.Members = append(next.Members, members.Member{Process: process, State: members.StateAlive})
 	}
 	n.view = next
 }
--- a/internal/engine/follow.go
+++ b/internal/engine/follow.go
@@ -9,14 +9,14 @@
 
 	"github.com/thymeloft/thymeloft/internal/configuration"
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 )
 
 // followFleet keeps the table of units and the supervisors in step with
-// configuration and membership.
+// configuration and the list of members.
 func (s *Service) followFleet(ctx context.Context) {
 	configured := s.options.Configuration.Subscribe()
-	members := s.options.Directory.Subscribe()
+	listed := s.options.Directory.Subscribe()
 	ticker := time.NewTicker(s.settings.PollInterval)
 	defer ticker.Stop()
 	for {
@@ -25,7 +25,7 @@
 		case <-ctx.Done():
 			return
 		case <-configured:
-		case <-members:
+		case <-listed:
 		case <-ticker.C:
 		}
 	}
@@ -38,7 +38,7 @@
 	daemons  []identity.Process
 }
 
-// look takes over what changed. Most views differ only in the members' news,
+// look takes over what changed. Many views differ in members of other regions,
 // which concern no engine.
 func (s *Service) look(ctx context.Context) {
 	current := s.options.Configuration.Current()
@@ -56,7 +56,7 @@
 }
 
 // learnRegions notes the zones' regions, and says whether any is new.
-func (s *Service) learnRegions(view *membership.View) bool {
+func (s *Service) learnRegions(view *members.View) bool {
 	moved := false
 	learn := func(process identity.Process) {
 		region, known := s.regions[process.Zone]
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -11,7 +11,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/configuration"
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/platform"
 )
@@ -21,7 +21,7 @@
 type Options struct {
 	Self          identity.Process
 	Configuration configuration.Source
-	Directory     membership.Directory
+	Directory     members.Directory
 	Caller        peer.Caller
 	Registrar     peer.Registrar
 	Machines      platform.Machines // nil: no machine list
--- a/internal/engine/ownership.go
+++ b/internal/engine/ownership.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 )
 
 // rendezvous returns the count processes with the highest weight for the key,
@@ -84,13 +84,13 @@
 	return best.process, true
 }
 
-// supervisors are the daemons of the region that may supervise. A suspect
-// still counts, so that a lost packet moves nothing; one that leaves does
-// not. This daemon counts even before others see it.
-func supervisors(view *membership.View, self identity.Process) []identity.Process {
+// supervisors are the daemons of the region that may supervise: those whose
+// lease stands, so that a lost packet moves nothing, and that do not leave. This
+// daemon counts even before others see it.
+func supervisors(view *members.View, self identity.Process) []identity.Process {
 	found := []identity.Process{self}
 	for _, member := range view.Members {
-		usable := member.State == membership.StateAlive || member.State == membership.StateSuspect
+		usable := member.State == members.StateAlive
 		switch {
 		case member.Process == self && !usable:
 			found = slices.DeleteFunc(found, func(p identity.Process) bool { return p == self })
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -95,13 +94,8 @@
 }
 
 func (f *Fleet) startDaemons(further []string) error {
-	var seeds []string
-	for _, daemon := range f.Daemons {
-		seeds = append(seeds, daemon.peer.Address)
-	}
 	common := []string{
 		"--region=" + f.Deployment.Region,
-		"--seeds=" + strings.Join(seeds, ","),
 		"--operator-key-hashes=" + keyHash(operatorKey),
 		fmt.Sprintf("--shards=%d", f.Deployment.Shards),
 		fmt.Sprintf("--bootstrap-expect=%d", len(f.Daemons)),
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -9,10 +9,10 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
-	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/lab/acquaintance"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
-	"github.com/thymeloft/thymeloft/internal/state"
 )
 
 func TestLoad(t *testing.T) {
@@ -70,29 +70,24 @@
 	// daemons are posters on one list, each with one request at an engine of its name.
 	daemons := func(names ...string) (posters []*Poster, servers []*peer.Server) {
 		GinkgoHelper()
-		store := memorystore.New()
-		client := state.NewClient(state.ClientOptions{Store: store, Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {})})
+		var lists []*members.List
 		for _, name := range names {
 			server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(server.Close)
 			pool := peer.NewPool(peer.Options{})
 			DeferCleanup(pool.Close)
-			self := members.Member{Name: name, Zone: "z", Region: "r", Address: server.Address()}
+			self := members.Member{Process: identity.Process{Machine: identity.Machine(name), Zone: "z", Region: "r", Address: server.Address()}}
 			poster := &Poster{
 				List: members.NewList(self, time.Now, zap.NewNop()), Caller: pool, Board: NewBoard(time.Now),
 				Fleet: &engines{own: map[string]int{name: 1}, learned: make(chan map[string]int, 1)},
 			}
 			Expect(server.Register(ServiceName, poster.Board)).To(Succeed())
-			Expect(poster.List.Register(context.Background(), client, false)).To(Succeed())
+			lists = append(lists, poster.List)
 			posters = append(posters, poster)
 			servers = append(servers, server)
 		}
-		page, err := store.Read(context.Background(), state.Range{Table: members.Table})
-		Expect(err).NotTo(HaveOccurred())
-		for _, poster := range posters {
-			poster.List.Replace(page.Rows, page.Version)
-		}
+		Expect(acquaintance.Make(lists...)).To(Succeed())
 		return posters, servers
 	}
 	// learn posts until the daemon learned of so many engines.
@@ -122,10 +117,11 @@
 
 	It("passes over a board that is gone", func(ctx SpecContext) {
 		posters, servers := daemons("a", "b", "c")
-		board := posters[0].List.Homes(boardKey)[0].Name
+		homes := posters[0].List.Homes(boardKey)
+		board := homes.At(0).Process
 		var living []*Poster
 		for index, poster := range posters {
-			if poster.List.Self().Name == board {
+			if poster.List.Self() == board {
 				Expect(servers[index].Close()).To(Succeed())
 				continue
 			}
--- a/internal/load/poster.go
+++ b/internal/load/poster.go
@@ -46,14 +46,15 @@
 }
 
 func (p *Poster) interval() time.Duration {
-	return max(leastInterval, time.Duration(len(p.List.All()))*intervalShare)
+	return max(leastInterval, time.Duration(p.List.Count())*intervalShare)
 }
 
 func (p *Poster) post(ctx context.Context) {
 	own := p.Fleet.UnderWay()
-	board := p.List.Homes(boardKey)[0]
+	homes := p.List.Homes(boardKey)
+	board := homes.At(0)
 	var picture Picture
-	if err := p.postTo(ctx, board, Post{Member: p.List.Self().Name, UnderWay: own}, &picture); err == nil {
+	if err := p.postTo(ctx, board, Post{Member: string(p.List.Self().Machine), UnderWay: own}, &picture); err == nil {
 		p.Fleet.Learn(picture.UnderWay, own)
 	} else if ctx.Err() == nil {
 		p.List.Suspect(board, passOver)
@@ -61,10 +62,10 @@
 }
 
 func (p *Poster) postTo(ctx context.Context, board members.Member, post Post, picture *Picture) error {
-	if board.Name == p.List.Self().Name {
+	if board.Process == p.List.Self() {
 		return p.Board.Post(post, picture)
 	}
 	limited, cancel := context.WithTimeout(ctx, postWait)
 	defer cancel()
-	return p.Caller.Call(limited, board.Address, peer.Control, methodPost, post, picture)
+	return p.Caller.Call(limited, board.Process.Address, peer.Control, methodPost, post, picture)
 }
--- /dev/null
+++ b/internal/members/claims.go
@@ -0,0 +1,184 @@
+package members
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thymeloft/thymeloft/internal/identity"
+)
+
+// picture is a View with what lookups need, made once for each change of the
+// list: a lookup is one pass over numbers, without sorting or allocation.
+type picture struct {
+	view    *View
+	living  []*record        // all zones, by machine
+	dead    []*record        // whose claims still count for lending
+	regions [][]*record      // living, this daemon's region first
+	zones   [2][]*record     // living others: of this daemon's zone, of other zones
+	own     *record          // this daemon
+	self    identity.Process // this daemon
+}
+
+func newPicture(view *View, records []*record, self identity.Process) *picture {
+	made := &picture{view: view, self: self, regions: make([][]*record, 1)}
+	places := map[identity.Region]int{self.Region: 0}
+	for _, known := range records {
+		process := known.member.Process
+		if process.Machine == self.Machine {
+			made.own = known
+		}
+		if known.member.State == StateDead {
+			made.dead = append(made.dead, known)
+			continue
+		}
+		made.living = append(made.living, known)
+		place, seen := places[process.Region]
+		if !seen {
+			place = len(made.regions)
+			places[process.Region] = place
+			made.regions = append(made.regions, nil)
+		}
+		made.regions[place] = append(made.regions[place], known)
+		switch {
+		case process.Machine == self.Machine:
+		case process.Zone == self.Zone:
+			made.zones[0] = append(made.zones[0], known)
+		default:
+			made.zones[1] = append(made.zones[1], known)
+		}
+	}
+	return made
+}
+
+// mostHomes is how many members of a region may hold a key: its home, and those
+// that stand in one after the other while the home does not answer. Three losses
+// at once outside of this daemon's sight are left to this daemon itself.
+const mostHomes = 3
+
+// Homes are the members of a region with the first claims on a key, the first
+// claim first. It is a value, so that a lookup allocates nothing.
+type Homes struct {
+	found  [mostHomes]*record
+	claims [mostHomes]uint64
+	count  int
+}
+
+// Len is how many there are: mostHomes, or as many as live unsuspected.
+func (h *Homes) Len() int { return h.count }
+
+// At returns the member with the claim of that order, from 0.
+func (h *Homes) At(order int) Member { return h.found[order].member }
+
+// offer takes the member in if its claim is among the first.
+func (h *Homes) offer(candidate *record, claim uint64) {
+	place := h.count
+	for place > 0 && h.claims[place-1] < claim {
+		place--
+	}
+	if place == mostHomes {
+		return
+	}
+	h.count = min(h.count+1, mostHomes)
+	copy(h.found[place+1:h.count], h.found[place:])
+	copy(h.claims[place+1:h.count], h.claims[place:])
+	h.found[place], h.claims[place] = candidate, claim
+}
+
+// Homes finds the members of this daemon's region with the first claims on a
+// key, the same at every daemon of the region (rendezvous hashing). Suspected
+// members are left out; this daemon itself never is.
+func (l *List) Homes(key string) Homes {
+	current := l.current.Load()
+	return l.homesAmong(current, current.regions[0], digestOf(key))
+}
+
+func (l *List) homesAmong(current *picture, members []*record, key uint64) Homes {
+	var homes Homes
+	now := l.now().UnixNano()
+	for _, candidate := range members {
+		claimed := claim(candidate.digest, key)
+		if homes.count == mostHomes && claimed < homes.claims[mostHomes-1] {
+			continue
+		}
+		if candidate != current.own && candidate.avoided(now) {
+			continue
+		}
+		homes.offer(candidate, claimed)
+	}
+	return homes
+}
+
+// LikelyHomes returns the other members of all regions that are likely to hold a key.
+func (l *List) LikelyHomes(key string) []Member {
+	current := l.current.Load()
+	digest := digestOf(key)
+	var likely []Member
+	for _, region := range current.regions {
+		homes := l.homesAmong(current, region, digest)
+		for order := range homes.Len() {
+			if homes.found[order] != current.own {
+				likely = append(likely, homes.At(order))
+			}
+		}
+	}
+	return likely
+}
+
+// Sweeps tells whether this daemon has the first claim on a key among the
+// living members of all zones.
+func (l *List) Sweeps(key string) bool {
+	current := l.current.Load()
+	return firstClaim(current.living, current.own, digestOf(key))
+}
+
+// claimsAmongAll is Sweeps with the claims of dead members counted, too.
+func (l *List) claimsAmongAll(key string) bool {
+	current := l.current.Load()
+	digest := digestOf(key)
+	return firstClaim(current.living, current.own, digest) && firstClaim(current.dead, current.own, digest)
+}
+
+func firstClaim(members []*record, own *record, key uint64) bool {
+	ownClaim := claim(own.digest, key)
+	for _, member := range members {
+		if claim(member.digest, key) > ownClaim {
+			return false
+		}
+	}
+	return true
+}
+
+// Others returns at most so many other members that are not suspected, those of
+// this zone first, beginning at a place that differs from key to key.
+func (l *List) Others(key string, most int) []Member {
+	current := l.current.Load()
+	now := l.now().UnixNano()
+	digest := digestOf(key)
+	others := make([]Member, 0, min(most, len(current.living)))
+	for _, zone := range current.zones {
+		for step := range zone {
+			if len(others) == most {
+				return others
+			}
+			candidate := zone[(digest+uint64(step))%uint64(len(zone))]
+			if !candidate.avoided(now) {
+				others = append(others, candidate.member)
+			}
+		}
+	}
+	return others
+}
+
+func digestOf(text string) uint64 { return xxhash.Sum64String(text) }
+
+// claim mixes the digests of a member's name and of a key (the finalizer of
+// splitmix64, whose bits all depend on all bits of the input).
+func claim(member, key uint64) uint64 {
+	const (
+		firstFactor, secondFactor          = 0xbf58476d1ce4e5b9, 0x94d049bb133111eb
+		firstShift, secondShift, lastShift = 30, 27, 31
+	)
+	mixed := member ^ key
+	mixed = (mixed ^ mixed>>firstShift) * firstFactor
+	mixed = (mixed ^ mixed>>secondShift) * secondFactor
+	return mixed ^ mixed>>lastShift
+}
--- /dev/null
+++ b/internal/members/lease_test.go
@@ -0,0 +1,272 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+const testRenewal = time.Second
+
+// daemon is one process of a test: its list, its lease and its way to the store.
+type daemon struct {
+	list  *List
+	lease *Lease
+	world *fleetWorld
+	cut   bool // from the store
+}
+
+// fleetWorld is a store, its daemons and a clock.
+type fleetWorld struct {
+	store   *memorystore.Store
+	now     time.Time
+	started int
+}
+
+func newFleetWorld() *fleetWorld {
+	return &fleetWorld{store: memorystore.New(), now: time.Unix(1000, 0)}
+}
+
+// start makes a process on a machine; it does not reach for the store yet.
+func (w *fleetWorld) start(machine string, firstStart bool) *daemon {
+	w.started++
+	self := Member{Process: identity.Process{
+		Machine: identity.Machine(machine), Region: "r", Address: machine, Incarnation: identity.Incarnation(w.started),
+	}}
+	made := &daemon{world: w}
+	made.list = NewList(self, func() time.Time { return w.now }, zap.NewNop())
+	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
+	client := state.NewClient(state.ClientOptions{Store: made, Availability: availability, NotHedged: true})
+	made.lease = &Lease{List: made.list, Store: client, FirstStart: firstStart, ShortestRenewal: testRenewal, Log: zap.NewNop()}
+	return made
+}
+
+// Commit implements state.Store: the daemon's own way to the store.
+func (d *daemon) Commit(ctx context.Context, commit state.Commit) (state.Version, error) {
+	if d.cut {
+		return 0, state.ErrNotDone
+	}
+	return d.world.store.Commit(ctx, commit)
+}
+
+// Read implements state.Store.
+func (d *daemon) Read(ctx context.Context, selected state.Range) (state.Page, error) {
+	if d.cut {
+		return state.Page{}, state.ErrNotDone
+	}
+	return d.world.store.Read(ctx, selected)
+}
+
+// Feed implements state.Store.
+func (d *daemon) Feed(ctx context.Context, table string, after state.Version, wait time.Duration) (state.Change, error) {
+	return d.world.store.Feed(ctx, table, after, wait)
+}
+
+// read takes in the whole list, if the daemon reaches the store.
+func (d *daemon) read() {
+	page, err := d.Read(context.Background(), state.Range{Table: Table, Partition: partition})
+	if err != nil {
+		return
+	}
+	d.list.Replace(page.Rows, page.Version)
+	d.list.Heard()
+}
+
+// step renews as Run does, without waiting long where there is no way.
+func (d *daemon) step() bool {
+	ctx, cancel := d.reach()
+	defer cancel()
+	kept := d.lease.Step(ctx)
+	d.read()
+	return kept
+}
+
+// reach gives a context that has ended if there is no way to the store, so that
+// no test waits for what cannot come.
+func (d *daemon) reach() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if d.cut {
+		cancel()
+	}
+	return ctx, cancel
+}
+
+func (d *daemon) sees(machine string) State {
+	member, found := d.list.member(identity.Machine(machine))
+	if !found {
+		return ""
+	}
+	return member.State
+}
+
+// run lets so much time pass; the daemons renew every testRenewal.
+func (w *fleetWorld) run(lasting time.Duration, daemons ...*daemon) {
+	for end := w.now.Add(lasting); w.now.Before(end); w.now = w.now.Add(testRenewal) {
+		for _, each := range daemons {
+			each.step()
+		}
+	}
+	for _, each := range daemons {
+		each.read()
+	}
+}
+
+var _ = Describe("Lease", func() {
+	const term = termInRenewals * testRenewal
+	var world *fleetWorld
+
+	BeforeEach(func() { world = newFleetWorld() })
+
+	fleetOf := func(count int) []*daemon {
+		var daemons []*daemon
+		for number := range count {
+			daemons = append(daemons, world.start(fmt.Sprintf("m%02d", number), false))
+		}
+		world.run(testRenewal, daemons...)
+		return daemons
+	}
+
+	It("shows each daemon all others that keep theirs", func() {
+		daemons := fleetOf(5)
+		world.run(10*term, daemons...)
+		for _, each := range daemons {
+			for _, other := range daemons {
+				Expect(each.sees(string(other.list.Self().Machine))).To(Equal(StateAlive))
+			}
+		}
+	})
+
+	It("ends soon after its daemon died, also when many next to each other died at once", func() {
+		daemons := fleetOf(40)
+		living := []*daemon{daemons[0], daemons[39]}
+		world.run(term+3*testRenewal, living...)
+		for _, dead := range daemons[1:39] {
+			Expect(living[0].sees(string(dead.list.Self().Machine))).To(Equal(StateDead))
+		}
+		Expect(living[0].sees("m39")).To(Equal(StateAlive))
+		Expect(living[0].list.Count()).To(Equal(2))
+	})
+
+	It("ends for a daemon that was frozen, which registers again when it wakes and ends nobody's", func() {
+		daemons := fleetOf(4)
+		frozen, awake := daemons[1], daemons[2:]
+		world.run(3*term, awake...)
+		Expect(awake[0].sees("m01")).To(Equal(StateDead))
+		Expect(frozen.step()).To(BeTrue())
+		world.run(2*testRenewal, append(awake, frozen)...)
+		Expect(awake[0].sees("m01")).To(Equal(StateAlive))
+		Expect(frozen.sees("m02")).To(Equal(StateAlive))
+	})
+
+	It("ends for daemons that are cut off from the store, and they are back after the cut", func() {
+		daemons := fleetOf(6)
+		for _, each := range daemons[:3] {
+			each.cut = true
+		}
+		world.run(2*term, daemons...)
+		Expect(daemons[3].sees("m00")).To(Equal(StateDead))
+		Expect(daemons[0].sees("m03")).To(Equal(StateAlive), "who hears nothing blames nobody")
+		for _, each := range daemons[:3] {
+			each.cut = false
+		}
+		world.run(2*testRenewal, daemons...)
+		for _, each := range daemons {
+			Expect(each.list.Count()).To(Equal(6))
+		}
+	})
+
+	It("ends for nobody while nobody reaches the store", func() {
+		daemons := fleetOf(6)
+		for _, each := range daemons {
+			each.cut = true
+		}
+		world.run(3*term, daemons...)
+		for _, each := range daemons {
+			each.cut = false
+		}
+		world.run(2*term, daemons...)
+		Expect(daemons[0].list.Count()).To(Equal(6))
+	})
+
+	It("tells of a daemon that leaves, and of its end, at once", func(ctx SpecContext) {
+		daemons := fleetOf(3)
+		Expect(daemons[0].lease.Leave(ctx)).To(Succeed())
+		daemons[1].read()
+		Expect(daemons[1].sees("m00")).To(Equal(StateLeaving))
+		Expect(daemons[0].sees("m00")).To(Equal(StateLeaving))
+		Expect(daemons[0].lease.End(ctx)).To(Succeed())
+		daemons[1].read()
+		Expect(daemons[1].sees("m00")).To(Equal(StateDead))
+		daemons[0].step()
+		daemons[1].read()
+		Expect(daemons[1].sees("m00")).To(Equal(StateDead), "it does not come back by itself")
+	})
+
+	It("goes to a later process of the machine", func() {
+		daemons := fleetOf(3)
+		again := world.start("m00", false)
+		Expect(again.step()).To(BeTrue())
+		daemons[0].step()
+		world.run(2*term, append(daemons[1:], again)...)
+		Expect(daemons[1].sees("m00")).To(Equal(StateAlive))
+		member, _ := daemons[1].list.member("m00")
+		Expect(member.Process).To(Equal(again.list.Self()))
+	})
+
+	It("is kept though the answer to a renewal or to the registration was lost", func() {
+		calls := 0
+		world.store.Misbehave(func(call memorystore.Call) memorystore.Fault {
+			calls++
+			if call.Name == "commit" && calls%2 == 1 {
+				return memorystore.Lost
+			}
+			return memorystore.None
+		})
+		first := world.start("m00", true)
+		Expect(first.step()).To(BeTrue())
+		for range 4 {
+			first.step()
+		}
+		world.store.Misbehave(nil)
+		Expect(first.step()).To(BeTrue())
+		Expect(first.lease.registered).To(BeTrue())
+	})
+
+	It("leaves a list as long as the living part of a fleet that was replaced many times over", func() {
+		watcher := world.start("a", false)
+		for generation := range 100 {
+			machine := world.start(fmt.Sprint("m", generation), false)
+			world.run(term+3*testRenewal, watcher, machine)
+			world.run(term+3*testRenewal, watcher)
+		}
+		world.run(deadKeptFor, watcher)
+		world.run(3*testRenewal, watcher)
+		Expect(watcher.list.View().Members).To(HaveLen(1))
+	})
+
+	It("tells which configuration each daemon has in force", func(ctx SpecContext) {
+		daemons := fleetOf(3)
+		daemons[1].lease.Revision.Store(7)
+		world.run(testRenewal, daemons...)
+		Expect(daemons[0].lease.Revisions(ctx)).To(Equal(map[identity.Machine]uint64{"m00": 0, "m01": 7, "m02": 0}))
+	})
+
+	It("costs each daemon one commit and one reading a renewal, whatever the size of the fleet", func() {
+		daemons := fleetOf(50)
+		world.run(testRenewal, daemons...)
+		commits, readings := world.store.Calls("commit"), world.store.Calls("read")
+		for _, each := range daemons[:40] {
+			each.lease.Step(context.Background())
+		}
+		Expect(world.store.Calls("commit") - commits).To(Equal(40))
+		Expect(world.store.Calls("read") - readings).To(Equal(40))
+	})
+})
--- a/internal/members/lender.go
+++ b/internal/members/lender.go
@@ -10,13 +10,18 @@
 // has been so for long enough.
 //
 // Guarantee: no two processes lend to one program within memoryOfPrograms of
-// each other. Rows of members are never removed, so a claim moves only to a
-// daemon that joins, and a process that is started again is another one:
-//   - one that joins lends only memoryOfPrograms after its row was committed, and
-//     a list is believed for lenderContact, which is far shorter;
-//   - the founders of a system lend soon, since there were no programs before. Each
-//     has written its row within founding of its start, or is none, and none lends
-//     on a list that it read before all founders had written theirs.
+// each other. A claim moves in two ways, and a process that is started again
+// under its machine's name is another one:
+//   - to a daemon that joins: it lends only memoryOfPrograms after its row was
+//     committed, and a list is believed for lenderContact, which is far shorter;
+//   - from a daemon that ended: its row is kept, marked dead, and its claims with
+//     it, for deadKeptFor. It lent for the last time at most lenderContact after it
+//     last heard a list in which it lived; one that hears that it was marked dead
+//     lends no more, and as a newcomer only if it registers again;
+//   - the founders of a system lend soon, since there were no programs before, and
+//     no row was ever removed (removedKey). Each has written its row within founding
+//     of its start, or is none, and none lends on a list that it read before all
+//     founders had written theirs.
 const (
 	// founding is the time from the first start of the system within which a
 	// founder must have registered.
@@ -46,7 +51,13 @@
 
 // MayLend tells whether this process is the only one that lends to a program.
 func (l *List) MayLend(program string) bool {
-	return l.seasoning.lends(l.now()) && l.Sweeps(program)
+	return l.seasoning.lends(l.now()) && l.claimsAmongAll(program)
+}
+
+// ended notes that this process is not the member any more that it was.
+func (s *seasoning) ended() {
+	s.founder.Store(false)
+	s.registered.Store(0)
 }
 
 func (s *seasoning) lends(now time.Time) bool {
--- a/internal/members/lender_test.go
+++ b/internal/members/lender_test.go
@@ -8,101 +8,83 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
-	"github.com/thymeloft/thymeloft/internal/state"
 )
 
-// lendingWorld is a store, its daemons and a clock.
-type lendingWorld struct {
-	store     *memorystore.Store
-	client    *state.Client
-	now       time.Time
-	processes []*List // one for each machine; nil: it is down
-	started   int
-}
-
-func newLendingWorld() *lendingWorld {
-	store := memorystore.New()
-	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
-	client := state.NewClient(state.ClientOptions{Store: store, Availability: availability})
-	return &lendingWorld{store: store, client: client, now: time.Unix(1000, 0)}
-}
-
-func (w *lendingWorld) start(machine int) *List {
-	w.started++
-	self := Member{Name: fmt.Sprint("m", machine), Region: "r", Incarnation: uint64(w.started)}
-	return NewList(self, func() time.Time { return w.now }, zap.NewNop())
-}
-
-func (w *lendingWorld) register(list *List, firstStart bool) {
-	_ = list.Register(context.Background(), w.client, firstStart)
-}
-
-func (w *lendingWorld) read(list *List) {
-	page, err := w.store.Read(context.Background(), state.Range{Table: Table})
-	if err != nil {
-		panic(err)
-	}
-	list.Replace(page.Rows, page.Version)
-	list.Heard()
-}
-
 var _ = Describe("Lenders", func() {
-	var world *lendingWorld
+	var world *fleetWorld
 
-	BeforeEach(func() { world = newLendingWorld() })
+	BeforeEach(func() { world = newFleetWorld() })
 
-	founded := func() *List {
-		list := world.start(1)
-		world.register(list, true)
+	founded := func() *daemon {
+		first := world.start("1", true)
+		register(first)
 		world.now = world.now.Add(founding + foundersApart + time.Millisecond)
-		world.read(list)
-		return list
+		first.read()
+		return first
 	}
 
 	It("lend soon after they founded the system, on a list read after all founders registered", func() {
-		list := world.start(1)
-		world.register(list, true)
-		world.read(list)
+		first := world.start("1", true)
+		register(first)
+		first.read()
 		world.now = world.now.Add(time.Minute / 2)
-		Expect(list.MayLend("p")).To(BeFalse(), "the list is older than the founding")
-		world.read(list)
-		Expect(list.MayLend("p")).To(BeTrue())
+		Expect(first.list.MayLend("p")).To(BeFalse(), "the list is older than the founding")
+		first.read()
+		Expect(first.list.MayLend("p")).To(BeTrue())
 	})
 
 	It("are not those that registered late, or were started before", func() {
-		late := world.start(1)
+		late := world.start("1", true)
 		world.now = world.now.Add(founding)
-		world.register(late, true)
+		register(late)
 		world.now = world.now.Add(time.Minute)
-		world.read(late)
-		Expect(late.MayLend("p")).To(BeFalse())
+		late.read()
+		Expect(late.list.MayLend("p")).To(BeFalse())
 
-		again := world.start(1)
-		world.register(again, true)
+		again := world.start("1", true)
+		register(again)
 		world.now = world.now.Add(founding + time.Minute)
-		world.read(again)
-		Expect(again.MayLend("p")).To(BeFalse())
+		again.read()
+		Expect(again.list.MayLend("p")).To(BeFalse())
 	})
 
 	It("are others once programs of before cannot come again", func() {
-		joined := world.start(1)
-		world.register(joined, false)
+		joined := world.start("1", false)
+		register(joined)
 		world.now = world.now.Add(memoryOfPrograms - time.Second)
-		world.read(joined)
-		Expect(joined.MayLend("p")).To(BeFalse())
+		joined.read()
+		Expect(joined.list.MayLend("p")).To(BeFalse())
 		world.now = world.now.Add(2 * time.Second)
-		Expect(joined.MayLend("p")).To(BeTrue())
+		Expect(joined.list.MayLend("p")).To(BeTrue())
 	})
 
 	It("do not believe an old list", func() {
-		list := founded()
-		Expect(list.MayLend("p")).To(BeTrue())
+		first := founded()
+		Expect(first.list.MayLend("p")).To(BeTrue())
 		world.now = world.now.Add(lenderContact + time.Second)
-		Expect(list.MayLend("p")).To(BeFalse())
+		Expect(first.list.MayLend("p")).To(BeFalse())
+	})
+
+	It("take a dead one's programs over only when these cannot come again", func(ctx SpecContext) {
+		first, second := world.start("m0", true), world.start("m1", true)
+		register(first)
+		register(second)
+		world.run(founding+foundersApart+2*testRenewal, first, second)
+		program := "of the first"
+		for number := 0; !first.list.MayLend(program); number++ {
+			program = fmt.Sprint("p", number)
+		}
+		Expect(first.lease.End(ctx)).To(Succeed())
+		Expect(first.list.MayLend(program)).To(BeFalse())
+		ended := world.now
+		for !second.list.MayLend(program) {
+			Expect(world.now.Sub(ended)).To(BeNumerically("<", time.Hour), "nobody lends to it ever again")
+			world.run(testRenewal, second)
+		}
+		Expect(world.now.Sub(ended)).To(BeNumerically(">", memoryOfPrograms+lenderContact))
 	})
 
 	It("knows its own row again, though the answer was lost", func() {
@@ -114,61 +96,103 @@
 			}
 			return memorystore.None
 		})
-		Expect(founded().MayLend("p")).To(BeTrue())
+		Expect(founded().list.MayLend("p")).To(BeTrue())
 	})
 })
 
-// TestOneLender plays machines that start within a second, register late, read
-// the list now and then, are killed and started again, or join. In any stretch
-// of time in which a program may come again, one process lends to it.
+// register makes the daemon's first step alone; its list stays as it is.
+func register(joining *daemon) {
+	ctx, cancel := joining.reach()
+	defer cancel()
+	joining.lease.Step(ctx)
+}
+
+// TestOneLender plays machines that start within a second, register late, renew
+// and read the list now and then, are frozen, cut off from the store, killed,
+// ended as planned and started again, or join. In any stretch of time in which a
+// program may come again, one process lends to it.
 func TestOneLender(t *testing.T) {
 	rapid.Check(t, playLenders)
 }
 
 const programComesAgainWithin = time.Minute
 
+// lendingPlay is one play: the machines' latest processes, and those that were
+// replaced but run on, since nobody told them.
+type lendingPlay struct {
+	*fleetWorld
+	daemons []*daemon
+	delays  map[*daemon]time.Duration // until the first registration
+	former  []*daemon
+	lent    loans
+}
+
 func playLenders(t *rapid.T) {
-	world := newLendingWorld()
-	founders := rapid.IntRange(1, 4).Draw(t, "founders")
-	delays := map[*List]time.Duration{}
-	for machine := range founders {
-		world.now = world.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "apart")) * time.Millisecond / 2)
-		list := world.start(machine)
-		world.processes = append(world.processes, list)
-		delays[list] = time.Duration(rapid.IntRange(0, 15000).Draw(t, "registers after")) * time.Millisecond
+	play := &lendingPlay{fleetWorld: newFleetWorld(), delays: map[*daemon]time.Duration{}, lent: loans{}}
+	for machine := range rapid.IntRange(1, 4).Draw(t, "founders") {
+		play.now = play.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "apart")) * time.Millisecond / 2)
+		founder := play.start(fmt.Sprint("m", machine), true)
+		play.daemons = append(play.daemons, founder)
+		play.delays[founder] = time.Duration(rapid.IntRange(0, 15000).Draw(t, "registers after")) * time.Millisecond
 	}
-	lent := loans{}
+	pauses := []time.Duration{0, 200 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 20 * time.Second, 3 * time.Minute, 6 * time.Minute}
 	for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
-		pause := rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, time.Second, 2 * time.Second, 20 * time.Second, 3 * time.Minute}).Draw(t, fmt.Sprint("pause ", step))
-		world.now = world.now.Add(pause)
-		for list, delay := range delays { // as soon as it is due
-			if world.now.Sub(list.seasoning.started) >= delay {
-				world.register(list, true)
-				delete(delays, list)
+		play.now = play.now.Add(rapid.SampledFrom(pauses).Draw(t, fmt.Sprint("pause ", step)))
+		for late, delay := range play.delays { // as soon as it is due
+			if play.now.Sub(late.list.seasoning.started) >= delay {
+				register(late)
+				delete(play.delays, late)
 			}
 		}
-		machine := rapid.IntRange(0, len(world.processes)-1).Draw(t, fmt.Sprint("machine ", step))
-		list := world.processes[machine]
-		switch rapid.IntRange(0, 7).Draw(t, fmt.Sprint("action ", step)) {
-		case 0: // killed and started again
-			delete(delays, list)
-			again := world.start(machine)
-			world.register(again, rapid.Bool().Draw(t, "told that it is the first start"))
-			world.processes[machine] = again
-		case 1:
-			if len(world.processes) < 7 {
-				joined := world.start(len(world.processes))
-				world.register(joined, false)
-				world.processes = append(world.processes, joined)
-			}
-		default:
-			world.read(list)
+		play.act(t, step)
+		play.check(t)
+	}
+}
+
+func (p *lendingPlay) act(t *rapid.T, step int) {
+	machine := rapid.IntRange(0, len(p.daemons)-1).Draw(t, fmt.Sprint("machine ", step))
+	chosen := p.daemons[machine]
+	switch rapid.IntRange(0, 11).Draw(t, fmt.Sprint("action ", step)) {
+	case 0: // killed, or thought to be killed, and started again
+		delete(p.delays, chosen)
+		again := p.start(fmt.Sprint("m", machine), rapid.Bool().Draw(t, "told that it is the first start"))
+		register(again)
+		p.daemons[machine] = again
+		if rapid.Bool().Draw(t, "the former runs on") {
+			p.former = append(p.former, chosen)
 		}
-		for _, each := range world.processes {
-			for _, program := range []string{"p", "q", "r", "s", "t", "u"} {
-				lent.note(t, program, each, world.now)
+	case 1:
+		if len(p.daemons) < 7 {
+			joined := p.start(fmt.Sprint("m", len(p.daemons)), false)
+			register(joined)
+			p.daemons = append(p.daemons, joined)
+		}
+	case 2:
+		chosen.cut = !chosen.cut
+	case 3:
+		if !chosen.cut {
+			_ = chosen.lease.End(context.Background()) // rapid shows the play if a promise breaks
+		}
+	case 4, 5, 6: // others go on while the chosen one is frozen
+		for _, each := range p.daemons {
+			if each != chosen && p.delays[each] == 0 {
+				each.step()
 			}
 		}
+	case 7, 8:
+		if p.delays[chosen] == 0 {
+			chosen.step()
+		}
+	default:
+		chosen.read()
+	}
+}
+
+func (p *lendingPlay) check(t *rapid.T) {
+	for _, each := range append(p.former, p.daemons...) {
+		for _, program := range []string{"p", "q", "r", "s", "t", "u"} {
+			p.lent.note(t, program, each.list, p.now)
+		}
 	}
 }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -1,6 +1,7 @@
 package members_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,7 +9,8 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
-	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/lab/acquaintance"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
@@ -18,102 +20,173 @@
 	RunSpecs(t, "members")
 }
 
+func memberOf(machine, zone, region string) members.Member {
+	return members.Member{
+		Process: identity.Process{
+			Machine: identity.Machine(machine), Zone: identity.Zone(zone), Region: identity.Region(region), Address: machine + ":1", Incarnation: 1,
+		},
+		State: members.StateAlive,
+	}
+}
+
+func namesOf(homes members.Homes) []string {
+	var names []string
+	for order := range homes.Len() {
+		names = append(names, string(homes.At(order).Process.Machine))
+	}
+	return names
+}
+
+func namesIn(found []members.Member) []string {
+	var names []string
+	for _, member := range found {
+		names = append(names, string(member.Process.Machine))
+	}
+	return names
+}
+
 var _ = Describe("List", func() {
-	var store *memorystore.Store
-	var client *state.Client
 	var now time.Time
 	all := []members.Member{
-		{Name: "a1", Zone: "a", Region: "r", Address: "a1:1"}, {Name: "a2", Zone: "a", Region: "r", Address: "a2:1"},
-		{Name: "a3", Zone: "c", Region: "r", Address: "a3:1"},
-		{Name: "b1", Zone: "b", Region: "s", Address: "b1:1"}, {Name: "b2", Zone: "b", Region: "s", Address: "b2:1"},
+		memberOf("a1", "a", "r"), memberOf("a2", "a", "r"), memberOf("a3", "c", "r"), memberOf("b1", "b", "s"), memberOf("b2", "b", "s"),
 	}
 
-	BeforeEach(func() {
-		now = time.Unix(1000, 0)
-		store = memorystore.New()
-		client = state.NewClient(state.ClientOptions{Store: store, Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {})})
-	})
+	BeforeEach(func() { now = time.Unix(1000, 0) })
 
-	// join makes the list of a member that has read all rows.
-	join := func(ctx SpecContext, self members.Member) *members.List {
+	// lists makes a list for each member; all know each other.
+	lists := func(known ...members.Member) []*members.List {
 		GinkgoHelper()
-		list := members.NewList(self, func() time.Time { return now }, zap.NewNop())
-		Expect(list.Register(ctx, client, false)).To(Succeed())
-		return list
+		var made []*members.List
+		for _, member := range known {
+			made = append(made, members.NewList(member, func() time.Time { return now }, zap.NewNop()))
+		}
+		Expect(acquaintance.Make(made...)).To(Succeed())
+		return made
 	}
-	read := func(ctx SpecContext, list *members.List) {
+	row := func(member members.Member) state.Row {
 		GinkgoHelper()
-		page, err := client.Read(ctx, state.Range{Table: members.Table})
+		made, err := acquaintance.RowOf(member)
 		Expect(err).NotTo(HaveOccurred())
-		list.Replace(page.Rows, page.Version)
-	}
-	names := func(found []members.Member) []string {
-		var result []string
-		for _, member := range found {
-			result = append(result, member.Name)
-		}
-		return result
+		return made
 	}
 
-	It("gives each key one home in a region, the same at every member of its zones", func(ctx SpecContext) {
-		var lists []*members.List
-		for _, member := range all {
-			lists = append(lists, join(ctx, member))
-		}
-		for _, list := range lists {
-			read(ctx, list)
-		}
+	It("gives each key one home in a region, the same at every member of its zones", func() {
+		made := lists(all...)
 		homes := map[string]int{}
 		for _, key := range []string{"p1", "p2", "p3", "p4", "p5", "p6", "p7", "p8"} {
-			Expect(lists[0].Homes(key)).To(Equal(lists[1].Homes(key)))
-			Expect(lists[0].Homes(key)).To(HaveLen(3))
-			Expect(names(lists[3].Homes(key))).To(ConsistOf("b1", "b2"))
-			homes[lists[0].Homes(key)[0].Name]++
+			found := namesOf(made[0].Homes(key))
+			Expect(found).To(Equal(namesOf(made[1].Homes(key))))
+			Expect(found).To(HaveLen(3))
+			Expect(namesOf(made[3].Homes(key))).To(ConsistOf("b1", "b2"))
+			homes[found[0]]++
 		}
 		Expect(len(homes)).To(BeNumerically(">", 1))
 	})
 
-	It("passes over a suspected member for a while, but never itself", func(ctx SpecContext) {
-		list := join(ctx, all[0])
-		for _, member := range all[1:] {
-			join(ctx, member)
+	It("spreads keys evenly, and moves only those of a member that left", func() {
+		const fleet, keys = 60, 6000
+		var known []members.Member
+		for number := range fleet {
+			known = append(known, memberOf(fmt.Sprint("m", number), "z", "r"))
 		}
-		read(ctx, list)
+		list := lists(known...)[0]
+		before := map[string]string{}
+		counts := map[string]int{}
+		for number := range keys {
+			key := fmt.Sprint("program ", number)
+			before[key] = namesOf(list.Homes(key))[0]
+			counts[before[key]]++
+		}
+		Expect(counts).To(HaveLen(fleet))
+		for _, count := range counts {
+			Expect(count).To(BeNumerically("~", keys/fleet, keys/fleet/2))
+		}
+		gone := row(known[7])
+		gone.Removed = true
+		list.Change([]state.Row{gone})
+		for key, home := range before {
+			if home != "m7" {
+				Expect(namesOf(list.Homes(key))[0]).To(Equal(home))
+			}
+		}
+	})
+
+	It("passes over a suspected member for a while, but never itself", func() {
+		list := lists(all...)[0]
 		for _, member := range all {
 			list.Suspect(member, time.Second)
 		}
-		Expect(names(list.Homes("p"))).To(Equal([]string{"a1"}))
-		Expect(list.Others("p")).To(BeEmpty())
+		Expect(namesOf(list.Homes("p"))).To(Equal([]string{"a1"}))
+		Expect(list.Others("p", 9)).To(BeEmpty())
 		list.Trust(all[3])
-		Expect(names(list.Others("p"))).To(Equal([]string{"b1"}))
+		Expect(namesIn(list.Others("p", 9))).To(Equal([]string{"b1"}))
 		now = now.Add(2 * time.Second)
-		Expect(list.Others("p")).To(HaveLen(4))
-		Expect(list.Others("p")[0].Zone).To(Equal("a"))
+		Expect(list.Others("p", 9)).To(HaveLen(4))
+		Expect(list.Others("p", 9)[0].Process.Zone).To(BeEquivalentTo("a"))
+		Expect(list.Others("p", 2)).To(HaveLen(2))
 	})
 
-	It("asks three likely homes of each region", func(ctx SpecContext) {
-		list := join(ctx, all[0])
-		for _, member := range all[1:] {
-			join(ctx, member)
-		}
-		read(ctx, list)
-		likely := names(list.LikelyHomes("p"))
-		Expect(likely).To(ContainElements("b1", "b2"))
-		Expect(len(likely)).To(BeNumerically("<=", 5))
-		Expect(likely).NotTo(ContainElement("a1"))
+	It("keeps a suspicion when others come or go", func() {
+		list := lists(all...)[0]
+		list.Suspect(all[1], time.Minute)
+		list.Change([]state.Row{row(memberOf("a4", "a", "r")), row(all[1])})
+		Expect(namesIn(list.Others("p", 9))).NotTo(ContainElement("a2"))
+		again := all[1]
+		again.Process.Incarnation++
+		list.Change([]state.Row{row(again)})
+		Expect(namesIn(list.Others("p", 9))).To(ContainElement("a2"), "a later process is another one")
+	})
+
+	It("asks three likely homes of each region", func() {
+		likely := namesIn(lists(all...)[0].LikelyHomes("p"))
+		Expect(likely).To(ConsistOf("a2", "a3", "b1", "b2"))
 	})
 
-	It("forgets who left, and takes a member's newest row", func(ctx SpecContext) {
-		list := join(ctx, all[0])
-		join(ctx, all[1])
+	It("forgets who was removed, and takes a member's newest row", func() {
+		list := lists(all[0], all[1])[0]
 		moved := all[1]
-		moved.Address = "a2:2"
-		join(ctx, moved)
-		read(ctx, list)
-		Expect(list.All()).To(ConsistOf(all[0], moved))
+		moved.Process.Address = "a2:2"
+		list.Change([]state.Row{row(moved)})
+		Expect(list.View().Members).To(Equal([]members.Member{all[0], moved}))
 		list.Change([]state.Row{{Key: state.Key{Table: members.Table, Name: "a2"}, Removed: true}})
-		Expect(list.All()).To(ConsistOf(all[0]))
+		Expect(list.View().Members).To(Equal([]members.Member{all[0]}))
 		list.Change([]state.Row{{Key: state.Key{Table: members.Table, Name: "a3"}, Value: []byte("no row")}})
-		Expect(list.All()).To(ConsistOf(all[0]))
+		Expect(list.View().Members).To(Equal([]members.Member{all[0]}))
+	})
+
+	It("signals a change and counts versions", func() {
+		list := lists(all[0])[0]
+		changed := list.Subscribe()
+		version := list.View().Version
+		list.Change([]state.Row{row(all[1])})
+		Expect(changed).To(Receive())
+		Expect(list.View().Version).To(Equal(version + 1))
+	})
+
+	It("looks a home up without allocation", func() {
+		list := lists(all...)[0]
+		Expect(testing.AllocsPerRun(100, func() { _ = list.Homes("p") })).To(BeZero())
 	})
 })
+
+// BenchmarkHomes shows how a lookup grows with the fleet.
+func BenchmarkHomes(b *testing.B) {
+	for _, fleet := range []int{12, 66, 295, 390} {
+		b.Run(fmt.Sprint(fleet), func(b *testing.B) {
+			var rows []state.Row
+			for number := range fleet {
+				row, err := acquaintance.RowOf(memberOf(fmt.Sprint("m", number), "z", "r"))
+				if err != nil {
+					b.Fatal(err)
+				}
+				rows = append(rows, row)
+			}
+			list := members.NewList(memberOf("m0", "z", "r"), time.Now, zap.NewNop())
+			list.Replace(rows, 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = list.Homes("a program of usual length")
+			}
+		})
+	}
+}
--- a/internal/operatorapi/handler.go
+++ b/internal/operatorapi/handler.go
@@ -16,7 +16,8 @@
 	"github.com/thymeloft/thymeloft/internal/configuration"
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/execution"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
@@ -42,9 +43,11 @@
 type Options struct {
 	Administrator configuration.Administrator
 	Programs      execution.Programs
-	Directory     membership.Directory
-	Groups        shards.Groups
-	Fleet         engine.Fleet
+	Directory     members.Directory
+	// Revisions reads which configuration each daemon last said to be in force.
+	Revisions func(context.Context) (map[identity.Machine]uint64, error)
+	Groups    shards.Groups
+	Fleet     engine.Fleet
 	// Keys are the operators' bearer keys, each as 64 hex digits of its
 	// SHA-256 or as "name:" and the digits. An empty list refuses all calls.
 	Keys   []string
--- a/internal/operatorapi/handler_test.go
+++ b/internal/operatorapi/handler_test.go
@@ -198,6 +198,7 @@
 		status, err := w.client.GetStatus(ctx, connect.NewRequest(&operatorv1.GetStatusRequest{}))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status.Msg.GetMembers()[0].GetState()).To(Equal(operatorv1.MemberState_MEMBER_STATE_LEAVING))
+		Expect(status.Msg.GetMembers()[0].GetConfigurationRevision()).To(BeEquivalentTo(4))
 		Expect(status.Msg.GetGroups()[0].GetLeader()).To(Equal("m2"))
 		Expect(status.Msg.GetGroups()[0].GetReplicas()).To(Equal([]string{"m2"}))
 		Expect(status.Msg.GetGroups()[0].GetReplicaIncarnations()).To(Equal([]uint64{7}))
--- a/internal/operatorapi/status.go
+++ b/internal/operatorapi/status.go
@@ -2,26 +2,32 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
+	"go.uber.org/zap"
 
 	operatorv1 "github.com/thymeloft/thymeloft/api/operator/v1"
 	"github.com/thymeloft/thymeloft/internal/configuration"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/operatorapi/convert"
 	"github.com/thymeloft/thymeloft/internal/scheduling"
 	"github.com/thymeloft/thymeloft/internal/shards"
 )
 
-var memberStates = map[membership.State]operatorv1.MemberState{
-	membership.StateAlive:   operatorv1.MemberState_MEMBER_STATE_ALIVE,
-	membership.StateSuspect: operatorv1.MemberState_MEMBER_STATE_SUSPECT,
-	membership.StateLeaving: operatorv1.MemberState_MEMBER_STATE_LEAVING,
-	membership.StateDead:    operatorv1.MemberState_MEMBER_STATE_DEAD,
+// revisionsWait bounds the reading of other daemons' revisions; a status is of
+// most use while the store does not answer.
+const revisionsWait = time.Second
+
+var memberStates = map[members.State]operatorv1.MemberState{
+	members.StateAlive:   operatorv1.MemberState_MEMBER_STATE_ALIVE,
+	members.StateLeaving: operatorv1.MemberState_MEMBER_STATE_LEAVING,
+	members.StateDead:    operatorv1.MemberState_MEMBER_STATE_DEAD,
 }
 
-// GetStatus returns what this daemon knows; it asks no other.
-func (s *service) GetStatus(context.Context, *connect.Request[operatorv1.GetStatusRequest]) (*connect.Response[operatorv1.GetStatusResponse], error) {
+// GetStatus returns what this daemon knows, and the revisions that the others
+// told the store with their leases. It asks no other daemon.
+func (s *service) GetStatus(ctx context.Context, _ *connect.Request[operatorv1.GetStatusRequest]) (*connect.Response[operatorv1.GetStatusResponse], error) {
 	current := s.Administrator.Current()
 	response := &operatorv1.GetStatusResponse{
 		Machine:                string(s.Directory.Self().Machine),
@@ -29,9 +35,17 @@
 		ConfigurationRevision:  current.Revision,
 		ConfigurationConfirmed: s.Administrator.Confirmed(),
 	}
-	members := s.Directory.View().Members
-	for i := range members {
-		response.Members = append(response.Members, memberToSchema(&members[i]))
+	reading, cancel := context.WithTimeout(ctx, revisionsWait)
+	defer cancel()
+	revisions, err := s.Revisions(reading)
+	if err != nil {
+		s.Logger.Warn("operators: revisions of other daemons not read; they are shown as 0.", zap.Error(err))
+	}
+	listed := s.Directory.View().Members
+	for i := range listed {
+		member := memberToSchema(&listed[i])
+		member.ConfigurationRevision = revisions[listed[i].Process.Machine]
+		response.Members = append(response.Members, member)
 	}
 	for _, status := range s.Groups.Status() {
 		response.Groups = append(response.Groups, groupToSchema(&status))
@@ -43,17 +57,15 @@
 	return connect.NewResponse(response), nil
 }
 
-func memberToSchema(member *membership.Member) *operatorv1.Member {
+func memberToSchema(member *members.Member) *operatorv1.Member {
 	return &operatorv1.Member{
-		Machine:               string(member.Process.Machine),
-		Incarnation:           uint64(member.Process.Incarnation),
-		PeerAddress:           member.Process.Address,
-		CallerAddress:         member.News.CallerAddress,
-		Zone:                  string(member.Process.Zone),
-		Region:                string(member.Process.Region),
-		State:                 memberStates[member.State],
-		ConfigurationRevision: member.News.ConfigurationRevision,
-		ShardMapVersion:       member.News.ShardMapVersion,
+		Machine:       string(member.Process.Machine),
+		Incarnation:   uint64(member.Process.Incarnation),
+		PeerAddress:   member.Process.Address,
+		CallerAddress: member.CallerAddress,
+		Zone:          string(member.Process.Zone),
+		Region:        string(member.Process.Region),
+		State:         memberStates[member.State],
 	}
 }
 
--- a/internal/operatorapi/suite_test.go
+++ b/internal/operatorapi/suite_test.go
@@ -19,7 +19,7 @@
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/execution"
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/operatorapi"
 	"github.com/thymeloft/thymeloft/internal/problem"
 	"github.com/thymeloft/thymeloft/internal/program"
@@ -100,14 +100,13 @@
 	return execution.EndReply{}, nil
 }
 
-type directory struct{ membership.Directory }
+type directory struct{ members.Directory }
 
 func (directory) Self() identity.Process { return identity.Process{Machine: "m1"} }
-func (directory) View() *membership.View {
-	return &membership.View{Members: []membership.Member{{
+func (directory) View() *members.View {
+	return &members.View{Members: []members.Member{{
 		Process: identity.Process{Machine: "m1", Zone: "leith-a"},
-		State:   membership.StateLeaving,
-		News:    membership.News{ConfigurationRevision: 4},
+		State:   members.StateLeaving,
 	}}}
 }
 
@@ -145,12 +144,15 @@
 		Administrator: created.administrator,
 		Programs:      created.programs,
 		Directory:     directory{},
-		Groups:        groups{},
-		Fleet:         fleet{},
-		Keys:          []string{"ailsa:" + hashOf(operatorsKey)},
-		Limits:        limits,
-		Registerer:    created.registry,
-		Draining:      created.draining.Load,
+		Revisions: func(context.Context) (map[identity.Machine]uint64, error) {
+			return map[identity.Machine]uint64{"m1": 4}, nil
+		},
+		Groups:     groups{},
+		Fleet:      fleet{},
+		Keys:       []string{"ailsa:" + hashOf(operatorsKey)},
+		Limits:     limits,
+		Registerer: created.registry,
+		Draining:   created.draining.Load,
 	}))
 	DeferCleanup(created.server.Close)
 	created.client = created.withKey(operatorsKey)
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/budget"
+	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/load"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/members"
@@ -29,6 +29,8 @@
 	ledger       *budget.Ledger
 	turns        *turn.Records
 	list         *members.List
+	lease        *members.Lease
+	stopLease    context.CancelFunc
 	removal      *retention.Queue
 	poster       *load.Poster
 	posting      bool
@@ -37,6 +39,15 @@
 	log          *zap.Logger
 }
 
+// shortestRenewal is the least time between two renewals of this daemon's
+// lease: who died is passed over at once by who calls it, so that the lease's end
+// only shortens the list.
+const shortestRenewal = 10 * time.Second
+
+// goodbyeWait bounds how long a planned stop waits for the store at its end; it
+// is below endMargin.
+const goodbyeWait = 300 * time.Millisecond
+
 // Bounds of calls between daemons.
 const (
 	peerDialTimeout  = 300 * time.Millisecond
@@ -60,7 +71,10 @@
 	if s.Settings.Listen.Advertise != "" {
 		address = s.Settings.Listen.Advertise
 	}
-	self := members.Member{Name: s.Settings.Machine, Zone: s.Settings.Zone, Region: s.Settings.Region, Address: address, Incarnation: rand.Uint64()}
+	self := members.Member{Process: identity.Process{
+		Machine: identity.Machine(s.Settings.Machine), Zone: identity.Zone(s.Settings.Zone), Region: identity.Region(s.Settings.Region),
+		Address: address, Incarnation: identity.Incarnation(time.Now().UnixNano()),
+	}}
 	parts := &collaboration{
 		list:   members.NewList(self, time.Now, s.Log),
 		server: listening,
@@ -68,7 +82,7 @@
 		log:    s.Log,
 	}
 	parts.availability = state.NewAvailability(time.Now, s.noteStore)
-	parts.availability.PaceTries(func() time.Duration { return triesApart(len(parts.list.All())) })
+	parts.availability.PaceTries(func() time.Duration { return triesApart(parts.list.Count()) })
 	off := s.Settings.Disabled
 	storeOptions := state.ClientOptions{
 		Store: s.Store, Availability: parts.availability, NotHedged: off.Has(mechanism.HedgedCalls),
@@ -78,6 +92,9 @@
 		storeOptions.Alternative = storerelay.NewRelay(parts.list, parts.pool)
 	}
 	parts.client = state.NewClient(storeOptions)
+	parts.lease = &members.Lease{
+		List: parts.list, Store: parts.client, FirstStart: s.Settings.FirstStart, ShortestRenewal: shortestRenewal, Log: s.Log,
+	}
 	parts.removal = retention.NewQueue(parts.client, time.Now, s.Log)
 	parts.ledger = budget.NewLedger(parts.client, programsKept, programsKeptFor)
 	if !off.Has(mechanism.Lending) {
@@ -124,13 +141,11 @@
 }
 
 // join tells the others of this daemon, and follows who they are.
-func (c *collaboration) join(ctx context.Context, firstStart bool) {
-	go func() {
-		if err := c.list.Register(ctx, c.client, firstStart); err != nil {
-			c.log.Warn("members: not registered.", zap.String("error", err.Error()))
-		}
-	}()
-	go watch.Run(ctx, watch.Options{Store: c.client, Table: members.Table, Wait: membersWait, Log: c.log, OnHeard: c.list.Heard}, c.list)
+func (c *collaboration) join(ctx context.Context) {
+	var keeping context.Context
+	keeping, c.stopLease = context.WithCancel(ctx)
+	go c.lease.Run(keeping)
+	go watch.Run(ctx, c.list.Watch(c.client, membersWait), c.list)
 	go c.removal.Run(ctx)
 	if c.posting {
 		go c.poster.Run(ctx)
@@ -147,6 +162,16 @@
 	}
 }
 
+// goodbye tells the others that this process is over.
+func (c *collaboration) goodbye() {
+	c.stopLease()
+	ctx, cancel := context.WithTimeout(context.Background(), goodbyeWait)
+	defer cancel()
+	if err := c.lease.End(ctx); err != nil {
+		c.log.Warn("members: end not told; the lease runs out by itself.", zap.String("error", err.Error()))
+	}
+}
+
 func (c *collaboration) close() {
 	_ = c.pool.Close()
 	_ = c.server.Close()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -189,7 +189,7 @@
 		Store: parts.client, Table: s.Rows.InstancesTable(), Wait: instancesWait, Pause: s.Settings.drain() / pausesInDrain, Log: s.Log,
 		OnHeard: s.instancesHeard.now,
 	}, instances)
-	parts.join(ctx, s.Settings.FirstStart)
+	parts.join(ctx)
 }
 
 // ready tells whether callers should be sent here.
@@ -262,6 +262,7 @@
 	}
 	err := s.front.Stop(ctx)
 	parts.release(ctx)
+	parts.goodbye()
 	s.Log.Info("server: stopped.", zap.Duration("took", time.Since(start)), zap.Int64("cut", s.underWay.Load()))
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -65,9 +65,6 @@
 	} else if unspecified(s.Listen.Caller) {
 		c.add("advertise_caller", "needed because listen.caller is %s, which others cannot reach", s.Listen.Caller)
 	}
-	for i, seed := range s.Seeds {
-		c.reachable(fmt.Sprintf("seeds[%d]", i), seed)
-	}
 }
 
 func (s *Settings) checkPlatform(c *checker) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,7 +16,6 @@
 	Listen          Listen   `yaml:"listen" embed:"" prefix:"listen-"`
 	Advertise       string   `yaml:"advertise" help:"Peer address given to other daemons, IP:PORT; empty: the peer listener's own address." placeholder:"IP:PORT"`
 	AdvertiseCaller string   `yaml:"advertise_caller" help:"Caller address given to other daemons, IP:PORT; empty: the caller listener's own address." placeholder:"IP:PORT"`
-	Seeds           []string `yaml:"seeds" help:"Peer addresses of some daemons of the fleet, IP:PORT." placeholder:"IP:PORT"`
 	Platform        Platform `yaml:"platform" embed:"" prefix:"platform-"`
 
 	OperatorKeyHashes []string `yaml:"operator_key_hashes" help:"SHA-256 hashes of the operators' bearer keys in hexadecimal, each with the operator's name before it or not: NAME:HASH." placeholder:"NAME:HASH"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -31,7 +31,7 @@
 region: scot-central
 listen: {caller: "127.0.0.1:0", peer: "0.0.0.0:7000"}
 advertise: 10.0.0.1:7000
-seeds: ["10.0.0.2:7000"]
+operator_key_hashes: ["ops:abababababababababababababababababababababababababababababababab"]
 platform: {store: "10.0.0.9:9000"}
 retries: {burst: 7}
 `
@@ -42,7 +42,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(loaded.Machine).To(Equal("m1"))
 		Expect(loaded.Zone).To(Equal("leith-b"))
-		Expect(loaded.Seeds).To(Equal([]string{"10.0.0.2:7000"}))
+		Expect(loaded.OperatorKeyHashes).To(Equal([]string{"ops:abababababababababababababababababababababababababababababababab"}))
 		Expect(loaded.Retries.Burst).To(Equal(7))
 		Expect(loaded.CommitTimeout).To(Equal(2 * time.Second))
 		Expect(loaded.Shards).To(BeEquivalentTo(16))
@@ -51,7 +51,7 @@
 
 	It("list all faults at once", func() {
 		_, err := settings.Load([]string{
-			"--zone=Leith A", "--listen-peer=0.0.0.0:1", "--listen-caller=localhost:1", "--seeds=10.0.0.1:0", "--bootstrap-expect=0", "--shards=0",
+			"--zone=Leith A", "--listen-peer=0.0.0.0:1", "--listen-caller=localhost:1", "--bootstrap-expect=0", "--shards=0",
 			"--platform-store=ftp://x", "--platform-machines=ftp://x", "--operator-key-hashes=abc", "--tls-peer-key=/nowhere", "--log-level=loud", "--limits-body-bytes=0",
 			"--commit-timeout=0s", "--scheduling-stale-after=3s", "--scheduling-waste-weight=NaN", "--scheduling-working-set=2",
 			"--scheduling-waiting=0", "--retries-share=-1", "--engines-eject-share=0", "--engines-report-too-old=1s", "--engines-idle-stream=0s",
@@ -59,7 +59,7 @@
 		var faults settings.Faults
 		Expect(err).To(BeAssignableToTypeOf(faults))
 		for _, key := range []string{
-			"machine", "zone", "region", "advertise", "listen.caller", "seeds[0]", "bootstrap_expect", "shards", "platform.store", "platform.machines",
+			"machine", "zone", "region", "advertise", "listen.caller", "bootstrap_expect", "shards", "platform.store", "platform.machines",
 			"operator_key_hashes[0]", "tls.peer", "tls.peer.key", "log.level", "limits.body_bytes", "commit_timeout",
 			"scheduling.stale_after", "scheduling.waste_weight", "scheduling.working_set", "scheduling.waiting", "retries.share",
 			"engines.eject_share", "engines.report_too_old", "engines.idle_stream",
--- a/internal/shards/node.go
+++ b/internal/shards/node.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/watch"
 )
@@ -22,7 +22,7 @@
 type Options struct {
 	Self      identity.Process
 	Store     *state.Client
-	Directory membership.Directory
+	Directory members.Directory
 	// NewMachine makes the state of a shard that this daemon is about to lead.
 	NewMachine func(identity.Shard) StateMachine
 	// Idle tells whether nothing of the shard is under way here, so that it
--- a/internal/shards/placement.go
+++ b/internal/shards/placement.go
@@ -8,27 +8,28 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 )
 
-// settleTime is how long a daemon must have run before it takes a process
-// that membership does not list for lost.
+// settleTime is how long a daemon must have run, and have read the list of
+// members, before it takes a process that is not listed for lost: one that is
+// starting has not registered yet.
 const settleTime = 4 * time.Second
 
 // picture is what decides who should lead: pure values of one moment.
 type picture struct {
 	self    identity.Process
 	alive   []identity.Process
-	present map[identity.Machine]membership.Member
+	present map[identity.Machine]members.Member
 	settled bool
 	enough  bool // daemons for a first start
 }
 
-func newPicture(self identity.Process, view *membership.View, uptime time.Duration, expect int) *picture {
-	made := &picture{self: self, present: map[identity.Machine]membership.Member{}, settled: uptime >= settleTime}
+func newPicture(self identity.Process, view *members.View, uptime time.Duration, expect int) *picture {
+	made := &picture{self: self, present: map[identity.Machine]members.Member{}, settled: uptime >= settleTime && view.Read}
 	for _, member := range view.Members {
 		made.present[member.Process.Machine] = member
-		if member.State == membership.StateAlive {
+		if member.State == members.StateAlive {
 			made.alive = append(made.alive, member.Process)
 		}
 	}
@@ -59,7 +60,7 @@
 	case member.Process.Incarnation != process.Incarnation:
 		return member.Process.Incarnation > process.Incarnation
 	default:
-		return member.State == membership.StateDead
+		return member.State == members.StateDead
 	}
 }
 
--- a/internal/shards/shards_test.go
+++ b/internal/shards/shards_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
@@ -66,7 +66,7 @@
 		Eventually(func() bool { return former.leads(1) }).Should(BeTrue())
 		Expect(former.propose(ctx, 1, "one")).To(Succeed())
 		seen := &directory{} // the next leader sees the former one dead; that sees itself alive
-		seen.set(membership.StateDead, former.self)
+		seen.set(members.StateDead, former.self)
 		next := join(store, seen, processOf("b", 1), 1, 1)
 		Eventually(func() bool { return next.leads(1) }).Should(BeTrue())
 		Expect(former.propose(ctx, 1, "two")).To(MatchError(ErrNotLeader))
@@ -84,7 +84,7 @@
 		former := join(store, known, processOf("a", 1), 1, 1)
 		Eventually(func() bool { return former.leads(1) }).Should(BeTrue())
 		seen := &directory{}
-		seen.set(membership.StateDead, former.self)
+		seen.set(members.StateDead, former.self)
 		next := join(store, seen, processOf("b", 1), 1, 1)
 		Eventually(func() bool { return next.leads(1) }).Should(BeTrue())
 		Eventually(func() bool { return former.leads(1) }).Should(BeFalse())
@@ -196,7 +196,7 @@
 		for _, name := range machines {
 			views[name] = &directory{}
 			for _, other := range machines { // each sees the others dead, so that all want to lead
-				views[name].set(membership.StateDead, processOf(other, 1))
+				views[name].set(members.StateDead, processOf(other, 1))
 			}
 			fellows = append(fellows, join(store, views[name], processOf(name, 1), 1, 1))
 		}
@@ -250,7 +250,7 @@
 		final := &directory{}
 		last := join(store, final, processOf("d", 1), 1, 1)
 		for _, name := range machines {
-			final.set(membership.StateDead, processOf(name, 1))
+			final.set(members.StateDead, processOf(name, 1))
 		}
 		Eventually(func() bool { return last.leads(1) }).Should(BeTrue())
 		log := last.machine(1).all()
@@ -272,14 +272,14 @@
 
 var _ = Describe("who should lead", func() {
 	a, b := processOf("a", 1), processOf("b", 1)
-	view := func(states map[identity.Process]membership.State) *membership.View {
-		made := &membership.View{}
+	view := func(states map[identity.Process]members.State) *members.View {
+		made := &members.View{Read: true}
 		for process, state := range states {
-			made.Members = append(made.Members, membership.Member{Process: process, State: state})
+			made.Members = append(made.Members, members.Member{Process: process, State: state})
 		}
 		return made
 	}
-	both := view(map[identity.Process]membership.State{a: membership.StateAlive, b: membership.StateAlive})
+	both := view(map[identity.Process]members.State{a: members.StateAlive, b: members.StateAlive})
 
 	It("is one of those alive, the same for all", func() {
 		counts := map[identity.Process]int{}
@@ -294,21 +294,23 @@
 	})
 
 	It("is not changed while the leader lives, and goes from one that is lost or gave up", func() {
-		alone := newPicture(b, view(map[identity.Process]membership.State{a: membership.StateDead, b: membership.StateAlive}), 0, 1)
+		alone := newPicture(b, view(map[identity.Process]members.State{a: members.StateDead, b: members.StateAlive}), 0, 1)
 		seen := newPicture(b, both, 0, 1)
 		for shard := identity.Shard(1); shard <= 8; shard++ {
 			Expect(seen.shouldTake(shard, Leader{Process: a, Term: 3})).To(BeFalse())
 			Expect(alone.shouldTake(shard, Leader{Process: a, Term: 3})).To(BeTrue())
 			Expect(seen.shouldTake(shard, Leader{Term: 3, Former: a})).To(BeTrue())
 		}
-		restarted := newPicture(processOf("a", 2), view(map[identity.Process]membership.State{processOf("a", 2): membership.StateAlive}), 0, 1)
+		restarted := newPicture(processOf("a", 2), view(map[identity.Process]members.State{processOf("a", 2): members.StateAlive}), 0, 1)
 		Expect(restarted.shouldTake(1, Leader{Process: a, Term: 3})).To(BeTrue(), "its own former process is lost")
 	})
 
-	It("does not take a process for lost that membership does not list yet", func() {
-		early := view(map[identity.Process]membership.State{b: membership.StateAlive})
+	It("does not take a process for lost that the list does not name yet", func() {
+		early := view(map[identity.Process]members.State{b: members.StateAlive})
 		Expect(newPicture(b, early, 0, 1).shouldTake(1, Leader{Process: a, Term: 1})).To(BeFalse())
 		Expect(newPicture(b, early, settleTime, 1).shouldTake(1, Leader{Process: a, Term: 1})).To(BeTrue())
+		early.Read = false
+		Expect(newPicture(b, early, settleTime, 1).shouldTake(1, Leader{Process: a, Term: 1})).To(BeFalse(), "its own list is not read yet")
 	})
 
 	It("is spread again, slowly, when one leads more than its share and nothing is under way", func() {
--- a/internal/shards/suite_test.go
+++ b/internal/shards/suite_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
-	"github.com/thymeloft/thymeloft/internal/membership"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
@@ -61,25 +61,25 @@
 
 // directory is a membership that tests set.
 type directory struct {
-	membership.Directory
+	members.Directory
 	mutex sync.Mutex
-	view  membership.View
+	view  members.View
 }
 
-func (d *directory) View() *membership.View {
+func (d *directory) View() *members.View {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	copied := membership.View{Members: slices.Clone(d.view.Members)}
+	copied := members.View{Read: true, Members: slices.Clone(d.view.Members)}
 	return &copied
 }
 
-func (d *directory) set(state membership.State, process identity.Process) {
+func (d *directory) set(state members.State, process identity.Process) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.view.Members = slices.DeleteFunc(d.view.Members, func(member membership.Member) bool {
+	d.view.Members = slices.DeleteFunc(d.view.Members, func(member members.Member) bool {
 		return member.Process.Machine == process.Machine
 	})
-	d.view.Members = append(d.view.Members, membership.Member{Process: process, State: state})
+	d.view.Members = append(d.view.Members, members.Member{Process: process, State: state})
 }
 
 // fellow is one daemon under test.
@@ -102,7 +102,7 @@
 // join starts a daemon.
 func join(store *memorystore.Store, known *directory, self identity.Process, shardCount uint32, expect int) *fellow {
 	GinkgoHelper()
-	known.set(membership.StateAlive, self)
+	known.set(members.StateAlive, self)
 	made := &fellow{self: self, store: store, ended: make(chan error, 1), machines: map[identity.Shard]*list{}}
 	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
 	var err error
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -206,13 +206,13 @@
 
 // call asks one other daemon; which one differs from call to call.
 func (r *Relay) call(ctx context.Context, method string, patience time.Duration, request, reply any) error {
-	others := r.list.Others(method + strconv.FormatInt(time.Now().UnixNano(), 10))
+	others := r.list.Others(method+strconv.FormatInt(time.Now().UnixNano(), 10), 1)
 	if len(others) == 0 {
 		return eris.Wrap(state.ErrNotDone, "no other daemon is known")
 	}
 	limited, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	err := r.caller.Call(limited, others[0].Address, peer.Data, method, request, reply)
+	err := r.caller.Call(limited, others[0].Process.Address, peer.Data, method, request, reply)
 	if err == nil {
 		return nil
 	}
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/lab/acquaintance"
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
@@ -52,13 +54,9 @@
 		Expect(server.Register(storerelay.ServiceName, storerelay.NewService(memory, func() bool { return usable }))).To(Succeed())
 		pool := peer.NewPool(peer.Options{})
 		DeferCleanup(pool.Close)
-		list := members.NewList(members.Member{Name: "self", Zone: "z"}, time.Now, zap.NewNop())
-		other := members.NewList(members.Member{Name: "other", Zone: "z", Address: server.Address()}, time.Now, zap.NewNop())
-		client := state.NewClient(state.ClientOptions{Store: memory, Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {})})
-		Expect(other.Register(context.Background(), client, false)).To(Succeed())
-		page, err := memory.Read(context.Background(), state.Range{Table: members.Table})
-		Expect(err).NotTo(HaveOccurred())
-		list.Replace(page.Rows, page.Version)
+		list := members.NewList(members.Member{Process: identity.Process{Machine: "self", Zone: "z"}}, time.Now, zap.NewNop())
+		other := members.NewList(members.Member{Process: identity.Process{Machine: "other", Zone: "z", Address: server.Address()}}, time.Now, zap.NewNop())
+		Expect(acquaintance.Make(list, other)).To(Succeed())
 		relay = storerelay.NewRelay(list, pool)
 	})
 
--- a/internal/turn/others.go
+++ b/internal/turn/others.go
@@ -53,13 +53,12 @@
 func (o *Others) Recent(ctx context.Context, identifier string) (Record, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askWait)
 	defer cancel()
-	asked := o.List.Others(identifier)
-	asked = asked[:min(len(asked), mostAsked)]
+	asked := o.List.Others(identifier, mostAsked)
 	answers := make(chan RecentReply, len(asked))
 	for _, member := range asked {
 		go func() {
 			var reply RecentReply
-			_ = o.Caller.Call(ctx, member.Address, peer.Data, methodRecent, RecentRequest{Identifier: identifier}, &reply)
+			_ = o.Caller.Call(ctx, member.Process.Address, peer.Data, methodRecent, RecentRequest{Identifier: identifier}, &reply)
 			answers <- reply // empty if there was no answer
 		}()
 	}
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -6,11 +6,12 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/lab/acquaintance"
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
@@ -33,10 +34,10 @@
 
 // newRecordsBeside makes the records of a daemon that knows another one.
 func newRecordsBeside(store state.Store, other string) *turn.Records {
-	list := members.NewList(members.Member{Name: "self", Zone: "z"}, time.Now, zap.NewNop())
-	value, err := cbor.Marshal(members.Member{Name: "other", Zone: "z", Address: other})
+	list := members.NewList(members.Member{Process: identity.Process{Machine: "self", Zone: "z"}}, time.Now, zap.NewNop())
+	row, err := acquaintance.RowOf(members.Member{Process: identity.Process{Machine: "other", Zone: "z", Address: other}, State: members.StateAlive})
 	Expect(err).NotTo(HaveOccurred())
-	list.Change([]state.Row{{Key: state.Key{Table: members.Table, Name: "other"}, Value: value}})
+	list.Change([]state.Row{row})
 	pool := peer.NewPool(peer.Options{})
 	DeferCleanup(pool.Close)
 	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -29,6 +29,8 @@
 type Options struct {
 	Store state.Store
 	Table string
+	// Partition is where all rows of the table lie.
+	Partition string
 	// Wait is how long a feed may be silent before it is asked again; it
 	// bounds how long a connection that says nothing is believed.
 	Wait time.Duration
@@ -101,7 +103,7 @@
 	oldest := state.Version(0)
 	from := ""
 	for {
-		page, err := w.Store.Read(ctx, state.Range{Table: w.Table, From: from})
+		page, err := w.Store.Read(ctx, state.Range{Table: w.Table, Partition: w.Partition, From: from})
 		if err != nil {
 			return err
 		}
