Placement: one cost of load for all requests

Cause: requests without an affinity paid 128 for each request under way at an instance, linear and whatever its slots; models' requests 1,300 by the square of the share.

Change: the second for both; a special case less.

Conclusion: kept for being simpler.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -147,11 +147,7 @@
 	}
 	load := float64(instance.Load(request.Now))
 	share := load / float64(slots)
-	cost := fullEngineCost * share * share
-	if request.Affinity == "" {
-		cost = affinityCost * load / 2
-	}
-	return cost
+	return fullEngineCost * share * share
 }
 
 // preference is a number from 0 to 1, the same at every process for requests
