Members: a fleet that starts at once registers over a second; the list's feed is asked again every 15 s

Cause: on a trial with 85 daemons (logs of the first second) registrations, each a commit to one partition that takes 300 a second, ran out of their time and were sent again, up to three times each: "commit members no answer", "412". Members' feeds were asked again every 4 s though a list that is behind does no harm and lenders need it within a minute only.

Change: registrationSpread; membersWait 4 to 15 s.

--- a/internal/members/lease.go
+++ b/internal/members/lease.go
@@ -34,6 +34,12 @@
 	commitWait = 2 * time.Second
 	// lookWait bounds a look at the leases of others.
 	lookWait = 2 * time.Second
+	// registrationSpread is the time over which the daemons of a fleet that starts at
+	// once register: 300 of them take one partition of the store a second. Until then
+	// others go by the row of this machine's former process, if there was one. It is
+	// also at most a part of the shortest renewal, as a divisor.
+	registrationSpread = time.Second
+	registrationShare  = 10
 	// registerAgain is the pause before a registration that failed is tried again.
 	registerAgain = 250 * time.Millisecond
 	// jitterShare spreads renewals, as a divisor of the interval.
@@ -94,6 +100,8 @@
 
 // Run keeps the lease until the context ends.
 func (l *Lease) Run(ctx context.Context) {
+	spread := min(registrationSpread, l.ShortestRenewal/registrationShare)
+	pause.For(ctx, time.Duration(rand.Int64N(int64(spread)+1)))
 	for ctx.Err() == nil {
 		wait := l.renewal()
 		if !l.Step(ctx) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -66,7 +66,9 @@
 // How the store's tables are followed.
 const (
 	instancesWait = 1500 * time.Millisecond
-	membersWait   = 4 * time.Second // changes come at once; lenders must have heard lately
+	// membersWait is below the minute within which lenders must have heard of the
+	// list; changes come at once, and a list that is behind does no harm.
+	membersWait = 15 * time.Second
 	// pausesInDrain is how many changes of instances come within the time
 	// after which one that leaves must get nothing more.
 	pausesInDrain = 4
