--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// reporters counts the daemons that report here.
+func (b *Board) reporters() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.reports)
+}
+
 // share sums the reports alone, and counts them: none if this daemon aggregates
 // for nobody.
 func (b *Board) share() (encoded []byte, reporters int) {
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	Fleet  Fleet
 	Log    *zap.Logger
 
+	metrics metrics
+
 	mutex      sync.Mutex
 	plan       *plan
 	avoided    map[string]time.Time // address to the time until which it is passed over
@@ -106,7 +109,8 @@
 	current := e.current()
 	aggregators := current.own.choose(e.usable)
 	if len(aggregators) == 0 {
-		return // each was asked within avoidFor
+		e.metrics.ended(resultNobody) // each was asked within avoidFor
+		return
 	}
 	place := xxhash.Sum64String(string(e.List.Self().Machine)) % uint64(len(aggregators))
 	chosen := aggregators[place]
@@ -114,20 +118,19 @@
 	report := Sample{Member: string(e.List.Self().Machine), UnderWay: e.Fleet.UnderWay().encode()}
 	if err := e.reportTo(ctx, chosen, report, &picture); err != nil {
 		if ctx.Err() == nil {
+			e.metrics.ended(resultNoAnswer)
 			e.avoid(chosen, err)
 		}
 		return
 	}
 	all, own := Counts{}, Counts{}
-	if err := eris.Wrapf(all.add(picture.UnderWay), "picture of %s", chosen.Process.Machine); err != nil {
-		e.avoid(chosen, err)
-		return
-	}
-	if err := eris.Wrapf(own.add(picture.Counted), "picture of %s", chosen.Process.Machine); err != nil {
-		e.avoid(chosen, err)
+	if err := errors.Join(all.add(picture.UnderWay), own.add(picture.Counted)); err != nil {
+		e.metrics.ended(resultUnreadable)
+		e.avoid(chosen, eris.Wrapf(err, "picture of %s", chosen.Process.Machine))
 		return
 	}
 	e.Fleet.Learn(all, own)
+	e.metrics.ended(resultLearned)
 	e.noteAggregator(chosen)
 }
 
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -108,6 +109,9 @@
 	})
 	parts.loads = &load.Exchange{List: parts.list, Caller: parts.pool, Board: load.NewBoard(time.Now), Fleet: s.fleet, Log: s.Log}
 	parts.tellsLoads = !off.Has(mechanism.LoadBoard)
+	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry)); err != nil {
+		return nil, err
+	}
 	if err := s.register(parts); err != nil {
 		return nil, err
 	}
