--- a/internal/members/lease_test.go
+++ b/internal/members/lease_test.go
@@ -12,6 +12,7 @@
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
 	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
 const testRenewal = time.Second
@@ -252,6 +253,27 @@
 		Expect(watcher.list.View().Members).To(HaveLen(1))
 	})
 
+	It("hears of many that register at once in few answers", func(ctx SpecContext) {
+		const fleet = 200
+		listening := world.start("a", false)
+		following, stop := context.WithCancel(ctx)
+		followed := make(chan struct{})
+		go func() {
+			defer close(followed)
+			watch.Run(following, listening.list.Watch(world.store, time.Minute), listening.list)
+		}()
+		Eventually(func() bool { return listening.list.View().Read }).Should(BeTrue())
+		before := world.store.Calls("feed")
+		for number := range fleet {
+			world.start(fmt.Sprint("m", number), false).lease.Step(ctx)
+			time.Sleep(time.Millisecond) // a store takes one after the other
+		}
+		Eventually(listening.list.Count).Should(Equal(fleet + 1))
+		Expect(world.store.Calls("feed") - before).To(BeNumerically("<", fleet/4))
+		stop()
+		Eventually(followed).Should(BeClosed())
+	})
+
 	It("tells which configuration each daemon has in force", func(ctx SpecContext) {
 		daemons := fleetOf(3)
 		daemons[1].lease.Revision.Store(7)
