Members: a failed renewal waits for the next one; a leaving daemon that was ended comes back as leaving

Found on reading: after a renewal that failed a registered daemon tried again every quarter of a second, 295 of them throughout an outage, though a term is four renewals; and a daemon that had said it leaves, and whose lease was ended meanwhile, registered as alive. The second has a test that failed first.

--- a/internal/members/lease.go
+++ b/internal/members/lease.go
@@ -68,6 +68,7 @@
 	mutex      sync.Mutex // of what follows
 	registered bool
 	version    state.Version // of the own row in LeaseTable
+	leaving    bool          // Leave was called
 	superseded bool          // a later process of this machine has registered
 	finished   bool          // this process ends
 	watched    watchedLeases
@@ -103,7 +104,7 @@
 	spread := min(registrationSpread, l.ShortestRenewal/registrationShare)
 	pause.For(ctx, time.Duration(rand.Int64N(int64(spread)+1)))
 	for ctx.Err() == nil {
-		wait := l.renewal()
+		wait := l.renewal() // also after a renewal that failed: a term is several of them
 		if !l.Step(ctx) {
 			wait = registerAgain
 		}
@@ -113,7 +114,7 @@
 }
 
 // Step registers this daemon or renews its lease, and then looks after the
-// leases of others. It tells whether the own lease holds.
+// leases of others. It tells whether this daemon is registered.
 func (l *Lease) Step(ctx context.Context) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -125,7 +126,7 @@
 		if ctx.Err() == nil {
 			l.Log.Warn("members: lease not kept.", zap.Bool("registered", l.registered), zap.String("error", err.Error()))
 		}
-		return false
+		return l.registered
 	}
 	l.lookAfterOthers(ctx)
 	return true
@@ -152,6 +153,9 @@
 	ctx, cancel := context.WithTimeout(parent, commitWait)
 	defer cancel()
 	member := l.List.self
+	if l.leaving {
+		member.State = StateLeaving
+	}
 	value, err := Encode(member)
 	if err != nil {
 		return err
@@ -249,6 +253,7 @@
 func (l *Lease) Leave(ctx context.Context) error {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.leaving = true
 	l.List.markLeaving()
 	return l.writeState(ctx, StateLeaving, state.Commit{})
 }
--- a/internal/members/lease_test.go
+++ b/internal/members/lease_test.go
@@ -211,6 +211,16 @@
 		Expect(daemons[1].sees("m00")).To(Equal(StateDead), "it does not come back by itself")
 	})
 
+	It("stays that of a leaving daemon when it was ended meanwhile", func(ctx SpecContext) {
+		daemons := fleetOf(3)
+		Expect(daemons[0].lease.Leave(ctx)).To(Succeed())
+		world.run(term+3*testRenewal, daemons[1:]...)
+		Expect(daemons[1].sees("m00")).To(Equal(StateDead))
+		Expect(daemons[0].step()).To(BeTrue())
+		daemons[1].read()
+		Expect(daemons[1].sees("m00")).To(Equal(StateLeaving))
+	})
+
 	It("goes to a later process of the machine", func() {
 		daemons := fleetOf(3)
 		again := world.start("m00", false)
