--- a/internal/operatorapi/status.go
+++ b/internal/operatorapi/status.go
@@ -39,7 +39,7 @@
 	defer cancel()
 	revisions, err := s.Revisions(reading)
 	if err != nil {
-		s.Logger.Warn("operators: revisions of other daemons not read; they are shown as 0.", zap.Error(err))
+		s.Logger.Warn("operatorapi: revisions of other daemons not read; they are shown as 0.", zap.Error(err))
 	}
 	listed := s.Directory.View().Members
 	for i := range listed {
--- a/internal/shards/shards_test.go
+++ b/internal/shards/shards_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -219,11 +220,13 @@
 		var mutex sync.Mutex
 		var events []porcupine.Operation
 		var uncertain []porcupine.Operation
+		var accepted atomic.Int64
 		var proposing sync.WaitGroup
 		started := time.Now()
 		for number, each := range fellows {
 			proposing.Go(func() {
-				for round := range 25 {
+				// On a busy machine the first leader may come after 25 rounds.
+				for round := 0; ctx.Err() == nil && (round < 25 || accepted.Load() == 0); round++ {
 					command := fmt.Sprintf("%d.%d", number, round)
 					called := time.Since(started)
 					value, err := each.node.Propose(ctx, 1, []byte(command))
@@ -233,6 +236,7 @@
 					case err == nil:
 						operation.Output = appended{place: value.(int)}
 						events = append(events, operation)
+						accepted.Add(1)
 					case !errors.Is(err, ErrNotLeader):
 						uncertain = append(uncertain, operation)
 					}
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -91,7 +91,7 @@
 		usable = false
 		_, err := relay.Commit(ctx, put)
 		Expect(err).To(MatchError(state.ErrNotDone))
-		Expect(memory.Calls("commit")).To(Equal(1), "only the registration")
+		Expect(memory.Calls("commit")).To(BeZero())
 	})
 
 	It("serves a daemon whose machine alone is cut from the store", func(ctx SpecContext) {
