Shards: a leader that is cut off but keeps its lease is replaced once another daemon confirms it

Ruled out: suspicion by who routes a call alone: the daemon that would lead next does not learn of it; taking from whoever does not answer: a daemon that is cut off alone would take everything, and both sides fight for the shards.

The gateway's packages are not touched.

--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -97,7 +97,7 @@
 func (d *Daemon) assembleShards() error {
 	var err error
 	d.node, err = shards.NewNode(shards.Options{
-		Self: d.self, Store: d.store, Directory: d.directory,
+		Self: d.self, Store: d.store, Directory: d.directory, Caller: d.pool, Registrar: d.server,
 		NewMachine: func(shard identity.Shard) shards.StateMachine { return d.execution.NewShard(shard) },
 		Idle:       func(shard identity.Shard) bool { return d.execution.Idle(shard) },
 		Shards:     d.settings.Shards,
--- a/internal/lab/replay/moment.go
+++ b/internal/lab/replay/moment.go
@@ -54,6 +54,9 @@
 			r.progress("replay: fault %s did not come: %s call %d ended before.", fault.Do, one.name, submission.sequence)
 			break
 		}
+		if errors.Is(err, errCallOver) {
+			return result{}, eris.Wrapf(err, "fault %s, the caller learned %+v", fault.Do, <-learned)
+		}
 		if err != nil {
 			return result{}, err
 		}
--- a/internal/shards/leading.go
+++ b/internal/shards/leading.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -20,7 +21,7 @@
 	if current == nil || n.retired.Load() {
 		return
 	}
-	picture := newPicture(n.options.Self, n.options.Directory.View(), n.balance.uptime(), n.options.Expect)
+	picture := n.picture()
 	for number := range current.Shards {
 		shard := identity.Shard(number + 1)
 		if picture.shouldTake(shard, current.Leaders[shard]) {
@@ -38,6 +39,37 @@
 	}
 }
 
+// picture is what is known of the daemons at this moment.
+func (n *Node) picture() *picture {
+	made := newPicture(n.options.Self, n.options.Directory.View(), n.balance.uptime(), n.options.Expect)
+	if n.reach == nil {
+		return made
+	}
+	return made.without(n.reach.unreachable())
+}
+
+// nextFor lists the leaders that this daemon would follow, those that cannot be
+// reached among them, and the daemons that may confirm that one is cut off.
+func (n *Node) nextFor() (leaders, witnesses []identity.Process) {
+	current := n.Current()
+	if current == nil {
+		return nil, nil
+	}
+	seen := n.picture()
+	leaders = n.reach.unreachable()
+	for number := range current.Shards {
+		shard := identity.Shard(number + 1)
+		leader := current.Leaders[shard].Process
+		if leader.Machine == "" || leader == n.options.Self || slices.Contains(leaders, leader) {
+			continue
+		}
+		if seen.next(shard, leader) {
+			leaders = append(leaders, leader)
+		}
+	}
+	return leaders, seen.alive
+}
+
 // take leads the shard, unless this daemon does already. known is the term
 // that the decision was made on.
 func (n *Node) take(ctx context.Context, shard identity.Shard, known Term) {
--- a/internal/shards/node.go
+++ b/internal/shards/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/watch"
 )
@@ -23,6 +24,9 @@
 	Self      identity.Process
 	Store     *state.Client
 	Directory members.Directory
+	// Caller and Registrar are for probes of leaders; nil: none are made.
+	Caller    peer.Caller
+	Registrar peer.Registrar
 	// NewMachine makes the state of a shard that this daemon is about to lead.
 	NewMachine func(identity.Shard) StateMachine
 	// Idle tells whether nothing of the shard is under way here, so that it
@@ -54,6 +58,7 @@
 	changes chan LeaderChange
 	current atomic.Pointer[Map]
 	balance *balance
+	reach   *reach      // nil: leaders are not probed
 	retired atomic.Bool // takes no shards any more
 	running sync.WaitGroup
 
@@ -88,6 +93,12 @@
 		options: options, log: options.Log.Named("shards"), changes: make(chan LeaderChange, changesBuffered),
 		balance: newBalance(time.Now), replicas: map[identity.Shard]*replica{}, acquiring: map[identity.Shard]bool{},
 	}
+	if options.Caller != nil && options.Registrar != nil {
+		made.reach = newReach(options.Self, options.Caller, made.log)
+		if err := options.Registrar.Register(ReachService, &ReachAnswers{reach: made.reach}); err != nil {
+			return nil, eris.Wrap(err, "serve probes of leaders")
+		}
+	}
 	var err error
 	made.metrics, err = newMetrics(options.Registry, made)
 	return made, err
@@ -102,6 +113,9 @@
 	n.running.Go(func() {
 		watch.Run(ctx, watch.Options{Store: n.options.Store, Table: tableLeaders, Wait: followWait, Log: n.log}, follower{n})
 	})
+	if n.reach != nil {
+		n.running.Go(func() { n.reach.run(ctx, n.nextFor) })
+	}
 	ticker := time.NewTicker(n.options.Reconcile)
 	defer ticker.Stop()
 	for {
--- a/internal/shards/placement.go
+++ b/internal/shards/placement.go
@@ -22,7 +22,8 @@
 	alive   []identity.Process
 	present map[identity.Machine]members.Member
 	settled bool
-	enough  bool // daemons for a first start
+	enough  bool               // daemons for a first start
+	cutOff  []identity.Process // whose leases stand, but who cannot be reached
 }
 
 func newPicture(self identity.Process, view *members.View, uptime time.Duration, expect int) *picture {
@@ -37,6 +38,18 @@
 	return made
 }
 
+// without takes processes that cannot be reached for lost.
+func (p *picture) without(cutOff []identity.Process) *picture {
+	p.cutOff = cutOff
+	p.alive = slices.DeleteFunc(p.alive, func(process identity.Process) bool { return slices.Contains(cutOff, process) })
+	return p
+}
+
+// next tells whether this daemon would lead the shard if its leader were lost.
+func (p *picture) next(shard identity.Shard, leader identity.Process) bool {
+	return p.preferred(shard, leader) == p.self
+}
+
 // shouldTake tells whether this daemon should become the shard's leader now.
 func (p *picture) shouldTake(shard identity.Shard, leader Leader) bool {
 	switch {
@@ -60,7 +73,7 @@
 	case member.Process.Incarnation != process.Incarnation:
 		return member.Process.Incarnation > process.Incarnation
 	default:
-		return member.State == members.StateDead
+		return member.State == members.StateDead || slices.Contains(p.cutOff, process)
 	}
 }
 
