Members: founders look at the list once more when it lets them lend

Cause: a founder lends only on a list that it heard founding + foundersApart (4.5 s) after its start. Ruled out: the spread of registrations over a second (the issue's trial: without it nothing changes). Change: the list says how soon an answer is due (watch.Options.Due): at the moment from which it lets founders lend, once; then the feed's wait of 15 s holds again.

--- a/internal/members/lender.go
+++ b/internal/members/lender.go
@@ -72,6 +72,22 @@
 	return elapsed-registered > int64(memoryOfPrograms)
 }
 
+// afterFounding is how much later than the founding the list is asked for, so that
+// the answer is past it.
+const afterFounding = 10 * time.Millisecond
+
+// untilFounded is how long until the list is to be heard so that founders may lend on
+// it; zero once it was. Without this look a founder of a quiet fleet would hear the
+// list again only when a feed's wait is over, and lend nothing in an outage before that.
+func (l *List) untilFounded() time.Duration {
+	const founded = founding + foundersApart
+	if l.seasoning.heard.Load() > int64(founded) {
+		return 0
+	}
+	elapsed := time.Duration(l.seasoning.elapsed(l.now()))
+	return max(founded-elapsed, 0) + afterFounding
+}
+
 // noteRegistered takes in that this process's row stands in the store. founder
 // tells that this is the first start of the system and no process of this name
 // was there before.
--- a/internal/members/lender_test.go
+++ b/internal/members/lender_test.go
@@ -36,6 +36,22 @@
 		Expect(first.list.MayLend("p")).To(BeTrue())
 	})
 
+	It("hear the list as soon as it lets them lend, however long its feed may be silent", func() {
+		first := world.start("1", true)
+		register(first)
+		first.read()
+		options := first.list.Watch(world.store, time.Hour)
+		asked := options.Due()
+		Expect(asked).To(BeNumerically(">", 0))
+		Expect(asked).To(BeNumerically("<=", founding+foundersApart+time.Second))
+		world.now = world.now.Add(asked)
+		Expect(first.list.MayLend("p")).To(BeFalse(), "the list was not heard again yet")
+		Expect(options.Due()).To(Equal(afterFounding), "a late answer is asked for at once")
+		options.OnHeard()
+		Expect(first.list.MayLend("p")).To(BeTrue())
+		Expect(options.Due()).To(BeZero(), "one look is enough")
+	})
+
 	It("are not those that registered late, or were started before", func() {
 		late := world.start("1", true)
 		world.now = world.now.Add(founding)
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -77,7 +77,7 @@
 // Watch are the options to follow the list with.
 func (l *List) Watch(store state.Store, wait time.Duration) watch.Options {
 	return watch.Options{
-		Store: store, Table: Table, Partition: partition, Wait: wait, Pause: changesTogether, Log: l.log, OnHeard: l.Heard,
+		Store: store, Table: Table, Partition: partition, Wait: wait, Due: l.untilFounded, Pause: changesTogether, Log: l.log, OnHeard: l.Heard,
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -67,7 +67,8 @@
 const (
 	instancesWait = 1500 * time.Millisecond
 	// membersWait is below the minute within which lenders must have heard of the
-	// list; changes come at once, and a list that is behind does no harm.
+	// list; changes come at once. What must be heard sooner is asked for by the list
+	// itself (members.List.Watch): a list that is behind keeps founders from lending.
 	membersWait = 15 * time.Second
 	// pausesInDrain is how many changes of instances come within the time
 	// after which one that leaves must get nothing more.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -34,6 +34,9 @@
 	// Wait is how long a feed may be silent before it is asked again; it
 	// bounds how long a connection that says nothing is believed.
 	Wait time.Duration
+	// Due, if given, tells how soon an answer is needed; it shortens Wait. Zero: not
+	// sooner than Wait.
+	Due func() time.Duration
 	// Pause is the least time between two changes, so that many small ones
 	// come together.
 	Pause time.Duration
@@ -81,7 +84,7 @@
 	if !w.read {
 		return w.readAll(ctx)
 	}
-	change, err := w.Store.Feed(ctx, w.Table, w.version, w.Wait)
+	change, err := w.Store.Feed(ctx, w.Table, w.version, w.wait())
 	if err != nil {
 		return err
 	}
@@ -96,6 +99,17 @@
 	return nil
 }
 
+// wait is how long the next feed may be silent.
+func (w *watch) wait() time.Duration {
+	if w.Due == nil {
+		return w.Wait
+	}
+	if due := w.Due(); due > 0 {
+		return min(w.Wait, due)
+	}
+	return w.Wait
+}
+
 // readAll reads the table page by page; each page is as of one moment, and
 // the feed goes on from the oldest of them.
 func (w *watch) readAll(ctx context.Context) error {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -114,6 +114,29 @@
 		Expect(first).To(Equal(map[string]string{"a": "1"}))
 	})
 
+	It("asks again when an answer is due, before the feed's own wait is over", func() {
+		heard := make(chan struct{}, 8)
+		running, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			watch.Run(running, watch.Options{
+				Store: store, Table: "t", Wait: time.Hour, Log: zap.NewNop(),
+				Due:     func() time.Duration { return time.Millisecond },
+				OnHeard: func() {
+					select {
+					case heard <- struct{}{}:
+					default: // nobody waits for more
+					}
+				},
+			}, &follower{})
+		}()
+		DeferCleanup(func() { cancel(); <-done })
+		for range 3 { // the reading, and two feeds without a change
+			Eventually(heard).Should(Receive())
+		}
+	})
+
 	It("hears changes and removals", func(ctx SpecContext) {
 		write(ctx, "b", "2")
 		Eventually(followed.seen).Should(Equal(map[string]string{"a": "1", "b": "2"}))
