Tenants: one package for both doors; the gateway knows keys, tells engines whose request it is, and keeps what belongs to a tenant apart

Unknown, missing, doubled or unreadable keys get 401, and 503 while the configuration is older than its bound; public routes need none. Engines get the tenant's name and priority, never a key, and none of the fields that are the system's alone. Turns, programs, budgets and placement's affinity go by names scoped to the tenant.

--- a/internal/callerapi/fuzz_test.go
+++ b/internal/callerapi/fuzz_test.go
@@ -29,10 +29,9 @@
 		request.Header.Set("Authorization", "Bearer key-b")
 		request.Header.Set(callerapi.HeaderProgram, header)
 		request.Header.Set(callerapi.HeaderSequence, header)
-		hash, tenant := tenantWithKey("brackenlaw", "key-b")
 		programs := newFakePrograms(answered("whole"))
 		programs.tenants["p0003-aaaaaaaaaaaaaaaaaaaaaaaaaa"] = identity.Tenant("brackenlaw")
-		snapshot := &configuration.Snapshot{TenantByKey: map[string]*configuration.Tenant{hash: tenant}}
+		snapshot := configuration.BuildSnapshot(1, configuration.Document{Tenants: []configuration.Tenant{tenantWithKey("brackenlaw", "key-b")}})
 		handler := callerapi.NewHandler(callerapi.Options{
 			Programs:      programs,
 			Configuration: fakeSource{snapshot, func() bool { return true }},
--- a/internal/callerapi/handler_test.go
+++ b/internal/callerapi/handler_test.go
@@ -1,8 +1,6 @@
 package callerapi_test
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -21,6 +19,7 @@
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/problem"
 	"github.com/thymeloft/thymeloft/internal/program"
+	"github.com/thymeloft/thymeloft/internal/tenant"
 )
 
 const (
@@ -28,10 +27,8 @@
 	writeTimeout = 500 * time.Millisecond
 )
 
-func tenantWithKey(name identity.Tenant, key string) (string, *configuration.Tenant) {
-	digest := sha256.Sum256([]byte(key))
-	hash := hex.EncodeToString(digest[:])
-	return hash, &configuration.Tenant{Name: name, KeyHashes: []string{hash}}
+func tenantWithKey(name identity.Tenant, key string) configuration.Tenant {
+	return configuration.Tenant{Name: name, KeyHashes: []string{tenant.DigestOf(key).String()}}
 }
 
 // endpoint is the handler under test behind a real listener.
@@ -45,11 +42,9 @@
 
 func newEndpoint(programs *fakePrograms) *endpoint {
 	served := &endpoint{programs: programs, registry: prometheus.NewRegistry()}
-	snapshot := &configuration.Snapshot{TenantByKey: map[string]*configuration.Tenant{}}
-	for name, key := range map[identity.Tenant]string{"brackenlaw": "key-b", "theory-desk": "key-t"} {
-		hash, tenant := tenantWithKey(name, key)
-		snapshot.TenantByKey[hash] = tenant
-	}
+	snapshot := configuration.BuildSnapshot(1, configuration.Document{
+		Tenants: []configuration.Tenant{tenantWithKey("brackenlaw", "key-b"), tenantWithKey("theory-desk", "key-t")},
+	})
 	limits := callerapi.DefaultLimits
 	limits.BodyBytes = bodyLimit
 	limits.WriteTimeout = writeTimeout
--- a/internal/configuration/machine_test.go
+++ b/internal/configuration/machine_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/configuration"
 	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/tenant"
 )
 
 func keyHash(seed string) string { return strings.Repeat(seed, 64)[:64] }
@@ -42,7 +43,10 @@
 
 	It("indexes the revision in force", func() {
 		current := machine.Current()
-		Expect(current.TenantByKey[keyHash("a1")].Name).To(Equal(identity.Tenant("brackenlaw")))
+		digest, err := tenant.ParseDigest(keyHash("a1"))
+		Expect(err).NotTo(HaveOccurred())
+		owner, _ := current.Keys.Owner(digest)
+		Expect(owner).To(Equal(identity.Tenant("brackenlaw")))
 		Expect(current.EngineByName["e2"].Zone).To(Equal(identity.Zone("leith-b")))
 		Expect(current.PoolsOfModel["assess"]).To(HaveLen(1))
 		Expect(current.Document.Engines[0].Name).To(Equal("e1"), "lists are sorted by name")
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -5,13 +5,14 @@
 	"slices"
 
 	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/tenant"
 )
 
 // Snapshot is an immutable revision with indexes, read through an atomic pointer.
 type Snapshot struct {
 	Revision      uint64
 	Document      Document
-	TenantByKey   map[string]*Tenant // by hex SHA-256 of the key
+	Keys          tenant.Keys // whose each caller's key is
 	TenantByName  map[identity.Tenant]*Tenant
 	EngineByName  map[string]*Engine
 	ModelByName   map[string]*Model
@@ -91,7 +92,7 @@
 	if former == nil {
 		former = &Snapshot{}
 	}
-	snapshot.TenantByName, snapshot.TenantByKey = former.TenantByName, former.TenantByKey
+	snapshot.TenantByName, snapshot.Keys = former.TenantByName, former.Keys
 	if former.TenantByName == nil || !sameList(document.Tenants, former.Document.Tenants) {
 		snapshot.indexTenants()
 	}
@@ -116,12 +117,14 @@
 func (s *Snapshot) indexTenants() {
 	tenants := s.Document.Tenants
 	s.TenantByName = make(map[identity.Tenant]*Tenant, len(tenants))
-	s.TenantByKey = make(map[string]*Tenant, len(tenants))
+	s.Keys = make(tenant.Keys, len(tenants))
 	for i := range tenants {
-		tenant := &tenants[i]
-		s.TenantByName[tenant.Name] = tenant
-		for _, hash := range tenant.KeyHashes {
-			s.TenantByKey[hash] = tenant
+		declared := &tenants[i]
+		s.TenantByName[declared.Name] = declared
+		for _, hash := range declared.KeyHashes {
+			if digest, err := tenant.ParseDigest(hash); err == nil { // a valid document has no other
+				s.Keys[digest] = declared.Name
+			}
 		}
 	}
 }
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -9,6 +9,8 @@
 	"strings"
 	"unicode"
 	"unicode/utf8"
+
+	"github.com/thymeloft/thymeloft/internal/tenant"
 )
 
 // Limits of a document.
@@ -69,25 +71,25 @@
 	checkNames(f, "tenant", tenants, tenantName)
 	owners := make(map[string]string, len(tenants))
 	for i := range tenants {
-		tenant := &tenants[i]
-		where := item{"tenant", string(tenant.Name)}
-		f.checkKeyHashes(where, tenant, owners)
-		f.checkOneOf(where, "class", tenant.Class, classes)
-		f.checkNotNegative(where, "requests_per_second", tenant.RequestsPerSecond >= 0)
-		if math.IsInf(tenant.RequestsPerSecond, 0) {
+		declared := &tenants[i]
+		where := item{"tenant", string(declared.Name)}
+		f.checkKeyHashes(where, declared, owners)
+		f.checkOneOf(where, "class", declared.Class, classes)
+		f.checkNotNegative(where, "requests_per_second", declared.RequestsPerSecond >= 0)
+		if math.IsInf(declared.RequestsPerSecond, 0) {
 			f.add("%s: requests_per_second is not finite; leave it out for no limit", where)
 		}
-		f.checkNotNegative(where, "burst", tenant.Burst >= 0)
-		f.checkNotNegative(where, "token_budget", tenant.TokenBudget >= 0)
-		f.checkNotNegative(where, "idle", tenant.Idle >= 0)
-		f.checkNotNegative(where, "lifetime", tenant.Lifetime >= 0)
-		f.checkNotNegative(where, "max_programs", tenant.MaxPrograms >= 0)
+		f.checkNotNegative(where, "burst", declared.Burst >= 0)
+		f.checkNotNegative(where, "token_budget", declared.TokenBudget >= 0)
+		f.checkNotNegative(where, "idle", declared.Idle >= 0)
+		f.checkNotNegative(where, "lifetime", declared.Lifetime >= 0)
+		f.checkNotNegative(where, "max_programs", declared.MaxPrograms >= 0)
 	}
 }
 
-func (f *faults) checkKeyHashes(where item, tenant *Tenant, owners map[string]string) {
-	for _, hash := range tenant.KeyHashes {
-		if !isKeyHash(hash) {
+func (f *faults) checkKeyHashes(where item, declared *Tenant, owners map[string]string) {
+	for _, hash := range declared.KeyHashes {
+		if _, err := tenant.ParseDigest(hash); err != nil {
 			f.add("%s: key_hashes: %q is not the SHA-256 of a key in %d lower-case hex digits", where, shortened(hash), keyHashLength)
 			continue
 		}
@@ -95,22 +97,8 @@
 			f.add("%s: key_hashes: %q is also a key of tenant %q", where, hash, owner)
 			continue
 		}
-		owners[hash] = string(tenant.Name)
-	}
-}
-
-func isKeyHash(text string) bool {
-	if len(text) != keyHashLength {
-		return false
-	}
-	for i := range len(text) {
-		isDigit := text[i] >= '0' && text[i] <= '9'
-		isLetter := text[i] >= 'a' && text[i] <= 'f'
-		if !isDigit && !isLetter {
-			return false
-		}
+		owners[hash] = string(declared.Name)
 	}
-	return true
 }
 
 // shortened keeps what may be a key by mistake out of messages.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,7 +125,7 @@
 // affinity names what requests share their prefixes by.
 func (e *execution) affinity() string {
 	if e.call.Program != "" {
-		return e.call.Program
+		return e.scoped(e.call.Program)
 	}
 	if len(e.call.Prefix) > 0 {
 		return e.call.Prefix[0].Name
@@ -183,7 +183,7 @@
 func (e *execution) outgoing(instance *backend.Instance) *backend.Outgoing {
 	header := e.request.Header.Clone()
 	dropConnectionHeaders(header)
-	e.gateway.Wire.Forward(header, Forwarded{Instance: instance.ID, Remaining: e.remaining()})
+	e.gateway.Wire.Forward(header, e.forwarded(instance))
 	outgoing := &backend.Outgoing{
 		Method: e.request.Method,
 		Target: e.request.RequestURI,
@@ -202,6 +202,15 @@
 	return outgoing
 }
 
+// forwarded is what the instance is told besides the caller's own headers.
+func (e *execution) forwarded(instance *backend.Instance) Forwarded {
+	told := Forwarded{Instance: instance.ID, Remaining: e.remaining(), KeysDemanded: e.table.Tenants.Demanded()}
+	if e.tenant != nil {
+		told.Tenant, told.Priority = e.tenant.Name, e.tenant.Priority
+	}
+	return told
+}
+
 // silenceFails is how long an instance may be silent before a caller that
 // leaves is held against it.
 const silenceFails = 500 * time.Millisecond
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,14 +10,17 @@
 	"time"
 
 	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/tenant"
 )
 
 // Call is what a caller says of its request.
 type Call struct {
-	ID              string // one per attempt of the caller
-	Program         string // empty: no program
-	Previous        string // the turn that this one goes on from
-	ResumeFrom      string // the last event that the caller has of a stream
+	ID              string         // one per attempt of the caller
+	Key             *tenant.Digest // of the caller's key; nil: none that can be read
+	Program         string         // empty: no program
+	Previous        string         // the turn that this one goes on from
+	ResumeFrom      string         // the last event that the caller has of a stream
 	Deadline        time.Duration
 	ProgramDeadline time.Duration
 	Budget          int64 // tokens of the whole program; 0: none
@@ -30,6 +33,12 @@
 type Forwarded struct {
 	Instance  string
 	Remaining time.Duration // time left for the answer
+	// Tenant is whose request it is; "": nobody's.
+	Tenant identity.Tenant
+	// Priority is the tenant's; nil: the tenant has none.
+	Priority *int
+	// KeysDemanded tells that callers show keys, which are not the engine's to see.
+	KeysDemanded bool
 }
 
 // Answer is what an instance says of its answer.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -13,6 +13,7 @@
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/routetable"
+	"github.com/thymeloft/thymeloft/internal/tenant"
 	"github.com/thymeloft/thymeloft/internal/turn"
 )
 
@@ -26,6 +27,7 @@
 	table       *routetable.Table
 	route       *routetable.Route
 	service     *routetable.Service
+	tenant      *tenant.Tenant // nil: nobody's, where no key is needed
 	call        Call
 	input       []byte
 	history     turn.Record
@@ -91,11 +93,14 @@
 		return &Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute, Err: eris.New("no route for host and path")}
 	}
 	e.route = route
+	if denied := e.authenticate(); denied != nil {
+		return denied
+	}
 	if err != nil {
 		return &Refusal{Status: http.StatusBadRequest, Reason: ReasonMalformed, Err: err}
 	}
 	e.service = e.table.Service(route.NextService())
-	e.everywhere = e.gateway.Fleet.Sharing.Note(e.call.Program, e.call.Prefix, e.service.MemoryTokens)
+	e.everywhere = e.gateway.Fleet.Sharing.Note(e.scoped(e.call.Program), e.call.Prefix, e.service.MemoryTokens)
 	e.events.collect = route.Recorded
 	return e.readInput()
 }
@@ -177,7 +182,7 @@
 	if !e.route.Recorded || e.call.Previous == "" {
 		return nil
 	}
-	history, err := e.gateway.Turns.Load(ctx, e.call.Previous)
+	history, err := e.gateway.Turns.Load(ctx, e.scoped(e.call.Previous))
 	e.history = history
 	return err
 }
@@ -187,7 +192,7 @@
 		return nil
 	}
 	reservation, err := e.gateway.Budgets.Reserve(ctx, budget.ReserveRequest{
-		Reservation: e.call.ID, Program: e.call.Program, Total: e.call.Budget, Most: e.call.MostTokens, Parts: partNames(e.call.Prefix),
+		Reservation: e.scoped(e.call.ID), Program: e.scoped(e.call.Program), Total: e.call.Budget, Most: e.call.MostTokens, Parts: partNames(e.call.Prefix),
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,9 @@
 	InstanceGrace time.Duration
 	// Off is what an experiment goes without.
 	Off mechanism.Off
+	// KeysBelieved is how old the configuration may be for a key that it lacks to be
+	// called unknown; beyond, it may have been added since.
+	KeysBelieved time.Duration
 	// Ages tells how long ago the store was heard about configuration and instances.
 	Ages func() (configuration, instances time.Duration)
 }
@@ -107,6 +110,9 @@
 		zap.Int("status", status),
 		zap.Duration("took", took),
 	}
+	if e.tenant != nil {
+		fields = append(fields, zap.String("tenant", string(e.tenant.Name)))
+	}
 	if e.call.Program != "" {
 		fields = append(fields, zap.String("program", e.call.Program))
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -16,6 +16,8 @@
 	ReasonNone            Reason = ""
 	ReasonNoConfiguration Reason = "no-configuration"
 	ReasonNoRoute         Reason = "no-route"
+	ReasonUnknownKey      Reason = "unknown-key"
+	ReasonUnsureKey       Reason = "unsure-key"
 	ReasonMalformed       Reason = "malformed"
 	ReasonTooLarge        Reason = "too-large"
 	ReasonUnknownTurn     Reason = "unknown-turn"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -128,7 +128,7 @@
 	defer cancel()
 	start := time.Now()
 	history := slices.Concat(e.history.History, e.input, e.events.output)
-	err := e.gateway.Turns.Save(patience, e.call.ID, turn.Record{History: history, Engine: e.instance.ID}, e.route.Retention)
+	err := e.gateway.Turns.Save(patience, e.scoped(e.call.ID), turn.Record{History: history, Engine: e.instance.ID}, e.route.Retention)
 	e.gateway.Metrics.recorded(time.Since(start), err)
 	if err != nil {
 		return &CutError{Reason: ReasonNotRecorded, Err: err}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/thymeloft/thymeloft/internal/tenant"
 )
 
 // Repeat says what may be repeated of a request.
@@ -36,8 +38,10 @@
 	Patience    time.Duration // callers leave a stream after a longer gap
 	MaxAttempts int
 	Priority    int // 0 is the highest
-	Parts       []Part
-	balance     *balance
+	// Public requests need no key.
+	Public  bool
+	Parts   []Part
+	balance *balance
 }
 
 // Part is a service's weight in a route.
@@ -68,6 +72,8 @@
 type Table struct {
 	Revision uint64
 	Limits   Limits
+	// Tenants are who may call; nil, or none in it: anybody may, without a key.
+	Tenants  *tenant.Directory
 	services map[string]*Service
 	byHost   map[string][]*Route // longest prefix first
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -141,6 +141,7 @@
 		Metrics:       s.metrics,
 		InstanceGrace: s.instanceGrace(),
 		Off:           s.Settings.Disabled,
+		KeysBelieved:  s.Settings.configurationWait() + timeToNotice,
 		Ages: func() (configuration, instances time.Duration) {
 			return s.configurationHeard.age(), s.instancesHeard.age()
 		},
