Budget: a settlement that comes before its reservation ends it; settlements are told again

The holder, cut off from the store, waited for it with the program locked; who asked gave up after 400 ms and settled at once; the settlement found no reservation and was dropped, and then the reservation was made for nobody. Ruled out: lost settlements alone (the log shows none lost for that program). Change: a holder remembers settlements that come early and ends the reservation when it is made; nothing is reserved once nobody waits; a settlement without an answer is told three times. Specs: 'keeps nothing for who settled before', 'grants nothing to who does not wait'.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -136,6 +136,9 @@
 			return nil, nil, err
 		}
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, nil, err // it took long: nobody waits for this reservation any more
+	}
 	held.available -= need.most
 	held.inFlight++
 	held.used = time.Now()
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
@@ -67,8 +68,13 @@
 // daemon holds.
 type Holder struct {
 	ledger   *Ledger
-	open     *expirable.LRU[string, *Reservation]
 	stopping func() bool
+
+	mutex sync.Mutex // between the end of a reservation and its settlement
+	open  *expirable.LRU[string, *Reservation]
+	// early are settlements that came before their reservation was made: who asked
+	// had no answer in time, and gave it up while this daemon still waited.
+	early *expirable.LRU[string, int64]
 }
 
 const (
@@ -81,7 +87,11 @@
 
 // NewHolder makes the service.
 func NewHolder(ledger *Ledger, stopping func() bool) *Holder {
-	return &Holder{ledger: ledger, open: expirable.NewLRU[string, *Reservation](reservationsKept, nil, reservationsKeptFor), stopping: stopping}
+	return &Holder{
+		ledger: ledger, stopping: stopping,
+		open:  expirable.NewLRU[string, *Reservation](reservationsKept, nil, reservationsKeptFor),
+		early: expirable.NewLRU[string, int64](reservationsKept, nil, reservationsKeptFor),
+	}
 }
 
 // Reserve is called by other daemons.
@@ -100,9 +110,10 @@
 	reservation, err := h.ledger.Reserve(ctx, request.Program, request.Total, request.Most)
 	var spent *SpentError
 	switch {
-	case err == nil:
-		h.open.Add(request.Reservation, reservation)
+	case err == nil && h.keep(request.Reservation, reservation):
 		reply.Result, reply.Attained = resultReserved, reservation.Attained()
+	case err == nil:
+		reply.Result, reply.Detail = resultNoStore, "the reservation was settled before it was made"
 	case errors.As(err, &spent):
 		reply.Result, reply.Detail = resultSpent, spent.Error()
 	case errors.Is(err, ErrSpent):
@@ -113,12 +124,38 @@
 	return nil
 }
 
-// Settle is called by other daemons.
+// keep holds a reservation until it is settled; false if it was settled already.
+func (h *Holder) keep(name string, reservation *Reservation) bool {
+	h.mutex.Lock()
+	generated, settled := h.early.Get(name)
+	if !settled {
+		h.open.Add(name, reservation)
+	}
+	h.mutex.Unlock()
+	if settled {
+		reservation.Settle(generated)
+	}
+	return !settled
+}
+
+// Settle is called by other daemons, perhaps more than once.
 func (h *Holder) Settle(request SettleRequest, _ *SettleReply) error {
 	h.ledger.trails.note(request.Ran.Program, request.Ran.Part, request.Ran.Engine)
-	if reservation, known := h.open.Get(request.Reservation); known {
-		h.open.Remove(request.Reservation)
+	if reservation := h.settled(request); reservation != nil {
 		reservation.Settle(request.Generated)
 	}
 	return nil
 }
+
+// settled returns the reservation that ends, or remembers that it is to end at once.
+func (h *Holder) settled(request SettleRequest) *Reservation {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	reservation, known := h.open.Get(request.Reservation)
+	if !known {
+		h.early.Add(request.Reservation, request.Generated)
+		return nil
+	}
+	h.open.Remove(request.Reservation)
+	return reservation
+}
--- a/internal/budget/shared.go
+++ b/internal/budget/shared.go
@@ -19,7 +19,11 @@
 // Bounds of what is asked of a holder.
 const (
 	answerWait  = 400 * time.Millisecond
+	// A settlement that is lost keeps a program's tokens reserved: it is told again,
+	// over a few seconds, in which a holder that was busy or cut off may be back.
 	settleWait  = time.Second
+	settleTries = 3
+	settlePause = 500 * time.Millisecond
 	suspectWait = time.Second      // a holder that did not answer is passed over
 	leavingWait = 10 * time.Second // and one that stops
 )
@@ -201,14 +205,22 @@
 
 // Settle implements Settler; it does not wait for the holder.
 func (r *remote) Settle(generated int64) {
+	request := SettleRequest{Reservation: r.request.Reservation, Generated: generated, Ran: r.outcome()}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), settleWait)
-		defer cancel()
-		request := SettleRequest{Reservation: r.request.Reservation, Generated: generated, Ran: r.outcome()}
-		err := r.shared.caller.Call(ctx, r.home.Process.Address, peer.Control, methodSettle, request, &SettleReply{})
-		if err != nil && !errors.Is(err, rpc.ErrShutdown) {
-			r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", string(r.home.Process.Machine)),
-				zap.String("reservation", r.request.Reservation), zap.Int64("generated", generated), zap.String("cause", err.Error()))
+		var err error
+		for try := range settleTries {
+			if err = r.settleOnce(request); err == nil || errors.Is(err, rpc.ErrShutdown) {
+				return
+			}
+			time.Sleep(time.Duration(try+1) * settlePause)
 		}
+		r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", string(r.home.Process.Machine)),
+			zap.String("reservation", request.Reservation), zap.Int64("generated", generated), zap.Int("tries", settleTries), zap.String("cause", err.Error()))
 	}()
 }
+
+func (r *remote) settleOnce(request SettleRequest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), settleWait)
+	defer cancel()
+	return r.shared.caller.Call(ctx, r.home.Process.Address, peer.Control, methodSettle, request, &SettleReply{})
+}
--- a/internal/budget/shared_test.go
+++ b/internal/budget/shared_test.go
@@ -118,6 +118,28 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("keeps nothing for who settled before the reservation was made", func() {
+		holder := NewHolder(newLedger(memorystore.New()), func() bool { return false })
+		const total, most = 500, 288
+		Expect(holder.Settle(SettleRequest{Reservation: "given up"}, &SettleReply{})).To(Succeed())
+		var late, next ReserveReply
+		Expect(holder.Reserve(ReserveRequest{Reservation: "given up", Program: "p", Total: total, Most: most}, &late)).To(Succeed())
+		Expect(late.Result).To(Equal(resultNoStore))
+		Expect(holder.Reserve(ReserveRequest{Reservation: "next", Program: "p", Total: total, Most: most}, &next)).To(Succeed())
+		Expect(next.Result).To(Equal(resultReserved), next.Detail)
+	})
+
+	It("grants nothing to who does not wait any more", func(ctx SpecContext) {
+		ledger := newLedger(memorystore.New())
+		ended, cancel := context.WithCancel(ctx)
+		first, err := ledger.Reserve(ctx, "p", 500, 100)
+		Expect(err).NotTo(HaveOccurred())
+		first.Settle(0)
+		cancel()
+		_, err = ledger.Reserve(ended, "p", 500, 100)
+		Expect(err).To(MatchError(context.Canceled))
+	})
+
 	It("counts a reservation once that is asked for twice", func(ctx SpecContext) {
 		holder := NewHolder(newLedger(store), func() bool { return false })
 		for range 2 {
