Placement: a token that would have to be read costs twice

Engines hold some ten long programs; loads drew turns away from the engine that kept their history, the histories pushed each other out, and 752 tokens were read a turn where some 440 are new. First byte 47 ms to 150 ms, a turn 200 to 460 ms.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -97,8 +97,13 @@
 	}
 }
 
-// The weights of the cost, in tokens that an engine would have to read.
+// The weights of the cost, in tokens of time: what an engine reads meanwhile.
 const (
+	// tokenCost is of one token that would have to be read. It takes its time, and it
+	// takes the place of one that the engine keeps and that is then read again in turn:
+	// where memory is short, contexts that move from engine to engine push each other
+	// out (docs/design/shifted-work.md, round 3; 3 and 4 do as well, 1 does not).
+	tokenCost      = 2.0
 	fullEngineCost = 1300.0 // an engine whose slots are all taken
 	affinityCost   = 256.0  // spread of the affinity's order of preference
 	otherZoneCost  = 48.0
@@ -112,7 +117,7 @@
 // costOf adds what must be read anew, the load, and the preference
 // that all processes share without a message: a hash of affinity and instance.
 func costOf(instance *Instance, request *Request) float64 {
-	cost := float64(Missing(instance, request))
+	cost := tokenCost * float64(Missing(instance, request))
 	cost += loadCost(instance, request)
 	cost += affinityCost * preference(instance, request)
 	if !instance.pool.warm(request.Now) && !request.Off.Has(mechanism.WarmConnections) {
--- a/internal/budget/shared.go
+++ b/internal/budget/shared.go
@@ -18,7 +18,7 @@
 
 // Bounds of what is asked of a holder.
 const (
-	answerWait  = 400 * time.Millisecond
+	answerWait = 400 * time.Millisecond
 	// A settlement that is lost keeps a program's tokens reserved: it is told again,
 	// over a few seconds, in which a holder that was busy or cut off may be back.
 	settleWait  = time.Second
