Store's relay: a daemon that knows nobody asks seeds

Change: daemons listen for peers where the platform's settings tell others to (control), the settings name the seeds, and the relay asks one of them while the list is empty. Seeds may be gone; once the list is read through one, they are not asked any more. Spec: 'asks seeds while nobody else is known'.

--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -90,7 +90,7 @@
 		Probe: state.Single(s.Rows.ConfigurationKey()), OnFailure: s.noteCall,
 	}
 	if !off.Has(mechanism.StoreRelay) {
-		storeOptions.Alternative = storerelay.NewRelay(parts.list, parts.pool)
+		storeOptions.Alternative = storerelay.NewRelay(parts.list, parts.pool, s.Settings.Seeds)
 	}
 	parts.client = state.NewClient(storeOptions)
 	parts.lease = &members.Lease{
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -21,7 +21,10 @@
 	// Region is what zones near each other share; empty: all daemons are near.
 	Region string `yaml:"region"`
 	Listen Listen `yaml:"listen"`
-	Store  Store  `yaml:"store"`
+	// Seeds are addresses at which other daemons listen for their peers; some may be
+	// gone. A daemon that can't reach the store asks them until it knows the others.
+	Seeds []string `yaml:"seeds"`
+	Store Store    `yaml:"store"`
 	// FirstStart tells that the whole system was never started before. It is for
 	// the first start of each machine only; left out, it is false.
 	FirstStart bool `yaml:"first_start"`
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -166,11 +168,14 @@
 type Relay struct {
 	list   *members.List
 	caller peer.Caller
+	seeds  []string
 }
 
-// NewRelay makes the calling side.
-func NewRelay(list *members.List, caller peer.Caller) *Relay {
-	return &Relay{list: list, caller: caller}
+// NewRelay makes the calling side. The seeds are addresses of daemons, some of which
+// may be gone: a daemon that was started while the store turns its machine away knows
+// nobody else yet, and reads through them who there is.
+func NewRelay(list *members.List, caller peer.Caller, seeds []string) *Relay {
+	return &Relay{list: list, caller: caller, seeds: seeds}
 }
 
 // suspectWait is how long a daemon that did not relay is not asked again.
@@ -206,21 +211,37 @@
 
 // call asks one other daemon; which one differs from call to call.
 func (r *Relay) call(ctx context.Context, method string, patience time.Duration, request, reply any) error {
-	others := r.list.Others(method+strconv.FormatInt(time.Now().UnixNano(), 10), 1)
-	if len(others) == 0 {
+	address, failed := r.choose(method)
+	if address == "" {
 		return eris.Wrap(state.ErrNotDone, "no other daemon is known")
 	}
 	limited, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	err := r.caller.Call(limited, others[0].Process.Address, peer.Data, method, request, reply)
+	err := r.caller.Call(limited, address, peer.Data, method, request, reply)
 	if err == nil {
 		return nil
 	}
 	if ctx.Err() == nil {
-		r.list.Suspect(others[0], suspectWait)
+		failed()
 	}
 	if errors.Is(err, peer.ErrNotSent) {
 		return eris.Wrapf(state.ErrNotDone, "relay: %v", err)
 	}
 	return eris.Wrapf(state.ErrUnknown, "relay: %v", err)
 }
+
+// choose picks another daemon, or a seed while none is known; failed is to be called
+// if it does not answer. The address is empty if there is nobody to ask.
+func (r *Relay) choose(method string) (address string, failed func()) {
+	others := r.list.Others(method+strconv.FormatInt(time.Now().UnixNano(), 10), 1)
+	if len(others) > 0 {
+		return others[0].Process.Address, func() { r.list.Suspect(others[0], suspectWait) }
+	}
+	nothing := func() {}
+	self := r.list.Self().Address
+	usable := slices.DeleteFunc(slices.Clone(r.seeds), func(seed string) bool { return seed == self })
+	if len(usable) == 0 {
+		return "", nothing
+	}
+	return usable[rand.IntN(len(usable))], nothing
+}
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -43,6 +43,8 @@
 	var memory *memorystore.Store
 	var usable bool
 	var relay *storerelay.Relay
+	var seeded func(seeds ...string) *storerelay.Relay
+	var seed string
 	key := state.Key{Table: "t", Partition: "p", Name: "n"}
 	put := state.Commit{Puts: []state.Put{{Key: key, Value: []byte("v")}}, Conditions: []state.Condition{{Key: key}}}
 
@@ -57,7 +59,21 @@
 		list := members.NewList(members.Member{Process: identity.Process{Machine: "self", Zone: "z"}}, time.Now, zap.NewNop())
 		other := members.NewList(members.Member{Process: identity.Process{Machine: "other", Zone: "z", Address: server.Address()}}, time.Now, zap.NewNop())
 		Expect(acquaintance.Make(list, other)).To(Succeed())
-		relay = storerelay.NewRelay(list, pool)
+		relay = storerelay.NewRelay(list, pool, nil)
+		seeded = func(seeds ...string) *storerelay.Relay {
+			nobody := members.NewList(members.Member{Process: identity.Process{Machine: "new", Zone: "z", Address: "127.0.0.1:1"}}, time.Now, zap.NewNop())
+			return storerelay.NewRelay(nobody, pool, seeds)
+		}
+		seed = server.Address()
+	})
+
+	It("asks seeds while nobody else is known, never itself", func(ctx SpecContext) {
+		_, err := seeded().Commit(ctx, put)
+		Expect(err).To(MatchError(ContainSubstring("no other daemon is known")))
+		_, err = seeded("127.0.0.1:1").Commit(ctx, put)
+		Expect(err).To(MatchError(ContainSubstring("no other daemon is known")))
+		_, err = seeded("127.0.0.1:1", seed).Commit(ctx, put)
+		Expect(err).NotTo(HaveOccurred())
 	})
 
 	It("commits, shows conflicts, reads and follows through another daemon", func(ctx SpecContext) {
