Explain: rows and reservations that bear a tenant's name belong to its requests; causes of 401 and 429

Cause: names of turns and programs stand in the store with the tenant's digest in front, so that 'thymeloft explain' no longer joined them to a request.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/tenant"
 )
 
 // Line is one line of a log.
@@ -32,6 +35,7 @@
 	fieldMachine     = "machine"
 	fieldRequest     = "request"
 	fieldProgram     = "program"
+	fieldTenant      = "tenant"
 	fieldPrevious    = "previous"
 	fieldReservation = "reservation"
 	fieldKey         = "key"
@@ -138,8 +142,12 @@
 // concerns tells whether a line belongs to the way of the request.
 func concerns(line, outcome Line) bool {
 	request, program, previous := outcome.text(fieldRequest), outcome.text(fieldProgram), outcome.text(fieldPrevious)
+	owned := func(name string) string { return tenant.Scope(identity.Tenant(outcome.text(fieldTenant)), name) }
 	for _, named := range []string{line.text(fieldRequest), line.text(fieldReservation), line.text(fieldKey)} {
-		if named == request || strings.HasPrefix(named, request+questionMark) || named != "" && named == previous {
+		if named == request || named == owned(request) || strings.HasPrefix(named, owned(request)+questionMark) {
+			return true
+		}
+		if named != "" && (named == previous || named == owned(previous)) {
 			return true
 		}
 	}
@@ -147,8 +155,7 @@
 	if line.At.Before(begun.Add(-around)) || line.At.After(outcome.At) {
 		return false
 	}
-	ofProgram := program != "" && (line.text(fieldProgram) == program || line.text(fieldKey) == program)
-	if ofProgram {
+	if program != "" && (line.text(fieldProgram) == program || line.text(fieldProgram) == owned(program) || line.text(fieldKey) == owned(program)) {
 		return true
 	}
 	if line.Machine != outcome.Machine || strings.HasPrefix(line.Message, prefixRequest) {
@@ -172,6 +179,9 @@
 // causes says for each reason what happened and what it means for the caller.
 var causes = map[string]string{
 	"no-configuration":    "the daemon had just started and had read no configuration; the request did not run",
+	"unknown-key":         "it showed no key, more than one, or one that the configuration in force does not hold; it did not run",
+	"unsure-key":          "its key was not known, and the configuration was heard so long ago that the key may have been added since; it did not run",
+	"quota-exceeded":      "its tenant had taken its quota in the window, over all daemons as far as this one knew; it did not run",
 	"no-route":            "the configuration in force had no route for its host and path",
 	"malformed":           "a header could not be read",
 	"too-large":           "its body was over the limit of the configuration",
@@ -206,7 +216,7 @@
 
 // shown are the fields printed with a line, in this order.
 var shown = []string{
-	"request", "route", "status", "reason", "took", "storeWait", "firstByte", "tries", "searches", "events", "program", "programLeft", "previous",
+	"request", "route", "status", "reason", "took", "storeWait", "firstByte", "tries", "searches", "events", "tenant", "program", "programLeft", "previous",
 	"reservation", "budget", "most", "attained", "lent", "limit", "holder", "engine", "revision", "configurationAge", "enginesAge", "call", "table",
 	"partition", "key", "for", "after", "underWay", "cause",
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/thymeloft/thymeloft/internal/explain"
+	"github.com/thymeloft/thymeloft/internal/tenant"
 )
 
 func TestExplain(t *testing.T) {
@@ -44,6 +45,17 @@
 }
 
 var _ = Describe("Of", func() {
+	It("finds the rows and reservations that bear a tenant's name in front", func() {
+		owned := tenant.Scope("north", "p1")
+		explained, err := explain.Of("r1", read(`
+{"level":"warn","ts":"2026-01-01T10:00:01.5Z","msg":"store: call failed.","machine":"m2","table":"budgets","key":"`+owned+`","cause":"reset"}
+{"level":"warn","ts":"2026-01-01T10:00:01.6Z","msg":"store: call failed.","machine":"m2","table":"budgets","key":"p1","cause":"of another tenant"}
+{"level":"warn","ts":"2026-01-01T10:00:02Z","msg":"request: failed.","machine":"m1","request":"r1","status":429,"took":900,"tenant":"north","program":"p1","reason":"quota-exceeded"}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(explained.Way).To(HaveLen(2))
+		Expect(explained.Cause).To(ContainSubstring("quota"))
+	})
+
 	It("merges what concerns the request, over daemons and by time", func() {
 		explained, err := explain.Of("r1", read(logOfOne, logOfTwo))
 		Expect(err).NotTo(HaveOccurred())
