--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -46,13 +46,19 @@
 	Tenant  identity.Tenant
 	Counted int // in the window: here, and at the other daemons as far as known
 	Allowed int
+	// Age is how long ago the other daemons' part was heard; negative: never.
+	Age time.Duration
 	// After is when there is likely to be room.
 	After time.Duration
 }
 
 // Error implements error.
 func (e *ExceededError) Error() string {
-	return fmt.Sprintf("tenant %s: %d requests in the window, %d allowed", e.Tenant, e.Counted, e.Allowed)
+	heard := "never heard"
+	if e.Age >= 0 {
+		heard = fmt.Sprintf("heard %s ago", e.Age.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("tenant %s: %d requests in the window, %d allowed, others %s", e.Tenant, e.Counted, e.Allowed, heard)
 }
 
 // Limiter keeps one daemon's part. It is safe for concurrent use.
@@ -63,6 +69,7 @@
 	mutex  sync.Mutex
 	own    map[load.Key]*window
 	others load.Counts // in the window, as last told
+	heard  time.Time   // when it was told
 }
 
 // NewLimiter makes a limiter that has counted nothing.
@@ -83,7 +90,8 @@
 	if !request.Quota.Limited() {
 		return nil, nil
 	}
-	slot := slotAt(l.now(), l.settings.Window)
+	now := l.now()
+	slot := slotAt(now, l.settings.Window)
 	key := keyOf(request.Tenant)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -95,7 +103,9 @@
 	own.advance(slot)
 	counted := own.total + l.others[key]
 	if allowed := l.allowed(request); counted >= allowed {
-		return nil, &ExceededError{Tenant: request.Tenant, Counted: counted, Allowed: allowed, After: l.untilRoom(counted - allowed)}
+		return nil, &ExceededError{
+			Tenant: request.Tenant, Counted: counted, Allowed: allowed, Age: l.age(now), After: l.untilRoom(counted - allowed),
+		}
 	}
 	own.add(slot, 1)
 	return &Taken{limiter: l, key: key, slot: slot}, nil
@@ -112,6 +122,14 @@
 	return int(limit + tolerance/half)
 }
 
+// age is how long ago the other daemons were heard; the lock is held.
+func (l *Limiter) age(now time.Time) time.Duration {
+	if l.heard.IsZero() {
+		return -1
+	}
+	return now.Sub(l.heard)
+}
+
 // Bounds of the time after which a refused request may come back.
 const (
 	soonestRoom = 100 * time.Millisecond
@@ -167,7 +185,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.others = all
+	l.others, l.heard = all, l.now()
 }
 
 func keyOf(name identity.Tenant) load.Key { return load.KeyOf(string(name)) }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -218,6 +218,6 @@
 }
 
 func ExampleExceededError() {
-	fmt.Println((&quota.ExceededError{Tenant: "north", Counted: 120, Allowed: 120}).Error())
-	// Output: tenant north: 120 requests in the window, 120 allowed
+	fmt.Println((&quota.ExceededError{Tenant: "north", Counted: 120, Allowed: 120, Age: 80 * time.Millisecond}).Error())
+	// Output: tenant north: 120 requests in the window, 120 allowed, others heard 80ms ago
 }
