--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -19,6 +20,10 @@
 // others report to it. It is safe for concurrent use.
 type Board struct {
 	now func() time.Time
+	// WorthTelling, if given, tells whether daemons need to know how much was taken of
+	// a tenant's quota: those far below their limit are left out of pictures, so that
+	// these do not grow with the tenants. It is to be set before the first use.
+	WorthTelling func(tenant Key, taken int) bool
 
 	mutex   sync.Mutex
 	reports map[string]heard // by member
@@ -86,6 +91,9 @@
 	for member, report := range b.reports {
 		b.summed[member] = report.told
 	}
+	if b.WorthTelling != nil {
+		maps.DeleteFunc(all.taken, func(tenant Key, taken int) bool { return !b.WorthTelling(tenant, taken) })
+	}
 	b.sum, b.sumAt = all.encode(), now
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -115,6 +115,15 @@
 		Expect(taken("b", Counts{1: 1})).To(Equal(Counts{1: 1}))
 	})
 
+	It("leaves out of pictures what nobody needs to know, and shares it all the same", func() {
+		board.WorthTelling = func(_ Key, taken int) bool { return taken >= 5 }
+		var picture Picture
+		Expect(board.Report(Sample{Member: "a", Told: Told{Taken: Counts{1: 4, 2: 5}.encode()}}, &picture)).To(Succeed())
+		Expect(decoded(picture.All.Taken)).To(Equal(Counts{2: 5}))
+		share, _ := board.share()
+		Expect(decoded(share.Taken)).To(Equal(Counts{1: 4, 2: 5}))
+	})
+
 	It("counts a daemon once that tells again after a silence", func() {
 		report("a", Counts{1: 2})
 		now = now.Add(reportKept + time.Millisecond)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/thymeloft/thymeloft/internal/identity"
@@ -70,6 +71,8 @@
 	own    map[load.Key]*window
 	others load.Counts // in the window, as last told
 	heard  time.Time   // when it was told
+
+	limits atomic.Pointer[map[load.Key]float64] // of all tenants in a window
 }
 
 // NewLimiter makes a limiter that has counted nothing.
@@ -113,7 +116,7 @@
 
 // allowed is how many requests may be in the window before this one.
 func (l *Limiter) allowed(request Request) int {
-	limit := request.Quota.PerSecond*l.settings.Window.Seconds() + float64(request.Quota.Burst)
+	limit := l.limit(request.Quota)
 	if !request.UnderWay {
 		return int(limit)
 	}
@@ -130,6 +133,14 @@
 	return now.Sub(l.heard)
 }
 
+// limit is how many requests a quota allows in a window; 0: any number.
+func (l *Limiter) limit(quota tenant.Quota) float64 {
+	if !quota.Limited() {
+		return 0
+	}
+	return quota.PerSecond*l.settings.Window.Seconds() + float64(quota.Burst)
+}
+
 // Bounds of the time after which a refused request may come back.
 const (
 	soonestRoom = 100 * time.Millisecond
@@ -175,6 +186,29 @@
 	return counts
 }
 
+// Declare takes over the tenants' quotas in force, for Near alone.
+func (l *Limiter) Declare(tenants *tenant.Directory) {
+	limits := map[load.Key]float64{}
+	for name, declared := range tenants.All() {
+		limits[keyOf(name)] = l.limit(declared.Quota)
+	}
+	l.limits.Store(&limits)
+}
+
+// nearShare of its limit is what a tenant has taken when daemons need to know it: half
+// of a limit isn't taken within the 0.3 s in which all hear of it.
+const nearShare = 0.5
+
+// Near tells whether daemons need to know how much was taken of a tenant's quota.
+func (l *Limiter) Near(tenant load.Key, taken int) bool {
+	limits := l.limits.Load()
+	if limits == nil {
+		return true
+	}
+	limit, known := (*limits)[tenant]
+	return !known || limit > 0 && float64(taken) >= nearShare*limit
+}
+
 // Learn takes in what all daemons took; own is this one's part of it.
 func (l *Limiter) Learn(all, own load.Counts) {
 	for key, count := range own {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -103,6 +103,18 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("tells which tenants' counts others need", func() {
+		key := load.KeyOf("t")
+		Expect(limiter.Near(key, 1)).To(BeTrue(), "nothing is declared yet")
+		limiter.Declare(tenant.NewDirectory([]tenant.Tenant{
+			{Name: "t", Quota: tenant.Quota{PerSecond: perSecond, Burst: burst}}, {Name: "free"},
+		}))
+		Expect(limiter.Near(key, limit/2-1)).To(BeFalse())
+		Expect(limiter.Near(key, limit/2)).To(BeTrue())
+		Expect(limiter.Near(load.KeyOf("free"), 1000)).To(BeFalse())
+		Expect(limiter.Near(load.KeyOf("unknown"), 1)).To(BeTrue(), "this daemon may be behind")
+	})
+
 	It("knows no limit where none is declared, and keeps tenants apart", func() {
 		Expect(takeAll(false)).To(Equal(limit))
 		other := request(false)
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -108,6 +108,7 @@
 		Now: time.Now, Removal: parts.removal, Others: &turn.Others{List: parts.list, Caller: parts.pool},
 	})
 	parts.loads = &load.Exchange{List: parts.list, Caller: parts.pool, Board: load.NewBoard(time.Now), Fleet: s.fleet, Quotas: s.quotas, Log: s.Log}
+	parts.loads.Board.WorthTelling = s.quotas.Near
 	parts.tellsLoads = !off.Has(mechanism.LoadBoard)
 	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry)); err != nil {
 		return nil, err
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -55,6 +55,14 @@
 // Demanded tells whether requests need a key at all.
 func (d *Directory) Demanded() bool { return d != nil && len(d.byName) > 0 }
 
+// All gives the tenants by name; it is not to be changed.
+func (d *Directory) All() map[identity.Tenant]*Tenant {
+	if d == nil {
+		return nil
+	}
+	return d.byName
+}
+
 // Find returns the tenant that holds a key.
 func (d *Directory) Find(digest Digest) (*Tenant, bool) {
 	if d == nil {
