--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -182,7 +182,10 @@
 func (s *Server) follow(ctx context.Context, parts *collaboration) {
 	configuration := &configurationFollower{
 		rows: s.Rows, holder: s.routes, log: s.Log,
-		onChange: func(table *routetable.Table) { s.front.Limit(table.Limits) },
+		onChange: func(table *routetable.Table) {
+			s.front.Limit(table.Limits)
+			s.quotas.Declare(table.Tenants)
+		},
 	}
 	instances := &instanceFollower{
 		rows: s.Rows, fleet: s.fleet, log: s.Log,
