Supervision: the engines of a daemon that is not heard for long fall to the next, until it is heard again

Change: a supervisor of which no digest was received for a refresh and two spreads (5 s), directly or passed on, is passed over; fences keep each order one supervisor's, as while views of the members differ. Spec: 'takes over the engines of a daemon whose lease stands' failed before.

--- a/internal/engine/fakes_test.go
+++ b/internal/engine/fakes_test.go
@@ -149,6 +149,7 @@
 	mutex     sync.Mutex
 	receivers map[string]*Receiver
 	view      *members.View
+	cut       string // address of a daemon that the others do not reach, nor it them
 }
 
 func newNetwork() *network {
@@ -165,8 +166,9 @@
 func (n fakeDaemon) Call(_ context.Context, address string, _ peer.Class, method string, arguments, reply any) error {
 	n.mutex.Lock()
 	receiver := n.receivers[address]
+	isCut := n.cut != "" && (n.cut == address) != (n.cut == n.self.Address)
 	n.mutex.Unlock()
-	if receiver == nil {
+	if receiver == nil || isCut {
 		return errCut
 	}
 	if method == methodFetch {
@@ -191,6 +193,13 @@
 func (n fakeDaemon) Self() identity.Process     { return n.self }
 func (n fakeDaemon) Subscribe() <-chan struct{} { return nil }
 
+// cutOff cuts a daemon off from the others, and connects the one cut before.
+func (n *network) cutOff(address string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cut = address
+}
+
 // setMembers replaces the view by the alive daemons.
 func (n *network) setMembers(processes ...identity.Process) {
 	n.mutex.Lock()
--- a/internal/engine/follow.go
+++ b/internal/engine/follow.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/thymeloft/thymeloft/internal/configuration"
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/members"
@@ -36,6 +38,8 @@
 	revision *configuration.Snapshot
 	version  uint64 // of the view of the members
 	daemons  []identity.Process
+	table    *table
+	heard    []identity.Process // daemons less those that are silent
 }
 
 // look takes over what changed. Many views differ in members of other regions,
@@ -43,16 +47,31 @@
 func (s *Service) look(ctx context.Context) {
 	current := s.options.Configuration.Current()
 	view := s.options.Directory.View()
-	if current == s.followed.revision && view.Version == s.followed.version {
+	if current != s.followed.revision || view.Version != s.followed.version {
+		moved := s.learnRegions(view)
+		living := supervisors(view, s.self)
+		if current != s.followed.revision || moved || !slices.Equal(living, s.followed.daemons) {
+			s.adopt(current, living)
+		}
+		s.askUnheard(ctx)
+		s.followed.revision, s.followed.version, s.followed.daemons = current, view.Version, living
+	}
+	s.share(ctx)
+}
+
+// share brings the supervisors in step with the fleet and with who is heard.
+func (s *Service) share(ctx context.Context) {
+	current := s.fleet.Load()
+	heard := s.passOver(s.followed.daemons, current.units, time.Now())
+	if current == s.followed.table && slices.Equal(heard, s.followed.heard) {
 		return
 	}
-	moved := s.learnRegions(view)
-	living := supervisors(view, s.self)
-	if current != s.followed.revision || moved || !slices.Equal(living, s.followed.daemons) {
-		s.adopt(ctx, current, living)
+	if passedOver := len(s.followed.daemons) - len(heard); passedOver > 0 {
+		s.logger.Warn("engine: supervisors are not heard and passed over.",
+			zap.Int("passedOver", passedOver), zap.Int("heard", len(heard)), zap.Duration("silence", s.settings.silence()))
 	}
-	s.askUnheard(ctx)
-	s.followed = followed{revision: current, version: view.Version, daemons: living}
+	s.followed.table, s.followed.heard = current, heard
+	s.supervise(ctx, current, heard)
 }
 
 // learnRegions notes the zones' regions, and says whether any is new.
@@ -71,14 +90,13 @@
 }
 
 // adopt takes over a revision of the configuration and the region's daemons.
-func (s *Service) adopt(ctx context.Context, current *configuration.Snapshot, daemons []identity.Process) {
+func (s *Service) adopt(current *configuration.Snapshot, daemons []identity.Process) {
 	next := s.nextTable(&current.Document)
 	s.fleet.Store(next)
 	s.wanted.Store(newWantedPools(current, s.settings.ParallelLoads))
 	s.daemons.Store(int64(max(1, len(daemons))))
 	s.spread.follow(newMesh(s.self, daemons))
 	s.leaving.follow(daemons)
-	s.supervise(ctx, next, daemons)
 	s.touch()
 }
 
--- a/internal/engine/receive.go
+++ b/internal/engine/receive.go
@@ -101,6 +101,7 @@
 		s.fetch[batch.Sender] = true
 		return false
 	}
+	s.service.hearing.note(read.Digest.Fence, now)
 	accepted := member.accept(read.Digest, read.Check, now)
 	if accepted && batch.Relay {
 		s.passOn[member] = s.passOn[member] || read.Full
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -37,6 +37,7 @@
 	changed  chan struct{}
 	wake     chan struct{} // releases wait
 	pending  pendingUnits
+	hearing  hearing
 	holds    chan heldLease
 
 	rebuilding sync.Mutex
--- a/internal/engine/service_test.go
+++ b/internal/engine/service_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/thymeloft/thymeloft/internal/configuration"
 	"github.com/thymeloft/thymeloft/internal/identity"
@@ -137,6 +138,30 @@
 		Consistently(accepting(one), 100*time.Millisecond).Should(HaveLen(2))
 	})
 
+	It("takes over the engines of a daemon whose lease stands but which is cut off, until it is heard again", func() {
+		both := []identity.Process{process("daemon-a"), process("daemon-b")}
+		members.setMembers(both...)
+		falling := newFakeEngine(nameOwnedBy("daemon-b", both), "model", "v1")
+		staying := newFakeEngine(nameOwnedBy("daemon-a", both), "model", "v1")
+		source.set(document("v1", staying, falling))
+		registry := prometheus.NewRegistry()
+		one, _ := start(members, source, "daemon-a", func(o *Options) { o.Registerer = registry })
+		two, _ := start(members, source, "daemon-b", nil)
+		for _, service := range []*Service{one, two} {
+			Eventually(accepting(service), patience).Should(HaveLen(2))
+		}
+		claimant := func() uint64 { return fenceOf(falling) & fenceMask }
+		Expect(claimant()).To(Equal(weightOf("fence", both[1]) & fenceMask))
+		owned := func() float64 { return gaugeOf(registry, ownedMetric) }
+		Expect(owned()).To(BeEquivalentTo(1))
+		members.cutOff("daemon-b")
+		Eventually(claimant, patience).Should(Equal(weightOf("fence", both[0]) & fenceMask))
+		Expect(owned()).To(BeEquivalentTo(2))
+		members.cutOff("")
+		Eventually(owned, patience).Should(BeEquivalentTo(1))
+		Eventually(accepting(one), patience).Should(HaveLen(2))
+	})
+
 	It("knows at its start what other daemons know, and lets calls wait until then", func() {
 		members.setMembers(process("daemon-a"), process("daemon-b"))
 		one, _ := start(members, source, "daemon-a", nil)
@@ -212,6 +237,22 @@
 	return fake.state.Version
 }
 
+// ownedMetric counts the engines that a daemon supervises.
+const ownedMetric = "thymeloft_engine_supervised"
+
+// gaugeOf reads a gauge without labels.
+func gaugeOf(registry *prometheus.Registry, name string) float64 {
+	families, err := registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, family := range families {
+		if family.GetName() == name {
+			return family.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	Fail("there is no metric " + name)
+	return 0
+}
+
 func fenceOf(fake *fakeEngine) uint64 {
 	fake.mutex.Lock()
 	defer fake.mutex.Unlock()
