Placement: failures of engines are told with the loads

A daemon sends an engine a request in some six seconds here, so its own picture of failures says nothing. Change: reports carry requests that failed, and all requests at engines where any daemon had one fail; an engine at which a quarter of at least six of all failed lately comes last.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -88,7 +88,9 @@
 	}
 	shown := instance.quality.measure(request.Now)
 	switch {
-	case shown.failing():
+	case shown.failing(enough):
+		return classFailing
+	case !request.Off.Has(mechanism.ToldFailures) && instance.outcomes(shown, request.Now).failing(enoughOfAll):
 		return classFailing
 	case shown.slow(all):
 		return classSlow
