Quotas: for a window after a loss, the steady rate of the processes that are gone counts as taken

Ruled out: a picture that is late (its 0.3 s are covered by the tolerance, in the model too). Change: a process tells for a window after its start how much of the window it did not see; the mean over the daemons is the part of each tenant's steady rate that counts as taken, falling with time. A single restart costs a tenant 1/84 of it, the loss of all leaves the burst and the rate.

--- a/internal/execution/admission_test.go
+++ b/internal/execution/admission_test.go
@@ -16,6 +16,7 @@
 	now := time.Unix(1000, 0)
 	bounded := newAdmission(func() float64 { return share })
 	bounded.limiter = quota.NewLimiter(quota.Settings{Window: rateWindow}, func() time.Time { return now })
+	now = now.Add(rateWindow)
 	tenant := &configuration.Tenant{Name: "tenant", RequestsPerSecond: 1e-6, Burst: 40}
 	admitted := func() int {
 		count := 0
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -9,6 +9,9 @@
 // A daemon that hears nobody believes that the others go on as they last did: it takes
 // no more than what was then left of the limit, so that k daemons that are cut off
 // take at most k times that in a window beyond what they took before.
+// What processes took that are gone is not known: a process tells for a window after its
+// start how much of it it did not see, and as large a part of each tenant's steady rate
+// counts as taken (history.go).
 package quota
 
 import (
@@ -66,18 +69,20 @@
 type Limiter struct {
 	settings Settings
 	now      func() time.Time
+	started  time.Time
 
 	mutex  sync.Mutex
 	own    map[load.Key]*window
 	others load.Counts // in the window, as last told
 	heard  time.Time   // when it was told
+	unseen float64     // part of the fleet's window that nobody saw, when it was told
 
 	limits atomic.Pointer[map[load.Key]float64] // of all tenants in a window
 }
 
 // NewLimiter makes a limiter that has counted nothing.
 func NewLimiter(settings Settings, now func() time.Time) *Limiter {
-	return &Limiter{settings: settings, now: now, own: map[load.Key]*window{}, others: load.Counts{}}
+	return &Limiter{settings: settings, now: now, started: now(), own: map[load.Key]*window{}, others: load.Counts{}}
 }
 
 // Taken is a place in a tenant's quota; nil where there is no limit.
@@ -104,7 +109,7 @@
 		l.own[key] = own
 	}
 	own.advance(slot)
-	counted := own.total + l.others[key]
+	counted := own.total + l.others[key] + l.unseenOf(request.Quota, now)
 	if allowed := l.allowed(request); counted >= allowed {
 		return nil, &ExceededError{
 			Tenant: request.Tenant, Counted: counted, Allowed: allowed, Age: l.age(now), After: l.untilRoom(counted - allowed),
@@ -183,6 +188,7 @@
 		}
 		counts[key] = own.total
 	}
+	l.tellHistory(counts, l.now())
 	return counts
 }
 
@@ -211,6 +217,7 @@
 
 // Learn takes in what all daemons took; own is this one's part of it.
 func (l *Limiter) Learn(all, own load.Counts) {
+	unseen := takeHistory(all, own)
 	for key, count := range own {
 		all[key] -= count
 		if all[key] <= 0 {
@@ -219,7 +226,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.others, l.heard = all, l.now()
+	l.others, l.heard, l.unseen = all, l.now(), unseen
 }
 
 func keyOf(name identity.Tenant) load.Key { return load.KeyOf(string(name)) }
