--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -88,9 +88,7 @@
 	}
 	shown := instance.quality.measure(request.Now)
 	switch {
-	case shown.failing(enough):
-		return classFailing
-	case !request.Off.Has(mechanism.ToldFailures) && instance.outcomes(shown, request.Now).failing(enoughOfAll):
+	case shown.failing():
 		return classFailing
 	case shown.slow(all):
 		return classSlow
--- a/internal/backend/instance.go
+++ b/internal/backend/instance.go
@@ -34,9 +34,7 @@
 	digest   load.Key     // by which daemons name it to each other
 	others   atomic.Int64 // requests of other processes under way, as last heard
 	heardAt  atomic.Int64 // unix nanoseconds of that; 0: never
-	// What the requests of other processes showed of late, in load.OutcomeUnit.
-	othersFailed, othersTried atomic.Int64
-	leftAt                    atomic.Int64 // unix nanoseconds since when it is draining or gone; 0: it is not
+	leftAt   atomic.Int64 // unix nanoseconds since when it is draining or gone; 0: it is not
 }
 
 // InFlight is how many requests of this process the instance works on.
--- a/internal/backend/quality.go
+++ b/internal/backend/quality.go
@@ -88,10 +88,6 @@
 const (
 	// enough is the weight of observations from which an instance is judged.
 	enough = 3.0
-	// enoughOfAll is the same where other processes' requests count, too: of fleets so
-	// large that one process sends an engine a request in some seconds. Those that had
-	// a failure tell of it first, so it is more.
-	enoughOfAll = 6.0
 	// failingShare is the share of failures from which an instance is avoided.
 	failingShare = 0.25
 	// slowRatio is how many times the service's mean an instance takes when
@@ -111,8 +107,8 @@
 	r.perEvent.weight += one.perEvent.weight
 }
 
-func (m measured) failing(least float64) bool {
-	return m.attempts >= least && m.failures >= failingShare*m.attempts
+func (m measured) failing() bool {
+	return m.attempts >= enough && m.failures >= failingShare*m.attempts
 }
 
 func (m measured) slow(of reference) bool {
--- a/internal/lab/replay/checks_test.go
+++ b/internal/lab/replay/checks_test.go
@@ -184,6 +184,9 @@
 		post(callerapi.PathPrograms, callerapi.CreateRequest{CreationKey: "k", TokenBudget: 5})
 		post(callPath("p0001-a", 1), requestOf(call))
 		post(callPath("p0001-a", 2), requestOf(call))
+		recorded := func() []Program { return recorder.Trace("t", fleet.Deployment{Zones: []string{"a"}}).Programs }
+		// The recorder notes a call once its answer is passed on, so perhaps after the caller has it.
+		Eventually(recorded).Should(ConsistOf(HaveField("Calls", HaveLen(1))))
 		trace := recorder.Trace("t", fleet.Deployment{Zones: []string{"a"}})
 		encoded, err := trace.Encode()
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -22,16 +22,8 @@
 	UnderWay() Counts
 	// Learn takes in what the other daemons have under way: all less own.
 	Learn(all, own Counts)
-	// Outcomes are this daemon's requests of late by engine, those that failed and
-	// all, in OutcomeUnit; all are given for the engines named, and where one failed.
-	Outcomes(named Counts) (failed, tried Counts)
-	// LearnOutcomes takes in what the other daemons saw: all less own.
-	LearnOutcomes(failed, tried, ownFailed, ownTried Counts)
 }
 
-// OutcomeUnit is what a whole request counts in outcomes, which lose weight with time.
-const OutcomeUnit = 10
-
 // Quotas is what a daemon took of each tenant within the window of quotas.
 type Quotas interface {
 	Counts() Counts
@@ -51,7 +43,6 @@
 	Log    *zap.Logger
 
 	metrics metrics
-	failing Counts // engines where a daemon had a request fail, as last heard; of report alone
 
 	mutex      sync.Mutex
 	plan       *plan
@@ -134,7 +125,6 @@
 	chosen := aggregators[place]
 	var picture Picture
 	told := sums{underWay: e.Fleet.UnderWay(), taken: e.Quotas.Counts()}
-	told.failed, told.tried = e.Fleet.Outcomes(e.failing)
 	report := Sample{Member: string(e.List.Self().Machine), Told: told.encode()}
 	if err := e.reportTo(ctx, chosen, report, &picture); err != nil {
 		if ctx.Err() == nil {
@@ -151,8 +141,6 @@
 	}
 	e.Fleet.Learn(all.underWay, own.underWay)
 	e.Quotas.Learn(all.taken, own.taken)
-	e.Fleet.LearnOutcomes(all.failed, all.tried, own.failed, own.tried)
-	e.failing = all.failed
 	e.metrics.ended(resultLearned)
 	e.noteAggregator(chosen)
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -66,9 +66,6 @@
 type Told struct {
 	UnderWay []byte // by engine, now
 	Taken    []byte // by tenant, within the window of quotas
-	// Failed and Tried are requests by engine, lately, in parts of OutcomeUnit: those that
-	// failed, and all at engines where any daemon had one fail.
-	Failed, Tried []byte
 }
 
 // Sample is what one daemon tells.
@@ -139,19 +136,17 @@
 const mostCounted = 1 << 20
 
 // sums are decoded sums of what daemons told.
-type sums struct{ underWay, taken, failed, tried Counts }
+type sums struct{ underWay, taken Counts }
 
-func newSums() sums {
-	return sums{underWay: Counts{}, taken: Counts{}, failed: Counts{}, tried: Counts{}}
-}
+func newSums() sums { return sums{underWay: Counts{}, taken: Counts{}} }
 
 // add adds what was told; an error says that it can't be read.
 func (s *sums) add(told Told) error {
-	return errors.Join(s.underWay.add(told.UnderWay), s.taken.add(told.Taken), s.failed.add(told.Failed), s.tried.add(told.Tried))
+	return errors.Join(s.underWay.add(told.UnderWay), s.taken.add(told.Taken))
 }
 
 func (s *sums) encode() Told {
-	return Told{UnderWay: s.underWay.encode(), Taken: s.taken.encode(), Failed: s.failed.encode(), Tried: s.tried.encode()}
+	return Told{UnderWay: s.underWay.encode(), Taken: s.taken.encode()}
 }
 
 // check tells whether what was told can be read.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -230,33 +230,10 @@
 type engines struct {
 	own     Counts
 	learned chan Counts
-	// What is told and learned of outcomes.
-	failed, tried, othersFailed, othersTried Counts
 }
 
 func (e *engines) UnderWay() Counts { return e.own }
 
-func (e *engines) Outcomes(named Counts) (failed, tried Counts) {
-	failed, tried = Counts{}, Counts{}
-	for key, count := range e.failed {
-		failed[key] = count
-	}
-	for key := range named {
-		tried[key] = e.tried[key]
-	}
-	return failed, tried
-}
-
-func (e *engines) LearnOutcomes(failed, tried, ownFailed, ownTried Counts) {
-	e.othersFailed, e.othersTried = Counts{}, Counts{}
-	for key, count := range failed {
-		e.othersFailed[key] = count - ownFailed[key]
-	}
-	for key, count := range tried {
-		e.othersTried[key] = count - ownTried[key]
-	}
-}
-
 func (e *engines) Learn(all, own Counts) {
 	for engine, count := range own {
 		all[engine] -= count
@@ -335,22 +312,6 @@
 		learn(ctx, all, all[44], 44)
 	})
 
-	It("asks all about engines at which one had a failure, and tells all of it", func(ctx SpecContext) {
-		all := daemons(3, 15)
-		const failing, sound = Key(7), Key(8)
-		for _, each := range all {
-			each.fleet.tried = Counts{failing: OutcomeUnit, sound: OutcomeUnit}
-		}
-		all[0].fleet.failed = Counts{failing: OutcomeUnit}
-		hearing := all[44].fleet
-		Eventually(func() Counts {
-			round(ctx, all)
-			return hearing.othersTried
-		}).Should(HaveKeyWithValue(failing, 44*OutcomeUnit))
-		Expect(hearing.othersFailed).To(Equal(Counts{failing: OutcomeUnit}))
-		Expect(hearing.othersTried).NotTo(HaveKey(sound))
-	})
-
 	It("goes on with another aggregator when one is gone", func(ctx SpecContext) {
 		all := daemons(3, 15)
 		learn(ctx, all, all[0], 44)
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -26,8 +26,6 @@
 	PrefixGuess    Name = "prefix-guess"    // what an engine has read counts in placement
 	SharedParts    Name = "shared-parts"    // what programs share counts as read at every engine
 	ZoneCost       Name = "zone-cost"       // engines of other zones cost more
-	// ToldFailures: requests of other daemons that failed at an engine count.
-	ToldFailures Name = "told-failures"
 	// WarmConnections: engines to which no connection is kept cost more.
 	WarmConnections Name = "warm-connections"
 )
@@ -36,7 +34,7 @@
 func All() []Name {
 	return []Name{
 		Lending, LoadBoard, Trails, SharedBudgets, StoreRelay, HedgedCalls, QualityClasses, Ejection, PrefixGuess, SharedParts, ZoneCost,
-		WarmConnections, ToldFailures,
+		WarmConnections,
 	}
 }
 
