Sight: an answered request says by which count it got its place in its tenant's quota

Cause: a refusal told what was counted, allowed and how old that was; what was taken did not, so that a window over its limit could not be traced to the age of the picture, to a limit heard late or to what was not counted. The three figures stand in the request's one line now.

--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -19,6 +19,7 @@
 		zap.Duration("took", took),
 	}
 	fields = e.addProgram(fields)
+	fields = e.addQuota(fields)
 	fields = e.addEngine(fields)
 	fields = e.addConfiguration(fields)
 	fields = e.addCourse(fields)
@@ -63,6 +64,15 @@
 	return fields
 }
 
+// addQuota tells by which count the request got its place in its tenant's quota; a
+// refusal says it in its cause.
+func (e *execution) addQuota(fields []zap.Field) []zap.Field {
+	if e.taken == nil {
+		return fields
+	}
+	return append(fields, zap.Int("quotaCounted", e.taken.Counted), zap.Int("quotaAllowed", e.taken.Allowed), zap.Duration("quotaAge", e.taken.Age))
+}
+
 // addEngine tells which engine was chosen last, and what was believed of it.
 func (e *execution) addEngine(fields []zap.Field) []zap.Field {
 	if e.instance != nil {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -47,11 +47,8 @@
 
 // ExceededError says that a tenant is at its limit.
 type ExceededError struct {
-	Tenant  identity.Tenant
-	Counted int // in the window: here, and at the other daemons as far as known
-	Allowed int
-	// Age is how long ago the other daemons' part was heard; negative: never.
-	Age time.Duration
+	Decision
+	Tenant identity.Tenant
 	// After is when there is likely to be room.
 	After time.Duration
 }
@@ -87,12 +84,21 @@
 
 // Taken is a place in a tenant's quota; nil where there is no limit.
 type Taken struct {
+	Decision
 	limiter *Limiter
 	key     load.Key
 	slot    int64
 	once    sync.Once
 }
 
+// Decision is what a place was given or refused by.
+type Decision struct {
+	Counted int // in the window: here, and at the other daemons as far as known
+	Allowed int
+	// Age is how long ago the other daemons' part was heard; negative: never.
+	Age time.Duration
+}
+
 // Take gives the request its place, or returns *ExceededError.
 func (l *Limiter) Take(request Request) (*Taken, error) {
 	if !request.Quota.Limited() {
@@ -109,14 +115,14 @@
 		l.own[key] = own
 	}
 	own.advance(slot)
-	counted := own.total + l.others[key] + l.unseenOf(request.Quota, now)
-	if allowed := l.allowed(request); counted >= allowed {
-		return nil, &ExceededError{
-			Tenant: request.Tenant, Counted: counted, Allowed: allowed, Age: l.age(now), After: l.untilRoom(counted - allowed),
-		}
+	decision := Decision{
+		Counted: own.total + l.others[key] + l.unseenOf(request.Quota, now), Allowed: l.allowed(request), Age: l.age(now),
+	}
+	if over := decision.Counted - decision.Allowed; over >= 0 {
+		return nil, &ExceededError{Decision: decision, Tenant: request.Tenant, After: l.untilRoom(over)}
 	}
 	own.add(slot, 1)
-	return &Taken{limiter: l, key: key, slot: slot}, nil
+	return &Taken{Decision: decision, limiter: l, key: key, slot: slot}, nil
 }
 
 // allowed is how many requests may be in the window before this one.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -257,6 +257,8 @@
 }
 
 func ExampleExceededError() {
-	fmt.Println((&quota.ExceededError{Tenant: "north", Counted: 120, Allowed: 120, Age: 80 * time.Millisecond}).Error())
+	fmt.Println((&quota.ExceededError{
+		Tenant: "north", Decision: quota.Decision{Counted: 120, Allowed: 120, Age: 80 * time.Millisecond},
+	}).Error())
 	// Output: tenant north: 120 requests in the window, 120 allowed, others heard 80ms ago
 }
