Members: one member keeps what is kept by one alone, whatever its list's age

Cause: what must hold for the whole fleet needs one place that decides; a list of members tells who that is only up to its age. Change: members have a standing in their rows. Claims count for those that keep, settle or ended lately; who joined settles after a while and waits until all others have heard of it or stopped believing their lists; claims of ended members are released on condition that the row did not change. A process started again at its address goes on at once. Nothing uses it yet.

--- a/internal/members/claims.go
+++ b/internal/members/claims.go
@@ -10,15 +10,16 @@
 // list: a lookup is one pass over numbers, without sorting or allocation.
 type picture struct {
 	view    *View
-	living  []*record        // all zones, by machine
-	dead    []*record        // whose claims still count for lending
-	regions [][]*record      // living, this daemon's region first
-	zones   [2][]*record     // living others: of this daemon's zone, of other zones
-	own     *record          // this daemon
+	living  []*record    // all zones, by machine
+	dead    []*record    // whose claims still count for lending
+	regions [][]*record  // living, this daemon's region first
+	zones   [2][]*record // living others: of this daemon's zone, of other zones
+	own     *record      // this daemon
+	keepers keeperSet
 	self    identity.Process // this daemon
 }
 
-func newPicture(view *View, records []*record, self identity.Process) *picture {
+func newPicture(view *View, records []*record, self identity.Process, own Standing) *picture {
 	made := &picture{view: view, self: self, regions: make([][]*record, 1)}
 	places := map[identity.Region]int{self.Region: 0}
 	for _, known := range records {
@@ -26,6 +27,13 @@
 		if process.Machine == self.Machine {
 			made.own = known
 		}
+		standing := known.member.Standing
+		if process.Machine == self.Machine {
+			standing = own
+		}
+		if standing.claims() {
+			made.keepers.records = append(made.keepers.records, known)
+		}
 		if known.member.State == StateDead {
 			made.dead = append(made.dead, known)
 			continue
--- /dev/null
+++ b/internal/members/keeper.go
@@ -0,0 +1,251 @@
+package members
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+// Some things are kept by one member alone, in its memory: the one with the first
+// claim on a key among all members whose standing lets them have claims.
+//
+// Guarantee: no two processes keep one key at a moment, however old their lists are;
+// and who keeps a key was told since when nobody else did. A claim moves in two ways:
+//   - to a member that joined: its claims do not count before it is settling, and it
+//     keeps nothing before settlingTime is over. Others stop when they hear of it, or
+//     keeperContact after they last heard the list, which is shorter;
+//   - from a member that ended: its claims count until its row says that they are
+//     released, which is written on condition that the row did not change. One that
+//     was killed, or cut off, released at the earliest when it would long have stopped by
+//     itself; one that said that it ends had stopped before it said so.
+//
+// A process that is started again at its former address goes on with its machine's
+// claims at once, unless they were released: who listened there before is gone.
+const (
+	// keeperContact is how long a list is believed by who keeps something. It bridges
+	// outages of the store; within it, nobody else can keep the same.
+	keeperContact = 5 * time.Minute
+	// hearingDelay bounds how much older the list may be than the moment when it was heard.
+	hearingDelay = time.Minute
+	// settlingTime is longer than any other member believes a list without this one.
+	settlingTime = keeperContact + hearingDelay
+	// joinedTime is how long a joined member has no claims: its first claim takes the key from
+	// another member for settlingTime, so machines that come for a while take none.
+	joinedTime = 10 * time.Minute
+	// joinedSpread spreads the moments at which members that joined together settle, so
+	// that only a part of all keys is without a keeper at a time.
+	joinedSpread = 30 * time.Minute
+	// releaseEndedAfter is the time in which a member that ended as planned may be started
+	// again and go on with its claims.
+	releaseEndedAfter = 20 * time.Second
+	// releaseDeadAfter is when a member that was marked dead has certainly stopped.
+	releaseDeadAfter = keeperContact + hearingDelay
+)
+
+// Standing says whether a member's claims count for what one member keeps.
+type Standing uint8
+
+// The standings. Rows of before there were standings have the first.
+const (
+	StandingKeeps    Standing = iota // its claims count, and it may keep
+	StandingJoined                   // it joined lately: no claims yet
+	StandingSettling                 // its claims count, but it may not keep yet
+	StandingEnded                    // it ended as planned; its claims count for a while
+	StandingReleased                 // it ended, and its claims count no more
+)
+
+// claims tells whether a member of this standing has claims.
+func (s Standing) claims() bool { return s != StandingJoined && s != StandingReleased }
+
+// keeperSet are the members with claims, as one list shows them.
+type keeperSet struct {
+	records []*record
+	since   time.Time // when this process first saw the set as it is
+}
+
+// sameMachines tells whether both sets hold the same machines; both are ordered by machine.
+func (k keeperSet) sameMachines(other keeperSet) bool {
+	if len(k.records) != len(other.records) {
+		return false
+	}
+	for index, known := range k.records {
+		if known.member.Process.Machine != other.records[index].member.Process.Machine {
+			return false
+		}
+	}
+	return true
+}
+
+func (k keeperSet) first(key uint64) *record {
+	var first *record
+	most := uint64(0)
+	for _, candidate := range k.records {
+		if claimed := claim(candidate.digest, key); first == nil || claimed > most {
+			first, most = candidate, claimed
+		}
+	}
+	return first
+}
+
+// Keeper returns the member that keeps a key, as far as this list tells; false if
+// nobody does who lives.
+func (l *List) Keeper(key string) (Member, bool) {
+	first := l.current.Load().keepers.first(digestOf(key))
+	if first == nil || first.member.State == StateDead {
+		return Member{}, false
+	}
+	return first.member, true
+}
+
+// Keeps tells whether this process is the one that keeps a key, and since when nobody
+// else did.
+func (l *List) Keeps(key string) (since time.Time, keeps bool) {
+	current := l.current.Load()
+	if !l.mayKeep() || current.keepers.first(digestOf(key)) != current.own {
+		return time.Time{}, false
+	}
+	return l.keepsSince(current), true
+}
+
+// keepsSince is since when nobody else kept what this process keeps now.
+func (l *List) keepsSince(current *picture) time.Time {
+	// What others kept while this list was not believed does not show in it.
+	latest := max(l.seasoning.heardAgain.Load(), l.settledAt())
+	if since := l.seasoning.started.Add(time.Duration(latest)); since.After(current.keepers.since) {
+		return since
+	}
+	return current.keepers.since
+}
+
+// settledAt is from when this process's standing lets it keep, in nanoseconds since its start.
+func (l *List) settledAt() int64 {
+	switch {
+	case l.standing() == StandingKeeps:
+		return l.seasoning.settled.Load()
+	case l.seasoning.founder.Load():
+		return 0 // nobody was there before
+	default:
+		return l.seasoning.stood.Load() + int64(settlingTime)
+	}
+}
+
+// mayKeep tells whether this process may keep what it has the first claim on.
+func (l *List) mayKeep() bool {
+	elapsed := l.seasoning.elapsed(l.now())
+	heard := l.seasoning.heard.Load()
+	if heard == 0 || l.seasoning.registered.Load() == 0 || elapsed-heard > int64(keeperContact) {
+		return false
+	}
+	switch l.standing() {
+	case StandingKeeps:
+		return true
+	case StandingSettling:
+		if l.seasoning.founder.Load() {
+			return heard > int64(founding+foundersApart)
+		}
+		return elapsed > l.settledAt()
+	default:
+		return false
+	}
+}
+
+// noteStanding takes in the standing that this process's row has in the store.
+func (l *List) noteStanding(standing Standing) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.seasoning.elapsed(l.now())
+	settled := now
+	if l.standing() == StandingSettling {
+		settled = l.settledAt()
+	}
+	l.seasoning.settled.Store(settled)
+	l.seasoning.stood.Store(now)
+	l.seasoning.standing.Store(uint32(standing))
+	own := *l.records[l.self.Process.Machine]
+	own.member.Standing = standing
+	l.records[l.self.Process.Machine] = &own
+	l.publish()
+}
+
+// standing is what this process's row says, as far as it was acknowledged.
+func (l *List) standing() Standing {
+	return Standing(l.seasoning.standing.Load()) //nolint:gosec // was a Standing
+}
+
+// nextStanding is what this process's row is to say next.
+func (l *List) nextStanding() Standing {
+	current := l.standing()
+	switch {
+	case current == StandingSettling && l.mayKeep():
+		return StandingKeeps
+	case current == StandingJoined && l.joinedLongAgo():
+		return StandingSettling
+	default:
+		return current
+	}
+}
+
+func (l *List) joinedLongAgo() bool {
+	own := digestOf(string(l.self.Process.Machine))
+	wait := int64(joinedTime) + int64(own%uint64(joinedSpread))
+	return l.seasoning.elapsed(l.now())-l.seasoning.stood.Load() > wait
+}
+
+// registeredStanding is how this process stands at first, by the row that it found of its
+// machine, if any.
+func registeredStanding(found *Member, self Member, firstStart bool) Standing {
+	switch {
+	case found == nil && firstStart:
+		return StandingSettling
+	case found == nil, found.Standing == StandingReleased:
+		return StandingJoined
+	case found.Standing == StandingEnded:
+		return StandingKeeps // it had stopped before it said so
+	case found.Standing == StandingKeeps && found.Process.Address != self.Process.Address:
+		return StandingSettling // the former process may go on at its address
+	default:
+		return found.Standing
+	}
+}
+
+// release ends the claims of members that ended, so that others keep what they kept. The
+// one with the first claim on the row does it.
+func (l *Lease) release(parent context.Context, now time.Time) {
+	for _, known := range l.List.current.Load().dead {
+		wait := releaseDeadAfter
+		if known.member.Standing == StandingEnded {
+			wait = releaseEndedAfter
+		}
+		machine := known.member.Process.Machine
+		if !known.member.Standing.claims() || now.Sub(known.diedAt) <= wait || !l.List.Sweeps(string(machine)) {
+			continue
+		}
+		l.releaseOne(parent, known)
+	}
+}
+
+func (l *Lease) releaseOne(parent context.Context, known *record) {
+	ctx, cancel := context.WithTimeout(parent, commitWait)
+	defer cancel()
+	released := known.member
+	released.Standing = StandingReleased
+	machine := zap.String("member", string(released.Process.Machine))
+	value, err := Encode(released)
+	if err != nil {
+		l.Log.Error("members: released claims not written.", machine, zap.String("error", err.Error()))
+		return
+	}
+	key := keyOf(Table, released.Process.Machine)
+	_, err = l.Store.Commit(ctx, state.Commit{
+		Conditions: []state.Condition{{Key: key, Version: known.row}},
+		Puts:       []state.Put{{Key: key, Value: value}},
+	})
+	if err != nil {
+		l.Log.Info("members: claims not released.", machine, zap.String("error", err.Error()))
+		return
+	}
+	l.Log.Info("members: claims released.", machine, zap.Uint64("incarnation", uint64(released.Process.Incarnation)))
+}
--- a/internal/members/lease.go
+++ b/internal/members/lease.go
@@ -152,47 +152,15 @@
 func (l *Lease) register(parent context.Context) error {
 	ctx, cancel := context.WithTimeout(parent, commitWait)
 	defer cancel()
-	member := l.List.self
-	if l.leaving {
-		member.State = StateLeaving
-	}
-	value, err := Encode(member)
-	if err != nil {
-		return err
-	}
-	lease, err := l.encodeLease()
-	if err != nil {
-		return err
-	}
-	row, leased := keyOf(Table, member.Process.Machine), keyOf(LeaseTable, member.Process.Machine)
-	puts := []state.Put{{Key: row, Value: value}, {Key: leased, Value: lease}}
-	newcomer := true
-	err = l.Store.Repeat(ctx, func() error {
-		commit := state.Commit{Puts: puts}
-		if newcomer {
-			commit.Conditions = []state.Condition{{Key: row}, {Key: removedKey}}
-		}
-		version, err := l.Store.Commit(ctx, commit)
-		var conflict *state.ConflictError
-		if errors.As(err, &conflict) {
-			if found, exists := conflict.Find(row); exists && string(found.Value) == string(value) {
-				version, err = found.Version, nil // an earlier try without an answer was done
-			} else {
-				newcomer = false
-				version, err = l.Store.Commit(ctx, state.Commit{Puts: puts})
-			}
-		}
-		if err == nil {
-			l.version = version
-		}
-		return eris.Wrap(err, "register member")
-	})
-	if err != nil {
+	registration := registration{lease: l, row: keyOf(Table, l.List.self.Process.Machine), newcomer: true}
+	if err := l.Store.Repeat(ctx, func() error { return registration.try(ctx) }); err != nil {
 		return err
 	}
 	l.registered = true
-	l.List.noteRegistered(newcomer && l.FirstStart)
-	l.Log.Info("members: registered.", zap.Uint64("version", uint64(l.version)), zap.Bool("newcomer", newcomer))
+	l.List.noteRegistered(registration.newcomer && l.FirstStart)
+	l.List.noteStanding(registration.standing)
+	l.Log.Info("members: registered.", zap.Uint64("version", uint64(l.version)), zap.Bool("newcomer", registration.newcomer),
+		zap.Uint8("standing", uint8(registration.standing)))
 	return nil
 }
 
@@ -205,12 +173,26 @@
 		return err
 	}
 	key := keyOf(LeaseTable, l.List.self.Process.Machine)
-	version, err := l.Store.Commit(ctx, state.Commit{
+	commit := state.Commit{
 		Conditions: []state.Condition{{Key: key, Version: l.version}},
 		Puts:       []state.Put{{Key: key, Value: value}},
-	})
+	}
+	standing := l.List.nextStanding()
+	advances := standing != l.List.standing()
+	if advances {
+		row, err := Encode(l.member(standing))
+		if err != nil {
+			return err
+		}
+		commit.Puts = append(commit.Puts, state.Put{Key: keyOf(Table, l.List.self.Process.Machine), Value: row})
+	}
+	version, err := l.Store.Commit(ctx, commit)
 	if err == nil {
 		l.version = version
+		if advances {
+			l.List.noteStanding(standing)
+			l.Log.Info("members: standing changed.", zap.Uint8("standing", uint8(standing)), zap.Uint64("version", uint64(version)))
+		}
 		return nil
 	}
 	var conflict *state.ConflictError
@@ -238,6 +220,16 @@
 	return nil
 }
 
+// member is this daemon as its row says.
+func (l *Lease) member(standing Standing) Member {
+	member := l.List.self
+	member.Standing = standing
+	if l.leaving {
+		member.State = StateLeaving
+	}
+	return member
+}
+
 func (l *Lease) encodeLease() ([]byte, error) {
 	row := leaseRow{Incarnation: l.List.self.Process.Incarnation, Term: termInRenewals * l.renewal(), Revision: l.Revision.Load()}
 	value, err := cbor.Marshal(row)
@@ -276,7 +268,11 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, commitWait)
 	defer cancel()
-	member := l.List.self
+	standing := l.List.standing()
+	if next == StateDead && standing == StandingKeeps {
+		standing = StandingEnded // this process keeps nothing since it is finished
+	}
+	member := l.member(standing)
 	member.State = next
 	value, err := Encode(member)
 	if err != nil {
--- a/internal/members/lease_test.go
+++ b/internal/members/lease_test.go
@@ -38,9 +38,13 @@
 
 // start makes a process on a machine; it does not reach for the store yet.
 func (w *fleetWorld) start(machine string, firstStart bool) *daemon {
+	return w.startAt(machine, machine, firstStart)
+}
+
+func (w *fleetWorld) startAt(machine, address string, firstStart bool) *daemon {
 	w.started++
 	self := Member{Process: identity.Process{
-		Machine: identity.Machine(machine), Region: "r", Address: machine, Incarnation: identity.Incarnation(w.started),
+		Machine: identity.Machine(machine), Region: "r", Address: address, Incarnation: identity.Incarnation(w.started),
 	}}
 	made := &daemon{world: w}
 	made.list = NewList(self, func() time.Time { return w.now }, zap.NewNop())
--- a/internal/members/lender.go
+++ b/internal/members/lender.go
@@ -42,12 +42,25 @@
 	registered atomic.Int64 // when its row was acknowledged; 0: it was not
 	heard      atomic.Int64 // when the list was last heard; 0: it was not
 	founder    atomic.Bool
+	standing   atomic.Uint32 // that this process's row has, for what one member keeps
+	stood      atomic.Int64  // when it was acknowledged
+	// settled is since when nobody else may have kept what this process may keep; it
+	// holds while standing is StandingKeeps.
+	settled atomic.Int64
+	// heardAgain is when the list was heard after a time in which it was not believed
+	// any more; 0: that was never so.
+	heardAgain atomic.Int64
 }
 
 func (s *seasoning) elapsed(now time.Time) int64 { return max(int64(now.Sub(s.started)), 1) }
 
 // Heard notes that the store told the list as it stands.
-func (l *List) Heard() { l.seasoning.heard.Store(l.seasoning.elapsed(l.now())) }
+func (l *List) Heard() {
+	elapsed := l.seasoning.elapsed(l.now())
+	if former := l.seasoning.heard.Swap(elapsed); elapsed-former > int64(keeperContact) {
+		l.seasoning.heardAgain.Store(elapsed)
+	}
+}
 
 // MayLend tells whether this process is the only one that lends to a program.
 func (l *List) MayLend(program string) bool {
--- a/internal/members/lender_test.go
+++ b/internal/members/lender_test.go
@@ -143,7 +143,7 @@
 	lent    loans
 }
 
-func playLenders(t *rapid.T) {
+func newLendingPlay(t *rapid.T) *lendingPlay {
 	play := &lendingPlay{fleetWorld: newFleetWorld(), delays: map[*daemon]time.Duration{}, lent: loans{}}
 	for machine := range rapid.IntRange(1, 4).Draw(t, "founders") {
 		play.now = play.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "apart")) * time.Millisecond / 2)
@@ -151,20 +151,34 @@
 		play.daemons = append(play.daemons, founder)
 		play.delays[founder] = time.Duration(rapid.IntRange(0, 15000).Draw(t, "registers after")) * time.Millisecond
 	}
-	pauses := []time.Duration{0, 200 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 20 * time.Second, 3 * time.Minute, 6 * time.Minute}
+	return play
+}
+
+func playLenders(t *rapid.T) {
+	play := newLendingPlay(t)
 	for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
-		play.now = play.now.Add(rapid.SampledFrom(pauses).Draw(t, fmt.Sprint("pause ", step)))
-		for late, delay := range play.delays { // as soon as it is due
-			if play.now.Sub(late.list.seasoning.started) >= delay {
-				register(late)
-				delete(play.delays, late)
-			}
-		}
+		play.pause(t, step)
+		play.registerDue()
 		play.act(t, step)
 		play.check(t)
 	}
 }
 
+func (p *lendingPlay) pause(t *rapid.T, step int) {
+	pauses := []time.Duration{0, 200 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 20 * time.Second, 3 * time.Minute, 6 * time.Minute}
+	p.now = p.now.Add(rapid.SampledFrom(pauses).Draw(t, fmt.Sprint("pause ", step)))
+}
+
+// registerDue registers the late founders as soon as they are due.
+func (p *lendingPlay) registerDue() {
+	for late, delay := range p.delays {
+		if p.now.Sub(late.list.seasoning.started) >= delay {
+			register(late)
+			delete(p.delays, late)
+		}
+	}
+}
+
 func (p *lendingPlay) act(t *rapid.T, step int) {
 	machine := rapid.IntRange(0, len(p.daemons)-1).Draw(t, fmt.Sprint("machine ", step))
 	chosen := p.daemons[machine]
@@ -177,6 +191,15 @@
 		if rapid.Bool().Draw(t, "the former runs on") {
 			p.former = append(p.former, chosen)
 		}
+	default:
+		p.actBut(t, step, machine)
+	}
+}
+
+// actBut is any action but a start again.
+func (p *lendingPlay) actBut(t *rapid.T, step, machine int) {
+	chosen := p.daemons[machine]
+	switch rapid.IntRange(1, 11).Draw(t, fmt.Sprint("other action ", step)) {
 	case 1:
 		if len(p.daemons) < 7 {
 			joined := p.start(fmt.Sprint("m", len(p.daemons)), false)
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -48,6 +48,7 @@
 		self: self, now: now, log: log, seasoning: seasoning{started: now()},
 		records: map[identity.Machine]*record{self.Process.Machine: newRecord(self, 0)},
 	}
+	made.seasoning.standing.Store(uint32(StandingJoined)) // until it is registered
 	made.publish()
 	return made
 }
@@ -189,7 +190,12 @@
 	for _, known := range records {
 		view.Members = append(view.Members, known.member)
 	}
-	l.current.Store(newPicture(view, records, l.self.Process))
+	next := newPicture(view, records, l.self.Process, l.standing())
+	next.keepers.since = l.now()
+	if former := l.current.Load(); former != nil && former.keepers.sameMachines(next.keepers) {
+		next.keepers.since = former.keepers.since
+	}
+	l.current.Store(next)
 	for _, subscriber := range l.subscribers {
 		select {
 		case subscriber <- struct{}{}:
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -41,6 +41,7 @@
 	// told. What one daemon does for many is done by the larger machines.
 	Capacity float64
 	State    State
+	Standing Standing
 }
 
 // View is an immutable picture of all members, ordered by machine name.
@@ -70,6 +71,7 @@
 	CallerAddress string               `cbor:"c,omitempty"`
 	Capacity      float64              `cbor:"p,omitempty"`
 	State         State                `cbor:"s"`
+	Standing      Standing             `cbor:"k,omitempty"`
 }
 
 // Encode gives the value of the member's row.
@@ -77,6 +79,7 @@
 	row := memberRow{
 		Address: member.Process.Address, Zone: member.Process.Zone, Region: member.Process.Region,
 		Incarnation: member.Process.Incarnation, CallerAddress: member.CallerAddress, Capacity: member.Capacity, State: member.State,
+		Standing: member.Standing,
 	}
 	value, err := cbor.Marshal(row)
 	return value, eris.Wrap(err, "encode member")
@@ -95,6 +98,7 @@
 		CallerAddress: row.CallerAddress,
 		Capacity:      row.Capacity,
 		State:         row.State,
+		Standing:      row.Standing,
 	}
 	return member, nil
 }
--- a/internal/members/watching.go
+++ b/internal/members/watching.go
@@ -67,6 +67,7 @@
 		l.watched.forget()
 		l.Log.Warn("members: leases of others not read.", zap.String("error", err.Error()))
 	}
+	l.release(ctx, now)
 	l.removeDead(ctx, now)
 }
 
