Quotas: kept in parts, each by one daemon alone; a request takes a place before it runs

Cause: each daemon decided by a picture of what all had taken; every daemon that saw one place free took it until the next picture. Ruled out: smaller ages (the model breaks at 0.1 s), more tolerance (it is the users'), even shares (nothing served below the limit at 84 daemons). Change: a quota has four parts. A part is a token bucket at the one member that keeps it (members.Keeps); capacity and steady rate of all parts sum to the users' bound. What one keeper gave out is all there is, so that no allowance is needed for the age of a picture; a keeper that begins anew begins empty. Loads carry no counts of tenants any more; history, windows, Near and the silent daemons' counts are gone. thymeloftd's admission uses the same bucket.

--- a/internal/execution/admission.go
+++ b/internal/execution/admission.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -23,7 +24,7 @@
 }
 
 func newAdmission(share func() float64) *admission {
-	return &admission{share: share, limiter: quota.NewLimiter(quota.Settings{Window: rateWindow}, time.Now)}
+	return &admission{share: share, limiter: quota.NewAlone(quota.Settings{Window: rateWindow}, time.Now)}
 }
 
 // admit takes one request of the tenant's, or says how long there will be none.
@@ -33,7 +34,7 @@
 	}
 	share := a.share()
 	burst := float64(max(declared.Burst, int(declared.RequestsPerSecond))) * share
-	_, err := a.limiter.Take(quota.Request{
+	_, err := a.limiter.Take(context.Background(), quota.Request{
 		Tenant: declared.Name, Quota: tenant.Quota{PerSecond: declared.RequestsPerSecond * share, Burst: max(1, int(burst))},
 	})
 	var exceeded *quota.ExceededError
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -15,19 +15,29 @@
 	if e.tenant == nil {
 		return nil
 	}
-	underWay := e.belongsToWorkUnderWay()
-	taken, err := e.gateway.Quotas.Take(quota.Request{Tenant: e.tenant.Name, Quota: e.tenant.Quota, UnderWay: underWay})
-	var exceeded *quota.ExceededError
-	if errors.As(err, &exceeded) {
-		return &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, After: exceeded.After, Err: err}
-	}
+	taken, err := e.takePlace(e.belongsToWorkUnderWay())
 	e.taken = taken
-	if e.call.Program != "" {
+	if err == nil && e.call.Program != "" {
 		e.gateway.begun.note(e.scoped(e.call.Program))
 	}
 	return err
 }
 
+// takePlace takes one place, or returns *Refusal.
+func (e *execution) takePlace(underWay bool) (*quota.Taken, error) {
+	taken, err := e.gateway.Quotas.Take(e.request.Context(), quota.Request{
+		Tenant: e.tenant.Name, Quota: e.tenant.Quota, Revision: e.table.Revision, UnderWay: underWay,
+	})
+	var exceeded *quota.ExceededError
+	if errors.As(err, &exceeded) {
+		return nil, &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, After: exceeded.After, Err: err}
+	}
+	if err != nil {
+		return nil, notRun(ReasonQuotaUnknown, comeBackSoon, err)
+	}
+	return taken, nil
+}
+
 // giveBack returns the place of a request that no engine began to run.
 func (e *execution) giveBack() {
 	if e.runs == 0 {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -19,6 +19,7 @@
 	ReasonUnknownKey      Reason = "unknown-key"
 	ReasonUnsureKey       Reason = "unsure-key"
 	ReasonQuota           Reason = "quota-exceeded"
+	ReasonQuotaUnknown    Reason = "quota-unknown"
 	ReasonMalformed       Reason = "malformed"
 	ReasonTooLarge        Reason = "too-large"
 	ReasonUnknownTurn     Reason = "unknown-turn"
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -64,13 +64,14 @@
 	return fields
 }
 
-// addQuota tells by which count the request got its place in its tenant's quota; a
-// refusal says it in its cause.
+// addQuota tells who gave the request its place in its tenant's quota, and how many were
+// left there; a refusal says it in its cause.
 func (e *execution) addQuota(fields []zap.Field) []zap.Field {
 	if e.taken == nil {
 		return fields
 	}
-	return append(fields, zap.Int("quotaCounted", e.taken.Counted), zap.Int("quotaAllowed", e.taken.Allowed), zap.Duration("quotaAge", e.taken.Age))
+	return append(fields, zap.String("quotaKeeper", e.taken.Keeper), zap.Float64("quotaLeft", e.taken.Level),
+		zap.Int("quotaAsked", e.taken.Asked), zap.Duration("quotaTook", e.taken.Took))
 }
 
 // addEngine tells which engine was chosen last, and what was believed of it.
--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -12,28 +11,17 @@
 // aggregator's work grows with its reporters and not with their square.
 const pictureKept = 20 * time.Millisecond
 
-// takenKept is how long what a silent daemon took counts, falling evenly: the window
-// of quotas on the users' sheets.
-const takenKept = 5 * time.Second
-
 // Board is an aggregator's sums. Every daemon has one: it is an aggregator while
 // others report to it. It is safe for concurrent use.
 type Board struct {
 	now func() time.Time
-	// WorthTelling, if given, tells whether daemons need to know how much was taken of
-	// a tenant's quota: those far below their limit are left out of pictures, so that
-	// these do not grow with the tenants. It is to be set before the first use.
-	WorthTelling func(tenant Key, taken int) bool
 
 	mutex   sync.Mutex
 	reports map[string]heard // by member
 	shares  map[string]heard // by aggregator
-	// silent are the last reports of daemons that tell nothing more: what they took
-	// of tenants' quotas still counts until it has left the window.
-	silent map[string]heard
-	sum    Told            // of reports and shares
-	summed map[string]Told // the reports in it
-	sumAt  time.Time
+	sum     Told             // of reports and shares
+	summed  map[string]Told  // the reports in it
+	sumAt   time.Time
 }
 
 // heard is what a daemon or an aggregator last told.
@@ -44,7 +32,7 @@
 
 // NewBoard makes an empty board.
 func NewBoard(now func() time.Time) *Board {
-	return &Board{now: now, reports: map[string]heard{}, shares: map[string]heard{}, silent: map[string]heard{}}
+	return &Board{now: now, reports: map[string]heard{}, shares: map[string]heard{}}
 }
 
 // Report is called by daemons of the own group.
@@ -56,7 +44,6 @@
 	defer b.mutex.Unlock()
 	now := b.now()
 	b.reports[report.Member] = heard{told: report.Told, at: now}
-	delete(b.silent, report.Member)
 	if now.Sub(b.sumAt) >= pictureKept || b.summed == nil {
 		b.makeSum(now)
 	}
@@ -78,42 +65,30 @@
 
 // makeSum adds up all that is fresh; the lock is held.
 func (b *Board) makeSum(now time.Time) {
-	all := newSums()
+	all := Counts{}
 	b.summed = make(map[string]Told, len(b.reports))
-	b.addReports(&all, now)
+	b.addReports(all, now)
 	for aggregator, share := range b.shares {
 		if now.Sub(share.at) > shareKept {
 			delete(b.shares, aggregator)
 			continue
 		}
-		_ = all.add(share.told) // was read whole when it came
+		_ = all.add(share.told.UnderWay) // was read whole when it came
 	}
 	for member, report := range b.reports {
 		b.summed[member] = report.told
 	}
-	if b.WorthTelling != nil {
-		maps.DeleteFunc(all.taken, func(tenant Key, taken int) bool { return !b.WorthTelling(tenant, taken) })
-	}
-	b.sum, b.sumAt = all.encode(), now
+	b.sum, b.sumAt = Told{UnderWay: all.encode()}, now
 }
 
-// addReports adds the fresh reports, and what the silent daemons took; the lock is held.
-func (b *Board) addReports(all *sums, now time.Time) {
+// addReports adds the fresh reports; the lock is held.
+func (b *Board) addReports(all Counts, now time.Time) {
 	for member, report := range b.reports {
 		if now.Sub(report.at) > reportKept {
 			delete(b.reports, member)
-			b.silent[member] = report
-			continue
-		}
-		_ = all.add(report.told) // was read whole when it came
-	}
-	for member, report := range b.silent {
-		left := 1 - float64(now.Sub(report.at))/float64(takenKept)
-		if left <= 0 {
-			delete(b.silent, member)
 			continue
 		}
-		all.taken.addPart(report.told.Taken, left)
+		_ = all.add(report.told.UnderWay) // was read whole when it came
 	}
 }
 
@@ -129,7 +104,7 @@
 func (b *Board) share() (told Told, reporters int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	all := newSums()
-	b.addReports(&all, b.now())
-	return all.encode(), len(b.reports)
+	all := Counts{}
+	b.addReports(all, b.now())
+	return Told{UnderWay: all.encode()}, len(b.reports)
 }
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -24,14 +24,6 @@
 	Learn(all, own Counts)
 }
 
-// Quotas is what a daemon took of each tenant within the window of quotas.
-type Quotas interface {
-	Counts() Counts
-	// Learn takes in what the other daemons took: all less own. The counts are the
-	// callee's from then on.
-	Learn(all, own Counts)
-}
-
 // Exchange keeps one daemon's picture up to date, and aggregates for others if
 // they report to it.
 type Exchange struct {
@@ -39,7 +31,6 @@
 	Caller peer.Caller
 	Board  *Board // of this daemon
 	Fleet  Fleet
-	Quotas Quotas
 	Log    *zap.Logger
 
 	metrics metrics
@@ -124,8 +115,7 @@
 	place := xxhash.Sum64String(string(e.List.Self().Machine)) % uint64(len(aggregators))
 	chosen := aggregators[place]
 	var picture Picture
-	told := sums{underWay: e.Fleet.UnderWay(), taken: e.Quotas.Counts()}
-	report := Sample{Member: string(e.List.Self().Machine), Told: told.encode()}
+	report := Sample{Member: string(e.List.Self().Machine), Told: Told{UnderWay: e.Fleet.UnderWay().encode()}}
 	if err := e.reportTo(ctx, chosen, report, &picture); err != nil {
 		if ctx.Err() == nil {
 			e.metrics.ended(resultNoAnswer)
@@ -133,14 +123,13 @@
 		}
 		return
 	}
-	all, own := newSums(), newSums()
-	if err := errors.Join(all.add(picture.All), own.add(picture.Own)); err != nil {
+	all, own := Counts{}, Counts{}
+	if err := errors.Join(all.add(picture.All.UnderWay), own.add(picture.Own.UnderWay)); err != nil {
 		e.metrics.ended(resultUnreadable)
 		e.avoid(chosen, eris.Wrapf(err, "picture of %s", chosen.Process.Machine))
 		return
 	}
-	e.Fleet.Learn(all.underWay, own.underWay)
-	e.Quotas.Learn(all.taken, own.taken)
+	e.Fleet.Learn(all, own)
 	e.metrics.ended(resultLearned)
 	e.noteAggregator(chosen)
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,5 +1,4 @@
-// Package load lets all daemons see how loaded each engine is, and what each tenant
-// was given lately. Every daemon reports its requests to an aggregator of its group, and learns from the
+// Package load lets all daemons see how loaded each engine is. Every daemon reports its requests to an aggregator of its group, and learns from the
 // answer what all daemons have under way. A group is a zone, or the whole region
 // while that is small; its aggregators are a few of its larger machines, chosen by
 // hash, and tell those of the other groups their sums.
@@ -15,8 +14,6 @@
 
 import (
 	"encoding/binary"
-	"errors"
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,7 +48,7 @@
 	shareKept  = 4 * exchangeInterval
 )
 
-// Key is the digest by which daemons name an engine or a tenant to each other: four
+// Key is the digest by which daemons name an engine to each other: four
 // bytes in place of an identifier. Two of 3,400 share one with a chance of 0.1 %; each
 // then seems to have the counts of both.
 type Key uint32
@@ -59,13 +56,12 @@
 // KeyOf gives the digest of an identifier.
 func KeyOf(identifier string) Key { return Key(xxhash.Sum64String(identifier)) } //nolint:gosec // the low bits are meant
 
-// Counts are requests by engine or by tenant; those without any are left out.
+// Counts are requests by engine; those without any are left out.
 type Counts map[Key]int
 
-// Told is what daemons tell of their work; both are Counts, encoded.
+// Told is what daemons tell of their work.
 type Told struct {
-	UnderWay []byte // by engine, now
-	Taken    []byte // by tenant, within the window of quotas
+	UnderWay []byte // Counts by engine, encoded
 }
 
 // Sample is what one daemon tells.
@@ -120,37 +116,9 @@
 	return nil
 }
 
-// addPart adds a part of encoded counts that were read before.
-func (c Counts) addPart(encoded []byte, part float64) {
-	whole := Counts{}
-	_ = whole.add(encoded) // was read whole when it came
-	for key, count := range whole {
-		if rounded := int(math.Round(float64(count) * part)); rounded > 0 {
-			c[key] += rounded
-		}
-	}
-}
-
-// mostCounted bounds a count that is believed: more requests than any engine has, or
-// a tenant asks for in a window, at the target size (letter 1: 22,000 a second in all).
+// mostCounted bounds a count that is believed: more requests than any engine has at the
+// target size (letter 1: 22,000 a second in all).
 const mostCounted = 1 << 20
 
-// sums are decoded sums of what daemons told.
-type sums struct{ underWay, taken Counts }
-
-func newSums() sums { return sums{underWay: Counts{}, taken: Counts{}} }
-
-// add adds what was told; an error says that it can't be read.
-func (s *sums) add(told Told) error {
-	return errors.Join(s.underWay.add(told.UnderWay), s.taken.add(told.Taken))
-}
-
-func (s *sums) encode() Told {
-	return Told{UnderWay: s.underWay.encode(), Taken: s.taken.encode()}
-}
-
 // check tells whether what was told can be read.
-func check(told Told) error {
-	read := newSums()
-	return read.add(told)
-}
+func check(told Told) error { return Counts{}.add(told.UnderWay) }
--- /dev/null
+++ b/internal/quota/kept_test.go
@@ -0,0 +1,113 @@
+package quota_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/quota"
+)
+
+// keptFleet is daemons of which one keeps each part of a quota; all know who, and reach each other.
+type keptFleet struct {
+	now     time.Time
+	daemons []*keptDaemon
+	byPlace map[string]*keptDaemon // by address
+	keeping *keptDaemon            // keeps all, if given
+}
+
+// keptDaemon is one daemon of a keptFleet.
+type keptDaemon struct {
+	fleet   *keptFleet
+	process identity.Process
+	since   time.Time // it started then
+	keeper  *quota.Keeper
+	limiter *quota.Limiter
+	silent  bool // it answers nobody and reaches nobody
+	loses   int  // so many of its next answers are lost
+}
+
+func newFleet(daemons int, start time.Time) fleet { return newKeptFleet(daemons, start) }
+
+func newKeptFleet(daemons int, start time.Time) *keptFleet {
+	made := &keptFleet{now: start, byPlace: map[string]*keptDaemon{}}
+	for number := range daemons {
+		name := fmt.Sprint("m", number)
+		each := &keptDaemon{fleet: made, process: identity.Process{Machine: identity.Machine(name), Address: name}}
+		made.daemons = append(made.daemons, each)
+		made.byPlace[name] = each
+		each.start()
+	}
+	return made
+}
+
+// start begins a process that knows of nothing before.
+func (d *keptDaemon) start() {
+	now := func() time.Time { return d.fleet.now }
+	d.since = d.fleet.now
+	d.process.Incarnation++
+	d.keeper = quota.NewKeeper(settings, d, now)
+	d.limiter = quota.NewLimiter(quota.Options{Settings: settings, Keeper: d.keeper, Directory: d, Caller: d, Now: now, Log: zap.NewNop()})
+}
+
+// Self implements quota.Directory.
+func (d *keptDaemon) Self() identity.Process { return d.process }
+
+// Keeper implements quota.Directory.
+func (d *keptDaemon) Keeper(key string) (members.Member, bool) {
+	return members.Member{Process: d.fleet.keeperOf(key).process}, true
+}
+
+// Keeps implements quota.Standing.
+func (d *keptDaemon) Keeps(key string) (time.Time, bool) { return d.since, d.fleet.keeperOf(key) == d }
+
+func (f *keptFleet) keeperOf(key string) *keptDaemon {
+	if f.keeping != nil {
+		return f.keeping
+	}
+	digest := uint64(0)
+	for _, each := range []byte(key) {
+		const prime = 1099511628211
+		digest = (digest ^ uint64(each)) * prime
+	}
+	return f.daemons[digest%uint64(len(f.daemons))]
+}
+
+var errSilent = errors.New("no answer")
+
+// Call implements peer.Caller.
+func (d *keptDaemon) Call(_ context.Context, address string, _ peer.Class, method string, arguments, reply any) error {
+	asked := d.fleet.byPlace[address]
+	if d.silent || asked.silent {
+		return errSilent
+	}
+	var err error
+	switch method {
+	case "Quota.Take":
+		err = asked.keeper.Take(arguments.(quota.TakeRequest), reply.(*quota.TakeReply))
+	case "Quota.GiveBack":
+		err = asked.keeper.GiveBack(arguments.(quota.GiveBackRequest), reply.(*quota.GiveBackReply))
+	}
+	if asked.loses > 0 {
+		asked.loses--
+		return errSilent
+	}
+	return err
+}
+
+func (f *keptFleet) take(daemon int, request quota.Request) (after time.Duration, admitted bool) {
+	taken, err := f.daemons[daemon].limiter.Take(context.Background(), request)
+	var exceeded *quota.ExceededError
+	if errors.As(err, &exceeded) {
+		return exceeded.After, false
+	}
+	return 0, taken != nil
+}
+
+func (f *keptFleet) advance(to time.Time) { f.now = to }
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -14,6 +14,7 @@
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/retention"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/storerelay"
@@ -34,6 +35,8 @@
 	stopLease    context.CancelFunc
 	removal      *retention.Queue
 	loads        *load.Exchange
+	quotas       *quota.Limiter
+	keeper       *quota.Keeper
 	tellsLoads   bool
 	server       *peer.Server
 	pool         *peer.Pool
@@ -107,10 +110,13 @@
 		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
 		Now: time.Now, Removal: parts.removal, Others: &turn.Others{List: parts.list, Caller: parts.pool},
 	})
-	parts.loads = &load.Exchange{List: parts.list, Caller: parts.pool, Board: load.NewBoard(time.Now), Fleet: s.fleet, Quotas: s.quotas, Log: s.Log}
-	parts.loads.Board.WorthTelling = s.quotas.Near
+	parts.loads = &load.Exchange{List: parts.list, Caller: parts.pool, Board: load.NewBoard(time.Now), Fleet: s.fleet, Log: s.Log}
 	parts.tellsLoads = !off.Has(mechanism.LoadBoard)
-	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry)); err != nil {
+	parts.keeper = quota.NewKeeper(s.Settings.quota(), parts.list, time.Now)
+	parts.quotas = quota.NewLimiter(quota.Options{
+		Settings: s.Settings.quota(), Keeper: parts.keeper, Directory: parts.list, Caller: parts.pool, Now: time.Now, Log: s.Log,
+	})
+	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry)); err != nil {
 		return nil, err
 	}
 	if err := s.register(parts); err != nil {
@@ -131,6 +137,9 @@
 	if err := listening.Register(load.ServiceName, parts.loads.Board); err != nil {
 		return eris.Wrap(err, "serve the sums of loads")
 	}
+	if err := listening.Register(quota.ServiceName, parts.keeper); err != nil {
+		return eris.Wrap(err, "serve quotas")
+	}
 	relay := storerelay.NewService(s.Store, parts.client.DirectUsable)
 	return eris.Wrap(listening.Register(storerelay.ServiceName, relay), "serve the store's relay")
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,7 +16,6 @@
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/gateway"
 	"github.com/thymeloft/thymeloft/internal/pause"
-	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/watch"
@@ -46,7 +45,6 @@
 	Options
 	routes             *routetable.Holder
 	fleet              *backend.Fleet
-	quotas             *quota.Limiter
 	front              *front
 	metrics            *gateway.Metrics
 	stopping           atomic.Bool
@@ -83,7 +81,6 @@
 		Options: options,
 		routes:  &routetable.Holder{},
 		fleet:   backend.NewFleet(time.Now),
-		quotas:  quota.NewLimiter(options.Settings.quota(), time.Now),
 		metrics: gateway.NewMetrics(options.Registry),
 	}
 	made.Reload(options.Settings)
@@ -139,7 +136,7 @@
 		Fleet:         s.fleet,
 		Turns:         parts.turns,
 		Budgets:       parts.budgets,
-		Quotas:        s.quotas,
+		Quotas:        parts.quotas,
 		Availability:  parts.availability,
 		Log:           s.Log,
 		Metrics:       s.metrics,
@@ -182,10 +179,7 @@
 func (s *Server) follow(ctx context.Context, parts *collaboration) {
 	configuration := &configurationFollower{
 		rows: s.Rows, holder: s.routes, log: s.Log,
-		onChange: func(table *routetable.Table) {
-			s.front.Limit(table.Limits)
-			s.quotas.Declare(table.Tenants)
-		},
+		onChange: func(table *routetable.Table) { s.front.Limit(table.Limits) },
 	}
 	instances := &instanceFollower{
 		rows: s.Rows, fleet: s.fleet, log: s.Log,
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -137,7 +137,7 @@
 	if window <= 0 {
 		window = defaultQuotaWindow
 	}
-	return quota.Settings{Window: window, ToleranceShare: s.Quota.ToleranceShare, ToleranceRequests: s.Quota.ToleranceRequests}
+	return quota.Settings{Window: window, ToleranceShare: s.Quota.ToleranceShare, ToleranceRequests: s.Quota.ToleranceRequests, Parts: quota.DefaultParts}
 }
 
 func (s *Settings) drain() time.Duration {
