Members: a process started again keeps as soon as it has read its former one's row

Change: a row that is not dead lets the next process at its address go on before it has registered; buckets fill since the process's start.

--- a/internal/members/keeper.go
+++ b/internal/members/keeper.go
@@ -107,6 +107,7 @@
 	if !l.mayKeep() || current.keepers.first(digestOf(key)) != current.own {
 		return time.Time{}, false
 	}
+	l.seasoning.kept.Store(true)
 	return l.keepsSince(current), true
 }
 
@@ -136,7 +137,8 @@
 func (l *List) mayKeep() bool {
 	elapsed := l.seasoning.elapsed(l.now())
 	heard := l.seasoning.heard.Load()
-	if heard == 0 || l.seasoning.registered.Load() == 0 || elapsed-heard > int64(keeperContact) {
+	stands := l.seasoning.registered.Load() != 0 || l.seasoning.inherits.Load()
+	if heard == 0 || !stands || elapsed-heard > int64(keeperContact) {
 		return false
 	}
 	switch l.standing() {
@@ -152,14 +154,37 @@
 	}
 }
 
+// inherit lets this process go on with the claims of its machine's former one as soon as it has
+// read their row, so that a daemon that was killed keeps again before it has registered.
+// It may: claims of a row that is not marked dead are released releaseDeadAfter later at
+// the earliest, and this list is believed for a shorter time. The lock is held.
+func (l *List) inherit(former Member) {
+	goesOn := former.State != StateDead && former.Standing == StandingKeeps && former.Process.Address == l.self.Process.Address
+	if !goesOn || former.Process.Incarnation >= l.self.Process.Incarnation || l.seasoning.registered.Load() != 0 || l.seasoning.inherits.Load() {
+		return
+	}
+	l.stand(StandingKeeps)
+	l.seasoning.inherits.Store(true)
+}
+
 // noteStanding takes in the standing that this process's row has in the store.
 func (l *List) noteStanding(standing Standing) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.stand(standing)
+	l.seasoning.inherits.Store(false) // the own row counts from now on
+	l.publish()
+}
+
+// stand changes the standing; the lock is held, and publish follows.
+func (l *List) stand(standing Standing) {
 	now := l.seasoning.elapsed(l.now())
 	settled := now
-	if l.standing() == StandingSettling {
+	switch {
+	case l.standing() == StandingSettling:
 		settled = l.settledAt()
+	case !l.seasoning.kept.Load() || l.standing() == StandingKeeps:
+		settled = l.seasoning.settled.Load() // zero at first: the former process ended before this one started
 	}
 	l.seasoning.settled.Store(settled)
 	l.seasoning.stood.Store(now)
@@ -167,7 +192,17 @@
 	own := *l.records[l.self.Process.Machine]
 	own.member.Standing = standing
 	l.records[l.self.Process.Machine] = &own
-	l.publish()
+}
+
+// setSince is since when nobody else kept what the members with claims, as they are now, let this
+// process keep. Before it kept anything, that is its start: the former process of its machine ended
+// before, and the claims of other members that ended were released releaseEndedAfter later at the earliest.
+func (l *List) setSince() time.Time {
+	now := l.now()
+	if earliest := now.Add(-releaseEndedAfter); !l.seasoning.kept.Load() && l.seasoning.started.After(earliest) {
+		return l.seasoning.started
+	}
+	return now
 }
 
 // standing is what this process's row says, as far as it was acknowledged.
--- a/internal/members/lender.go
+++ b/internal/members/lender.go
@@ -47,6 +47,12 @@
 	// settled is since when nobody else may have kept what this process may keep; it
 	// holds while standing is StandingKeeps.
 	settled atomic.Int64
+	// inherits tells that this process goes on with the claims of its machine's former
+	// one before it is registered itself (inherit).
+	inherits atomic.Bool
+	// kept tells that this process kept something, so that it does not know any more
+	// what it itself gave out before a change of the keepers.
+	kept atomic.Bool
 	// heardAgain is when the list was heard after a time in which it was not believed
 	// any more; 0: that was never so.
 	heardAgain atomic.Int64
@@ -71,6 +77,7 @@
 func (s *seasoning) ended() {
 	s.founder.Store(false)
 	s.registered.Store(0)
+	s.inherits.Store(false)
 }
 
 func (s *seasoning) lends(now time.Time) bool {
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -162,7 +162,9 @@
 		l.seasoning.ended()
 		l.log.Warn("members: this daemon was marked dead, or replaced.",
 			zap.Uint64("incarnation", uint64(written)), zap.Uint64("version", uint64(row.Version)))
+		return
 	}
+	l.inherit(member)
 }
 
 // markLeaving shows this daemon as leaving in its own list at once.
@@ -191,7 +193,7 @@
 		view.Members = append(view.Members, known.member)
 	}
 	next := newPicture(view, records, l.self.Process, l.standing())
-	next.keepers.since = l.now()
+	next.keepers.since = l.setSince()
 	if former := l.current.Load(); former != nil && former.keepers.sameMachines(next.keepers) {
 		next.keepers.since = former.keepers.since
 	}
