--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
 
+	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/quota"
 )
 
@@ -23,11 +25,20 @@
 	return err
 }
 
+// keepersPatience is how long a request waits for a keeper of its quota to be reached: one
+// that was killed is started again, and has read who keeps what, within half a second.
+const keepersPatience = 500 * time.Millisecond
+
 // takePlace takes one place, or returns *Refusal.
 func (e *execution) takePlace(underWay bool) (*quota.Taken, error) {
-	taken, err := e.gateway.Quotas.Take(e.request.Context(), quota.Request{
-		Tenant: e.tenant.Name, Quota: e.tenant.Quota, Revision: e.table.Revision, UnderWay: underWay,
-	})
+	request := quota.Request{Tenant: e.tenant.Name, Quota: e.tenant.Quota, Revision: e.table.Revision, UnderWay: underWay}
+	ctx, cancel := context.WithTimeout(e.request.Context(), min(keepersPatience, e.storePatience()))
+	defer cancel()
+	taken, err := e.gateway.Quotas.Take(e.request.Context(), request)
+	var unreached *quota.UnreachedError
+	for errors.As(err, &unreached) && pause.For(ctx, engineRecheck) {
+		taken, err = e.gateway.Quotas.Take(e.request.Context(), request)
+	}
 	var exceeded *quota.ExceededError
 	if errors.As(err, &exceeded) {
 		return nil, &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, After: exceeded.After, Err: err}
