--- a/internal/quota/kept_test.go
+++ b/internal/quota/kept_test.go
@@ -71,7 +71,9 @@
 	d.since = now()
 	d.process.Incarnation++
 	d.keeper = quota.NewKeeper(settings, d, now)
-	d.limiter = quota.NewLimiter(quota.Options{Settings: settings, Keeper: d.keeper, Directory: d, Caller: d, Now: now, Log: zap.NewNop()})
+	d.limiter = quota.NewLimiter(quota.Options{Settings: settings, Keeper: d.keeper, Directory: d, Caller: d, Now: now, Log: zap.NewNop(),
+		Wait: func(context.Context, time.Duration) bool { return true }, // who asks notes how long
+	})
 }
 
 // Self implements quota.Directory.
