--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -31,7 +31,7 @@
 
 // takePlace takes one place, or returns *Refusal.
 func (e *execution) takePlace(underWay bool) (*quota.Taken, error) {
-	request := quota.Request{Tenant: e.tenant.Name, Quota: e.tenant.Quota, Revision: e.table.Revision, UnderWay: underWay, MayWait: underWay}
+	request := quota.Request{Tenant: e.tenant.Name, Quota: e.tenant.Quota, Revision: e.table.Revision, UnderWay: underWay}
 	ctx, cancel := context.WithTimeout(e.request.Context(), min(keepersPatience, e.storePatience()))
 	defer cancel()
 	taken, err := e.gateway.Quotas.Take(e.request.Context(), request)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -70,9 +70,6 @@
 	if e.taken == nil {
 		return fields
 	}
-	if e.taken.Waited > 0 {
-		fields = append(fields, zap.Duration("quotaWait", e.taken.Waited))
-	}
 	return append(fields, zap.String("quotaKeeper", e.taken.Keeper), zap.Float64("quotaLeft", e.taken.Level),
 		zap.Int("quotaAsked", e.taken.Asked), zap.Duration("quotaTook", e.taken.Took))
 }
--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -1,10 +1,8 @@
 package quota
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/thymeloft/thymeloft/internal/members"
@@ -16,7 +14,6 @@
 	limiter  *Limiter
 	request  Request
 	left     []candidate // to be asked, in this order
-	empty    []emptyPart // without a place
 	pending  int
 	answers  chan answer
 	back     time.Duration // the earliest moment at which there is likely to be a place
@@ -29,12 +26,6 @@
 	keeper members.Member
 }
 
-// emptyPart is a part that has no place for a while.
-type emptyPart struct {
-	candidate
-	lasting time.Duration
-}
-
 // answer is what came of asking one keeper.
 type answer struct {
 	candidate
@@ -49,11 +40,13 @@
 	var last []candidate
 	for _, number := range rand.Perm(limiter.settings.Parts) {
 		part := partKey{tenant: request.Tenant, number: number}
+		if made.knownEmpty(part) {
+			continue
+		}
 		keeper, known := limiter.directory.Keeper(part.memberKey())
 		switch {
 		case !known:
 			made.decision.Silent++
-		case made.knownEmpty(candidate{part, keeper}):
 		case limiter.isAvoided(keeper.Process.Machine):
 			last = append(last, candidate{part, keeper})
 		default:
@@ -65,14 +58,13 @@
 }
 
 // knownEmpty tells whether a part said lately that it has no place until a moment to come.
-func (a *asking) knownEmpty(asked candidate) bool {
-	until, found := a.limiter.empty.Get(a.emptyKey(asked.part))
+func (a *asking) knownEmpty(part partKey) bool {
+	until, found := a.limiter.empty.Get(a.emptyKey(part))
 	wait := until.Sub(a.limiter.now())
 	if !found || wait <= 0 {
 		return false
 	}
 	a.back = min(a.back, wait)
-	a.empty = append(a.empty, emptyPart{asked, wait})
 	a.decision.Known++
 	return true
 }
@@ -123,63 +115,26 @@
 	next := a.left[0]
 	a.left = a.left[1:]
 	a.decision.Asked++
-	if next.keeper.Process == a.limiter.directory.Self() {
-		return a.judge(a.ask(ctx, next, false))
-	}
-	a.pending++
-	go func() { a.answers <- a.ask(context.WithoutCancel(ctx), next, false) }()
-	return nil
-}
-
-// ask asks one keeper.
-func (a *asking) ask(parent context.Context, asked candidate, mayWait bool) answer {
 	question := TakeRequest{
-		Tenant: a.request.Tenant, Part: asked.part.number, UnderWay: a.request.UnderWay, MayWait: mayWait,
+		Tenant: a.request.Tenant, Part: next.part.number, UnderWay: a.request.UnderWay,
 		PerSecond: a.request.Quota.PerSecond, Burst: a.request.Quota.Burst, Revision: a.request.Revision,
 	}
-	received := answer{candidate: asked}
-	if asked.keeper.Process == a.limiter.directory.Self() {
+	if next.keeper.Process == a.limiter.directory.Self() {
+		received := answer{candidate: next}
 		received.err = a.limiter.keeper.Take(question, &received.reply)
-		return received
-	}
-	ctx, cancel := context.WithTimeout(parent, askWait)
-	defer cancel()
-	received.err = a.limiter.caller.Call(ctx, asked.keeper.Process.Address, peer.Control, methodTake, question, &received.reply)
-	return received
-}
-
-// await asks the keepers of parts that have a place soon, the soonest first, and waits for it.
-func (a *asking) await(ctx context.Context) *Taken {
-	empty := a.empty
-	slices.SortFunc(empty, func(one, other emptyPart) int { return cmp.Compare(one.lasting, other.lasting) })
-	for _, next := range empty {
-		if next.lasting > longestWait {
-			return nil
-		}
-		a.decision.Asked++
-		received := a.ask(ctx, next.candidate, true)
-		taken := a.judge(received)
-		if taken == nil {
-			continue
-		}
-		a.rememberEmpty(received, received.reply.Wait)
-		if !a.limiter.wait(ctx, received.reply.Wait) {
-			taken.Return()
-			return nil
-		}
-		a.decision.Waited = received.reply.Wait
-		return taken
+		return a.judge(received)
 	}
+	a.pending++
+	go func() {
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), askWait)
+		defer cancel()
+		received := answer{candidate: next}
+		received.err = a.limiter.caller.Call(limited, next.keeper.Process.Address, peer.Control, methodTake, question, &received.reply)
+		a.answers <- received
+	}()
 	return nil
 }
 
-// rememberEmpty notes for how long another daemon's part has no place.
-func (a *asking) rememberEmpty(received answer, lasting time.Duration) {
-	if received.keeper.Process != a.limiter.directory.Self() {
-		a.limiter.empty.Add(a.emptyKey(received.part), a.limiter.now().Add(lasting))
-	}
-}
-
 // judge takes an answer in.
 func (a *asking) judge(received answer) *Taken {
 	if received.err != nil {
@@ -193,8 +148,9 @@
 		return a.taken(received)
 	case VerdictRefused:
 		a.back = min(a.back, received.reply.Back)
-		a.empty = append(a.empty, emptyPart{received.candidate, received.reply.Empty})
-		a.rememberEmpty(received, received.reply.Empty)
+		if received.keeper.Process != a.limiter.directory.Self() {
+			a.limiter.empty.Add(a.emptyKey(received.part), a.limiter.now().Add(received.reply.Empty))
+		}
 	default:
 		a.decision.Silent++
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -39,7 +39,7 @@
 	rates      rates
 }
 
-// newBucket makes a bucket that is empty at start, and owes places before.
+// newBucket makes a bucket that was empty at start.
 func newBucket(window time.Duration, start time.Time) *bucket {
 	return &bucket{slotLength: window / slots, start: start}
 }
@@ -101,7 +101,7 @@
 		level = b.filled(level, b.slotLength) - float64(b.counts[slot%slots])
 	}
 	begun := b.start.Add(time.Duration(newest) * b.slotLength)
-	return b.filled(level, now.Sub(begun)) - float64(b.counts[newest%slots])
+	return b.filled(level, max(now.Sub(begun), 0)) - float64(b.counts[newest%slots])
 }
 
 // until is how long it takes until so many places have come that a level reaches a need.
--- a/internal/quota/faults_test.go
+++ b/internal/quota/faults_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -129,9 +128,8 @@
 		}
 		known := p.knows[daemon]
 		asked := quota.Request{Tenant: "t", Quota: p.quotas[known].Quota, Revision: uint64(known), UnderWay: p.random.IntN(5) > 0}
-		asked.MayWait = asked.UnderWay && p.random.IntN(2) == 0
 		if taken, err := p.daemons[daemon].limiter.Take(context.Background(), asked); err == nil {
-			p.places = append(p.places, &givenPlace{at: p.now().Add(taken.Waited), daemon: p.daemons[daemon].process.Machine, taken: taken})
+			p.places = append(p.places, &givenPlace{at: p.now(), daemon: p.daemons[daemon].process.Machine, taken: taken})
 		}
 		p.pass(time.Duration(float64(time.Second) * lasting / (1 + newest.PerSecond*p.pressed)))
 	}
@@ -166,7 +164,6 @@
 			ran = append(ran, place.at)
 		}
 	}
-	slices.SortFunc(ran, time.Time.Compare) // some wait for their places
 	first := 0
 	for last := range ran {
 		for ran[last].Sub(ran[first]) > length {
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -22,7 +22,6 @@
 	Tenant    identity.Tenant
 	Part      int
 	UnderWay  bool
-	MayWait   bool // a place that comes within longestWait is welcome, too
 	PerSecond float64
 	Burst     int
 	Revision  uint64 // of the configuration that declares the quota
@@ -31,9 +30,7 @@
 // TakeReply is a keeper's answer.
 type TakeReply struct {
 	Verdict Verdict
-	Level   float64 // places left in the part; below zero: owed
-	// Wait is how long the request is to wait before it uses its place.
-	Wait time.Duration
+	Level   float64 // places left in the part
 	// Empty is how long there will certainly be no place, but for those given back.
 	Empty time.Duration
 	// Back is when there is likely to be a place, after those who were refused before.
@@ -136,8 +133,7 @@
 	kept := k.parts[key]
 	if kept == nil || !kept.since.Equal(since) {
 		k.made++
-		// Places that a former keeper owed come due within longestWait.
-		kept = &part{bucket: newBucket(k.settings.Window, since.Add(longestWait)), number: k.made, since: since, waitedAt: now}
+		kept = &part{bucket: newBucket(k.settings.Window, since), number: k.made, since: since, waitedAt: now}
 		k.parts[key] = kept
 	}
 	kept.used = now
@@ -153,26 +149,15 @@
 	}
 }
 
-// longestWait is how long a request may wait for its place. It serves work under way
-// that would else be refused and come back, mostly after all daemons were lost at once, when
-// all quotas are empty. Half a second's rate of places would be owed with half a second, and a
-// keeper that is started again has to leave as many to the places that the former one owed.
-const longestWait = 200 * time.Millisecond
-
 func (p *part) serve(now time.Time, settings Settings, request TakeRequest) TakeReply {
 	current := settings.rates(p.declared, request.Part)
 	need := current.reserved
 	if request.UnderWay {
 		need = 1
 	}
-	least := need
-	if request.MayWait {
-		least -= current.perSecond * longestWait.Seconds()
-	}
-	slot, level, taken := p.take(now, current, least)
+	slot, level, taken := p.take(now, current, need)
 	reply := TakeReply{Verdict: VerdictTaken, Level: level, Place: Place{Bucket: p.number, Slot: slot}}
 	if taken {
-		reply.Wait = max(current.until(level, need-1), 0)
 		return reply
 	}
 	reply.Verdict = VerdictRefused
--- a/internal/quota/kept_test.go
+++ b/internal/quota/kept_test.go
@@ -71,9 +71,7 @@
 	d.since = now()
 	d.process.Incarnation++
 	d.keeper = quota.NewKeeper(settings, d, now)
-	d.limiter = quota.NewLimiter(quota.Options{Settings: settings, Keeper: d.keeper, Directory: d, Caller: d, Now: now, Log: zap.NewNop(),
-		Wait: func(context.Context, time.Duration) bool { return true }, // who asks notes how long
-	})
+	d.limiter = quota.NewLimiter(quota.Options{Settings: settings, Keeper: d.keeper, Directory: d, Caller: d, Now: now, Log: zap.NewNop()})
 }
 
 // Self implements quota.Directory.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -11,7 +11,6 @@
 
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/members"
-	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/peer"
 )
 
@@ -47,7 +46,6 @@
 	directory Directory
 	caller    peer.Caller
 	now       func() time.Time
-	wait      func(ctx context.Context, lasting time.Duration) bool
 	log       *zap.Logger
 	empty     *lru.Cache[emptyKey, time.Time] // until when a part has certainly no place
 
@@ -70,8 +68,6 @@
 	Caller    peer.Caller
 	Now       func() time.Time
 	Log       *zap.Logger
-	// Wait lets time pass; false: the context ended first. Left out, it is pause.For.
-	Wait func(ctx context.Context, lasting time.Duration) bool
 }
 
 // NewLimiter makes a limiter.
@@ -80,11 +76,7 @@
 	if err != nil {
 		panic(err) // only for a size below one
 	}
-	if options.Wait == nil {
-		options.Wait = pause.For
-	}
 	return &Limiter{
-		wait:     options.Wait,
 		settings: options.Settings, keeper: options.Keeper, directory: options.Directory, caller: options.Caller, now: options.Now, log: options.Log,
 		empty: empty, avoided: map[identity.Machine]time.Time{},
 	}
@@ -99,9 +91,6 @@
 	started := l.now()
 	asking := newAsking(l, request)
 	taken := asking.run(ctx)
-	if taken == nil && request.MayWait {
-		taken = asking.await(ctx)
-	}
 	asking.decision.Took = l.now().Sub(started)
 	if taken != nil {
 		taken.Decision = asking.decision
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,8 +33,6 @@
 	Quota  tenant.Quota
 	// Revision is that of the configuration which declares the quota.
 	Revision uint64
-	// MayWait tells that the request waits for a place that comes soon.
-	MayWait bool
 	// UnderWay tells that it belongs to work that was begun before: it may use the
 	// tolerance, since refusing it loses what was done.
 	UnderWay bool
@@ -48,7 +46,6 @@
 	Known  int     // parts that were known to be empty without asking
 	Silent int     // parts whose keeper is unknown, or did not answer
 	Took   time.Duration
-	Waited time.Duration // of that, for the place to come
 }
 
 // String tells the decision in a log line.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -104,25 +103,6 @@
 		Expect(last).To(BeNumerically(">", 250*time.Millisecond))
 	})
 
-	It("lets work under way wait for a place that comes soon, one after the other", func() {
-		takeAll(request(true))
-		waiting := request(true)
-		waiting.MayWait = true
-		var waits []time.Duration
-		for {
-			taken, err := take(0, waiting)
-			if err != nil {
-				break
-			}
-			waits = append(waits, taken.Waited)
-		}
-		Expect(waits).To(HaveLen(perSecond/5), "as many as come within a fifth of a second")
-		Expect(slices.Max(waits)).To(BeNumerically("<=", time.Second/5))
-		Expect(slices.Min(waits)).To(BeNumerically(">", 0))
-		fleet.pass(time.Second / 5)
-		Expect(takeAll(request(true))).To(BeZero(), "they have what came meanwhile")
-	})
-
 	It("gives the place of a request back that was not run, once", func() {
 		var places []*quota.Taken
 		for {
@@ -186,8 +166,6 @@
 			each.start()
 		}
 		Expect(takeAll(request(true))).To(BeZero())
-		fleet.pass(time.Second / 5)
-		Expect(takeAll(request(true))).To(BeZero(), "the former keepers may have owed places")
 		fleet.pass(time.Second)
 		Expect(takeAll(request(true))).To(Equal(perSecond), "each part has whole places by then")
 	})
