--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -74,7 +74,7 @@
 		if ctx.Err() != nil {
 			return nil, e.ended(err)
 		}
-		if !e.mayOfferAgain(err, offers) {
+		if !e.mayOfferAgain(err, offers) || !e.takeForNextRun(err) {
 			return nil, e.exhausted(err)
 		}
 		e.gateway.Log.Info("request: offered again.",
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
+	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/quota"
 )
@@ -49,6 +51,21 @@
 	return taken, nil
 }
 
+// takeForNextRun takes a place for a further run where the engine before may have run the request:
+// what engines run is what a quota bounds.
+func (e *execution) takeForNextRun(err error) bool {
+	var lost *backend.LostError
+	if e.taken == nil || !errors.As(err, &lost) {
+		return true
+	}
+	const underWay = true
+	if _, refused := e.takePlace(underWay); refused != nil {
+		e.gateway.Log.Info("request: not offered again.", zap.String("request", e.call.ID), zap.String("cause", refused.Error()))
+		return false
+	}
+	return true
+}
+
 // giveBack returns the place of a request that no engine began to run.
 func (e *execution) giveBack() {
 	if e.runs == 0 {
--- a/internal/members/keeper_test.go
+++ b/internal/members/keeper_test.go
@@ -116,6 +116,40 @@
 		Expect(world.now.Sub(killed)).To(BeNumerically(">", releaseDeadAfter))
 	})
 
+	It("keep while others take them for dead and they have not heard so, and nobody else does", func() {
+		fleet := founded("m0", "m1")
+		key := keptBy(fleet[0])
+		fleet[0].cut = true
+		for cutSince := world.now; world.now.Sub(cutSince) < keeperContact-time.Second; {
+			world.run(testRenewal, fleet...)
+			Expect(keeps(fleet[0], key)).To(BeTrue())
+			Expect(keeps(fleet[1], key)).To(BeFalse())
+		}
+		Expect(fleet[1].sees("m0")).To(Equal(StateDead))
+	})
+
+	It("do not go on before they are registered where the former process was marked dead", func() {
+		fleet := founded("m0", "m1")
+		key := keptBy(fleet[0])
+		world.run(termInRenewals*testRenewal+3*testRenewal, fleet[1])
+		Expect(fleet[1].sees("m0")).To(Equal(StateDead))
+		again := world.start("m0", false)
+		again.read()
+		Expect(keeps(again, key)).To(BeFalse(), "its claims may be released while its list is believed")
+		register(again)
+		Expect(keeps(again, key)).To(BeTrue())
+	})
+
+	It("do not know what others kept while they did not believe their list", func() {
+		fleet := founded("m0")
+		key := keptBy(fleet[0])
+		world.now = world.now.Add(keeperContact + time.Minute)
+		fleet[0].list.Heard()
+		since, kept := fleet[0].list.Keeps(key)
+		Expect(kept).To(BeTrue())
+		Expect(since).To(BeTemporally("~", world.now, time.Microsecond))
+	})
+
 	It("stop when they have not heard the list for long", func() {
 		fleet := founded("m0")
 		key := keptBy(fleet[0])
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -170,6 +170,21 @@
 		Expect(takeAll(request(true))).To(Equal(perSecond), "each part has whole places by then")
 	})
 
+	It("takes no place back that a former process gave", func() {
+		taken, err := take(0, request(true))
+		Expect(err).NotTo(HaveOccurred())
+		for _, each := range fleet.daemons {
+			each.start()
+		}
+		fleet.pass(2 * length)
+		whole := takeAll(request(true))
+		taken.Return()
+		asked := request(true)
+		asked.Revision++
+		Consistently(func() int { return takeAll(asked) }, 20*time.Millisecond).Should(BeZero())
+		Expect(whole).To(Equal(burst + tolerance))
+	})
+
 	It("knows no limit where none is declared, and keeps tenants apart", func() {
 		takeAll(request(true))
 		other := request(false)
