--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -78,7 +79,6 @@
 
 	mutex sync.Mutex
 	parts map[partKey]*part
-	made  uint64 // buckets so far
 	swept time.Time
 }
 
@@ -95,7 +95,7 @@
 // part is a part of one tenant's quota.
 type part struct {
 	*bucket
-	number   uint64    // of the bucket
+	number   uint64    // of the bucket; drawn, so that a former process's differ
 	since    time.Time // nobody else kept the part since then
 	declared tenant.Quota
 	revision uint64
@@ -132,8 +132,7 @@
 func (k *Keeper) part(key partKey, since, now time.Time) *part {
 	kept := k.parts[key]
 	if kept == nil || !kept.since.Equal(since) {
-		k.made++
-		kept = &part{bucket: newBucket(k.settings.Window, since), number: k.made, since: since, waitedAt: now}
+		kept = &part{bucket: newBucket(k.settings.Window, since), number: rand.Uint64(), since: since, waitedAt: now}
 		k.parts[key] = kept
 	}
 	kept.used = now
