--- a/internal/callerapi/decode.go
+++ b/internal/callerapi/decode.go
@@ -25,6 +25,7 @@
 	if mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type")); err != nil || mediaType != mediaTypeJSON {
 		return malformed("the Content-Type must be %s", mediaTypeJSON)
 	}
+	// Best effort, as extend: a reader without deadlines, as in tests, stays unbounded.
 	_ = r.writer.controller.SetReadDeadline(time.Now().Add(a.Limits.ReadTimeout))
 	decoder := json.NewDecoder(r.Body)
 	decoder.DisallowUnknownFields()
--- a/internal/commandline/commandline.go
+++ b/internal/commandline/commandline.go
@@ -97,6 +97,7 @@
 func (s *session) json() bool { return s.line.Output == "json" }
 
 func (s *session) printf(format string, arguments ...any) {
+	// As usual for a command: a reader that stops reading ends the process by its signal.
 	_, _ = fmt.Fprintf(s.streams.Out, format, arguments...)
 }
 
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -23,7 +23,10 @@
 )
 
 // lifecycle is the state of the daemon as a whole. Safe for concurrent use.
-type lifecycle struct{ machine *fsm.FSM }
+type lifecycle struct {
+	machine *fsm.FSM
+	logger  *zap.Logger
+}
 
 func newLifecycle(logger *zap.Logger) *lifecycle {
 	machine := fsm.NewFSM(stateStarting,
@@ -37,11 +40,15 @@
 				logger.Info("daemon: " + event.Dst + ".")
 			},
 		})
-	return &lifecycle{machine: machine}
+	return &lifecycle{machine: machine, logger: logger}
 }
 
 // move fires the event; an event that does not fit the state is ignored.
-func (l *lifecycle) move(event string) { _ = l.machine.Event(context.Background(), event) }
+func (l *lifecycle) move(event string) {
+	if err := l.machine.Event(context.Background(), event); err != nil {
+		l.logger.Debug("daemon: event ignored.", zap.String("event", event), zap.String("cause", err.Error()))
+	}
+}
 
 func (l *lifecycle) is(state string) bool { return l.machine.Is(state) }
 
--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -269,11 +269,11 @@
 
 // errorReply reads the error text, and the usage if it is told.
 func errorReply(response *http.Response) (*enginev1.Usage, error) {
-	body, _ := readBody(response.Body, maxErrorBytes)
+	body, _ := readBody(response.Body, maxErrorBytes) // what arrived of the text is better than none
 	var reply struct {
 		Usage *enginev1.Usage `json:"usage"`
 	}
-	_ = json.Unmarshal(body, &reply)
+	_ = json.Unmarshal(body, &reply) // a text that is no document tells no usage
 	return reply.Usage, eris.Errorf("%s: %.*s", response.Status, maxErrorText, body)
 }
 
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -159,7 +159,7 @@
 func drain(body io.ReadCloser, stop context.CancelFunc) {
 	timer := time.AfterFunc(drainTimeout, stop)
 	go func() {
-		_, _ = io.CopyN(io.Discard, body, drainBytes)
+		_, _ = io.CopyN(io.Discard, body, drainBytes) // its end, or none: the connection shows by itself whether it can be used again
 		_ = body.Close()
 		timer.Stop()
 		stop()
--- a/internal/gateway/examine.go
+++ b/internal/gateway/examine.go
@@ -26,7 +26,7 @@
 		if answer.Moved {
 			e.gateway.Fleet.Displace(instance)
 		}
-		_, _ = io.CopyN(io.Discard, reply.Body, mostBuffered)
+		_, _ = io.CopyN(io.Discard, reply.Body, mostBuffered) // the verdict stands; the rest only lets the connection be used again
 		return nil, &rejectedError{status: reply.Status}
 	}
 	e.runs++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,7 +96,9 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	current.writer.WriteHeader(refusal.Status)
-	_, _ = current.writer.Write(body)
+	if _, err := current.writer.Write(body); err != nil {
+		g.Log.Info("request: refusal not written.", zap.String("request", current.call.ID), zap.String("cause", err.Error()))
+	}
 }
 
 // contextEnded says why the context of a request is over.
--- a/internal/operatorapi/gate.go
+++ b/internal/operatorapi/gate.go
@@ -38,6 +38,7 @@
 	request = request.WithContext(context.WithValue(request.Context(), operatorKey{}, operator))
 	if request.URL.Path == operatorv1connect.OperatorServiceWatchConfigurationProcedure {
 		// A stream outlives the listener's write timeout; its number is bounded by the watchers' slots.
+		// A writer without deadlines needs none taken off.
 		_ = http.NewResponseController(response).SetWriteDeadline(time.Time{})
 		g.next.ServeHTTP(response, request)
 		return
@@ -52,5 +53,6 @@
 }
 
 func refuse(response http.ResponseWriter, request *http.Request, code connect.Code, text string) {
+	// Fails only when the operator's connection is gone, and then nobody waits for it.
 	_ = connect.NewErrorWriter().Write(response, request, connect.NewError(code, errors.New(text)))
 }
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -108,7 +108,7 @@
 	parts.budgets.Alone = off.Has(mechanism.SharedBudgets)
 	parts.turns = turn.NewRecords(turn.Options{
 		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
-		Now: time.Now, Removal: parts.removal, Others: &turn.Others{List: parts.list, Caller: parts.pool},
+		Now: time.Now, Removal: parts.removal, Others: &turn.Others{List: parts.list, Caller: parts.pool, Log: s.Log},
 	})
 	parts.loads = &load.Exchange{List: parts.list, Caller: parts.pool, Board: load.NewBoard(time.Now), Fleet: s.fleet, Log: s.Log}
 	parts.tellsLoads = !off.Has(mechanism.LoadBoard)
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -67,10 +67,17 @@
 	}
 	f.feed = newFeed(f.listener.Addr())
 	go func(server *http.Server, connections *feed) {
-		_ = server.Serve(connections) // it always ends with an error
+		if err := server.Serve(connections); !endsAsPlanned(err) {
+			f.errors.Printf("callers are not served any more: %v", err)
+		}
 	}(f.server, f.feed)
 }
 
+// endsAsPlanned tells whether a server's end was asked for: it always ends with an error.
+func endsAsPlanned(err error) bool {
+	return errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed)
+}
+
 // accept hands each connection to the server with the newest limits.
 func (f *front) accept() {
 	const pauseAfterError = 20 * time.Millisecond
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -110,7 +110,7 @@
 	s.follow(background, parts)
 	addresses := Addresses{Callers: callers.Addr().String()}
 	for _, endpoint := range s.endpoints() {
-		address, err := endpoint.serve(background)
+		address, err := endpoint.serve(background, s.Log)
 		if err != nil {
 			return err
 		}
@@ -231,14 +231,18 @@
 	return endpoints
 }
 
-func (e endpoint) serve(ctx context.Context) (string, error) {
+func (e endpoint) serve(ctx context.Context, log *zap.Logger) (string, error) {
 	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return "", eris.Wrapf(err, "listen for %s", e.name)
 	}
 	const headerTimeout = 3 * time.Second
 	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(listener) }()
+	go func() {
+		if err := server.Serve(listener); !endsAsPlanned(err) {
+			log.Error("server: endpoint is not served any more.", zap.String("endpoint", e.name), zap.String("error", err.Error()))
+		}
+	}()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return listener.Addr().String(), nil
 }
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -74,7 +74,7 @@
 		if line == nil {
 			return
 		}
-		_, _ = output.Write(line)
+		_, _ = output.Write(line) // there is no other place to tell that lines can't be written
 	}
 }
 
--- a/internal/turn/others.go
+++ b/internal/turn/others.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
 )
@@ -41,6 +43,7 @@
 type Others struct {
 	List   *members.List
 	Caller peer.Caller
+	Log    *zap.Logger
 }
 
 const (
@@ -49,23 +52,38 @@
 	askWait   = 150 * time.Millisecond
 )
 
+// answer is what came of asking one daemon.
+type answer struct {
+	reply RecentReply
+	err   error
+}
+
 // Recent returns a turn that another daemon keeps in memory.
 func (o *Others) Recent(ctx context.Context, identifier string) (Record, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askWait)
 	defer cancel()
 	asked := o.List.Others(identifier, mostAsked)
-	answers := make(chan RecentReply, len(asked))
+	answers := make(chan answer, len(asked))
 	for _, member := range asked {
 		go func() {
-			var reply RecentReply
-			_ = o.Caller.Call(ctx, member.Process.Address, peer.Data, methodRecent, RecentRequest{Identifier: identifier}, &reply)
-			answers <- reply // empty if there was no answer
+			var received answer
+			received.err = o.Caller.Call(ctx, member.Process.Address, peer.Data, methodRecent, RecentRequest{Identifier: identifier}, &received.reply)
+			answers <- received
 		}()
 	}
+	silent := 0
+	var failure error // the last one: most are alike
 	for range asked {
-		if reply := <-answers; reply.Found {
-			return reply.Record, true
+		received := <-answers
+		if received.err == nil && received.reply.Found {
+			return received.reply.Record, true
 		}
+		if received.err != nil {
+			silent, failure = silent+1, received.err
+		}
+	}
+	if failure != nil {
+		o.Log.Info("turn: others did not all answer.", zap.String("turn", identifier), zap.Int("asked", len(asked)), zap.Int("silent", silent), zap.String("cause", failure.Error()))
 	}
 	return Record{}, false
 }
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -44,7 +44,7 @@
 	return turn.NewRecords(turn.Options{
 		Store:    state.NewClient(state.ClientOptions{Store: store, Availability: availability}),
 		RowBytes: rowBytes, CacheEntries: 8, CacheFor: time.Hour, Now: time.Now,
-		Others: &turn.Others{List: list, Caller: pool},
+		Others: &turn.Others{List: list, Caller: pool, Log: zap.NewNop()},
 	})
 }
 
