--- a/internal/members/keeper_test.go
+++ b/internal/members/keeper_test.go
@@ -230,7 +230,7 @@
 			_ = chosen.lease.End(context.Background()) // rapid shows the play if a promise breaks
 		}
 	default:
-		p.lendingPlay.actBut(t, step, machine)
+		p.actBut(t, step, machine)
 	}
 }
 
