Members: a key that did not move is not kept anew when the members with claims change

Cause, by reading: whenever claims were released or a member settled, all buckets of all daemons began empty, though a few parts had moved. Change: since when a key was kept looks through the last eight sets of members with claims.

--- a/internal/members/keeper.go
+++ b/internal/members/keeper.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
@@ -69,6 +70,46 @@
 	// grow with the members: 64 ns in place of 1.4 us at 390 (BenchmarkKeeper). It holds the keys that
 	// are asked for, and goes with the list's next change.
 	found *sync.Map // by the key's digest, *record
+	// former is the set before, setsKept deep: a key that this process has kept through
+	// several sets is not kept anew with each of them.
+	former *keeperSet
+}
+
+// setsKept is how many former sets are remembered: changes of the members with claims in as
+// many minutes as it takes a quota to fill up anew are far fewer.
+const setsKept = 8
+
+// follows takes over what lasts from the set before. A set that holds the same machines goes on.
+func (k keeperSet) follows(before keeperSet, since time.Time) keeperSet {
+	if k.sameMachines(before) {
+		k.since, k.former = before.since, before.former
+		return k
+	}
+	k.since, k.former = since, &before
+	oldest := k.former
+	for range setsKept - 1 {
+		if oldest.former == nil {
+			return k
+		}
+		copied := *oldest.former
+		oldest.former, oldest = &copied, &copied
+	}
+	oldest.former = nil
+	return k
+}
+
+// keptSince tells since when a machine has had the first claim on a key. Between two sets that this
+// process saw, no other member can have kept it: one that comes settles for longer than
+// a list is believed.
+func (k keeperSet) keptSince(key uint64, machine identity.Machine) time.Time {
+	since := k.since
+	for before := k.former; before != nil; before = before.former {
+		if first := before.first(key); first == nil || first.member.Process.Machine != machine {
+			break
+		}
+		since = before.since
+	}
+	return since
 }
 
 // sameMachines tells whether both sets hold the same machines; both are ordered by machine.
@@ -118,22 +159,18 @@
 // Keeps tells whether this process is the one that keeps a key, and since when nobody
 // else did.
 func (l *List) Keeps(key string) (since time.Time, keeps bool) {
-	current := l.current.Load()
-	if !l.mayKeep() || current.keepers.first(digestOf(key)) != current.own {
+	current, digest := l.current.Load(), digestOf(key)
+	if !l.mayKeep() || current.keepers.first(digest) != current.own {
 		return time.Time{}, false
 	}
 	l.seasoning.kept.Store(true)
-	return l.keepsSince(current), true
-}
-
-// keepsSince is since when nobody else kept what this process keeps now.
-func (l *List) keepsSince(current *picture) time.Time {
+	since = current.keepers.keptSince(digest, l.self.Process.Machine)
 	// What others kept while this list was not believed does not show in it.
 	latest := max(l.seasoning.heardAgain.Load(), l.settledAt())
-	if since := l.seasoning.started.Add(time.Duration(latest)); since.After(current.keepers.since) {
-		return since
+	if permitted := l.seasoning.started.Add(time.Duration(latest)); permitted.After(since) {
+		return permitted, true
 	}
-	return current.keepers.since
+	return since, true
 }
 
 // settledAt is from when this process's standing lets it keep, in nanoseconds since its start.
--- a/internal/members/keeper_test.go
+++ b/internal/members/keeper_test.go
@@ -173,6 +173,24 @@
 		Expect(keeps(fleet[0], key) || keeps(fleet[1], key)).To(BeFalse())
 	})
 
+	It("keep on what they kept while the members with claims change", func(ctx SpecContext) {
+		fleet := founded("m0", "m1", "m2")
+		key, before := keptBy(fleet[0]), world.now
+		other := keptBy(fleet[1])
+		Expect(fleet[1].lease.End(ctx)).To(Succeed())
+		world.run(releaseEndedAfter+3*testRenewal, fleet[0], fleet[2])
+		since, kept := fleet[0].list.Keeps(key)
+		Expect(kept).To(BeTrue())
+		Expect(since).To(BeTemporally("<=", before), "its own key did not move")
+		heir := fleet[0]
+		if !keeps(heir, other) {
+			heir = fleet[2]
+		}
+		since, kept = heir.list.Keeps(other)
+		Expect(kept).To(BeTrue())
+		Expect(since).To(BeTemporally(">", before.Add(releaseEndedAfter)), "another one kept it before")
+	})
+
 	It("wait at a new address, where the former process may go on at the old one", func() {
 		fleet := founded("m0", "m1")
 		key := keptBy(fleet[0])
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -194,8 +194,8 @@
 	}
 	next := newPicture(view, records, l.self.Process, l.standing())
 	next.keepers.since = l.setSince()
-	if former := l.current.Load(); former != nil && former.keepers.sameMachines(next.keepers) {
-		next.keepers.since = former.keepers.since
+	if former := l.current.Load(); former != nil {
+		next.keepers = next.keepers.follows(former.keepers, next.keepers.since)
 	}
 	l.current.Store(next)
 	for _, subscriber := range l.subscribers {
