Quotas: a keeper remembers what it gave while it may not keep for a while

Cause, by reading: a daemon that was marked dead by mistake may not keep until it has registered again; asked meanwhile, it forgot its bucket, and began with a full one, since nobody else had kept the part. The spec fails without the mend: all places were given twice.

--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -117,7 +117,7 @@
 	now := k.now()
 	since, keeps := k.standing.Keeps(key.memberKey())
 	if !keeps {
-		delete(k.parts, key)
+		// What was given stays in memory: if nobody else keeps the part meanwhile, it goes on.
 		reply.Verdict = VerdictNotKept
 		return nil
 	}
--- a/internal/quota/kept_test.go
+++ b/internal/quota/kept_test.go
@@ -47,6 +47,8 @@
 	keeper  *quota.Keeper
 	limiter *quota.Limiter
 	silent  bool // it answers nobody and reaches nobody
+	// suspended: it may not keep for a while, though nobody else does.
+	suspended bool
 	loses   int  // so many of its next answers are lost
 }
 
@@ -83,7 +85,9 @@
 }
 
 // Keeps implements quota.Standing.
-func (d *keptDaemon) Keeps(key string) (time.Time, bool) { return d.since, d.fleet.keeperOf(key) == d }
+func (d *keptDaemon) Keeps(key string) (time.Time, bool) {
+	return d.since, !d.suspended && d.fleet.keeperOf(key) == d
+}
 
 func (f *keptFleet) keeperOf(key string) *keptDaemon {
 	if f.keeping != nil {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -170,6 +170,25 @@
 		Expect(takeAll(request(true))).To(Equal(perSecond), "each part has whole places by then")
 	})
 
+	It("remembers what a keeper gave while it may not keep for a while", func() {
+		taken := takeAll(request(true))
+		for _, suspended := range []bool{true, false} {
+			for _, each := range fleet.daemons {
+				each.suspended = suspended
+			}
+			asked := request(true)
+			asked.Revision++
+			if suspended {
+				_, err := take(0, asked)
+				var unreached *quota.UnreachedError
+				Expect(errors.As(err, &unreached)).To(BeTrue())
+			} else {
+				Expect(takeAll(asked)).To(BeZero())
+			}
+		}
+		Expect(taken).To(Equal(burst + tolerance))
+	})
+
 	It("takes no place back that a former process gave", func() {
 		taken, err := take(0, request(true))
 		Expect(err).NotTo(HaveOccurred())
