Members: a process goes on without having registered for ten seconds at most

Cause, by reading: a reading that is some seconds old may show a former process that ended as planned since; its claims are released twenty seconds later, while the new process believed its own list for five minutes.

--- a/internal/members/keeper.go
+++ b/internal/members/keeper.go
@@ -43,6 +43,10 @@
 	// releaseEndedAfter is the time in which a member that ended as planned may be started
 	// again and go on with its claims.
 	releaseEndedAfter = 20 * time.Second
+	// inheritedFor is how long a process goes on with its machine's claims without having
+	// registered: a reading that is some seconds old may show a former process that has ended as
+	// planned since, and its claims are released releaseEndedAfter later.
+	inheritedFor = releaseEndedAfter / 2
 	// releaseDeadAfter is when a member that was marked dead has certainly stopped.
 	releaseDeadAfter = keeperContact + hearingDelay
 )
@@ -189,7 +193,8 @@
 func (l *List) mayKeep() bool {
 	elapsed := l.seasoning.elapsed(l.now())
 	heard := l.seasoning.heard.Load()
-	stands := l.seasoning.registered.Load() != 0 || l.seasoning.inherits.Load()
+	inherited := l.seasoning.inherited.Load()
+	stands := l.seasoning.registered.Load() != 0 || inherited != 0 && elapsed-inherited < int64(inheritedFor)
 	if heard == 0 || !stands || elapsed-heard > int64(keeperContact) {
 		return false
 	}
@@ -212,11 +217,11 @@
 // the earliest, and this list is believed for a shorter time. The lock is held.
 func (l *List) inherit(former Member) {
 	goesOn := former.State != StateDead && former.Standing == StandingKeeps && former.Process.Address == l.self.Process.Address
-	if !goesOn || former.Process.Incarnation >= l.self.Process.Incarnation || l.seasoning.registered.Load() != 0 || l.seasoning.inherits.Load() {
+	if !goesOn || former.Process.Incarnation >= l.self.Process.Incarnation || l.seasoning.registered.Load() != 0 || l.seasoning.inherited.Load() != 0 {
 		return
 	}
 	l.stand(StandingKeeps)
-	l.seasoning.inherits.Store(true)
+	l.seasoning.inherited.Store(l.seasoning.elapsed(l.now()))
 }
 
 // noteStanding takes in the standing that this process's row has in the store.
@@ -224,7 +229,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.stand(standing)
-	l.seasoning.inherits.Store(false) // the own row counts from now on
+	l.seasoning.inherited.Store(0) // the own row counts from now on
 	l.publish()
 }
 
--- a/internal/members/keeper_test.go
+++ b/internal/members/keeper_test.go
@@ -128,6 +128,19 @@
 		Expect(fleet[1].sees("m0")).To(Equal(StateDead))
 	})
 
+	It("go on without having registered for a short while only", func() {
+		fleet := founded("m0", "m1")
+		key := keptBy(fleet[0])
+		again := world.start("m0", false)
+		again.read()
+		Expect(keeps(again, key)).To(BeTrue())
+		world.now = world.now.Add(inheritedFor + time.Second)
+		again.read()
+		Expect(keeps(again, key)).To(BeFalse(), "what it read may have been old")
+		register(again)
+		Expect(keeps(again, key)).To(BeTrue())
+	})
+
 	It("do not go on before they are registered where the former process was marked dead", func() {
 		fleet := founded("m0", "m1")
 		key := keptBy(fleet[0])
--- a/internal/members/lender.go
+++ b/internal/members/lender.go
@@ -47,9 +47,9 @@
 	// settled is since when nobody else may have kept what this process may keep; it
 	// holds while standing is StandingKeeps.
 	settled atomic.Int64
-	// inherits tells that this process goes on with the claims of its machine's former
-	// one before it is registered itself (inherit).
-	inherits atomic.Bool
+	// inherited is when this process went on with the claims of its machine's former one,
+	// before it is registered itself (inherit); 0: it did not.
+	inherited atomic.Int64
 	// kept tells that this process kept something, so that it does not know any more
 	// what it itself gave out before a change of the keepers.
 	kept atomic.Bool
@@ -77,7 +77,7 @@
 func (s *seasoning) ended() {
 	s.founder.Store(false)
 	s.registered.Store(0)
-	s.inherits.Store(false)
+	s.inherited.Store(0)
 }
 
 func (s *seasoning) lends(now time.Time) bool {
--- a/internal/quota/faults_test.go
+++ b/internal/quota/faults_test.go
@@ -15,7 +15,7 @@
 )
 
 // TestQuotasUnderFaults plays fleets of 84 and 390 daemons whose tenants ask for up to ten times their limit, while daemons are
-// killed and started again, cut off, lose answers after they gave a place, while claims move to others, quotas change and are
+// killed and started again, cut off, lose answers after they gave a place, may not keep for a while, while claims move to others, quotas change and are
 // known here and not there, and places are given back at any time. In each window no more requests run than the users' bound allows.
 func TestQuotasUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { newFaultyPlay(t).run() })
@@ -80,6 +80,9 @@
 			p.declare(step)
 		case 5:
 			p.giveBack(rapid.IntRange(1, 30).Draw(p.t, fmt.Sprint("gives back ", step)))
+		case 6:
+			chosen := p.daemon(step)
+			p.change(func() { chosen.suspended = !chosen.suspended })
 		default:
 			p.ask(step)
 		}
--- a/internal/quota/kept_test.go
+++ b/internal/quota/kept_test.go
@@ -49,7 +49,7 @@
 	silent  bool // it answers nobody and reaches nobody
 	// suspended: it may not keep for a while, though nobody else does.
 	suspended bool
-	loses   int  // so many of its next answers are lost
+	loses     int // so many of its next answers are lost
 }
 
 func newFleet(daemons int, start time.Time) fleet { return newKeptFleet(daemons, start) }
