Soak: a gateway that runs is not started a second time

A kill and a planned stop of one gateway overlapped (23.109 and 23.173 in its log), and both started it again. A fault of the soak; ruled out by the log: the gateways that ran went on.

--- a/internal/lab/soak/gateway.go
+++ b/internal/lab/soak/gateway.go
@@ -96,10 +96,14 @@
 	return eris.Wrap(os.WriteFile(g.settings, content, 0o600), "write settings")
 }
 
-// start runs a new process.
+// start runs a new process, unless one runs: a kill and a planned stop that overlap both start again
+// what they ended.
 func (g *gateway) start() error {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if g.runs() {
+		return nil
+	}
 	output, err := os.OpenFile(g.world.logFile(g.name), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return eris.Wrap(err, "open log")
@@ -116,6 +120,19 @@
 	return nil
 }
 
+// runs tells whether the latest process has not ended; the lock is held.
+func (g *gateway) runs() bool {
+	if g.command == nil {
+		return false
+	}
+	select {
+	case <-g.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // await notes a process that ended though nobody told it to.
 func (g *gateway) await(command *exec.Cmd, exited chan struct{}) {
 	_ = command.Wait() // the state says it all
