--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -31,7 +31,7 @@
 // that was killed is started again, and has read who keeps what, within half a second.
 const keepersPatience = 500 * time.Millisecond
 
-// takePlace takes one place, or returns *Refusal.
+// takePlace takes one place, or returns *Refusal or *CutError.
 func (e *execution) takePlace(underWay bool) (*quota.Taken, error) {
 	request := quota.Request{Tenant: e.tenant.Name, Quota: e.tenant.Quota, Revision: e.table.Revision, UnderWay: underWay}
 	ctx, cancel := context.WithTimeout(e.request.Context(), min(keepersPatience, e.storePatience()))
@@ -45,6 +45,9 @@
 	if errors.As(err, &exceeded) {
 		return nil, &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuota, After: exceeded.After, Err: err}
 	}
+	if err != nil && e.request.Context().Err() != nil {
+		return nil, &CutError{Reason: ReasonCallerLeft, Err: err}
+	}
 	if err != nil {
 		return nil, notRun(ReasonQuotaUnknown, comeBackSoon, err)
 	}
