--- a/internal/members/keeper.go
+++ b/internal/members/keeper.go
@@ -1,15 +1,6 @@
 package members
 
-import (
-	"context"
-	"sync"
-	"time"
-
-	"go.uber.org/zap"
-
-	"github.com/thymeloft/thymeloft/internal/identity"
-	"github.com/thymeloft/thymeloft/internal/state"
-)
+import "time"
 
 // Some things are kept by one member alone, in its memory: the one with the first
 // claim on a key among all members whose standing lets them have claims.
@@ -66,90 +57,6 @@
 // claims tells whether a member of this standing has claims.
 func (s Standing) claims() bool { return s != StandingJoined && s != StandingReleased }
 
-// keeperSet are the members with claims, as one list shows them.
-type keeperSet struct {
-	records []*record
-	since   time.Time // nobody else kept since then what the set lets this process keep
-	// found remembers who has the first claim on a key, so that a request's way does not
-	// grow with the members: 64 ns in place of 1.4 us at 390 (BenchmarkKeeper). It holds the keys that
-	// are asked for, and goes with the list's next change.
-	found *sync.Map // by the key's digest, *record
-	// former is the set before, setsKept deep: a key that this process has kept through
-	// several sets is not kept anew with each of them.
-	former *keeperSet
-}
-
-// setsKept is how many former sets are remembered: changes of the members with claims in as
-// many minutes as it takes a quota to fill up anew are far fewer.
-const setsKept = 8
-
-// follows takes over what lasts from the set before. A set that holds the same machines goes on.
-func (k keeperSet) follows(before keeperSet, since time.Time) keeperSet {
-	if k.sameMachines(before) {
-		k.since, k.former = before.since, before.former
-		return k
-	}
-	k.since, k.former = since, &before
-	oldest := k.former
-	for range setsKept - 1 {
-		if oldest.former == nil {
-			return k
-		}
-		copied := *oldest.former
-		oldest.former, oldest = &copied, &copied
-	}
-	oldest.former = nil
-	return k
-}
-
-// keptSince tells since when a machine has had the first claim on a key. Between two sets that this
-// process saw, no other member can have kept it: one that comes settles for longer than
-// a list is believed.
-func (k keeperSet) keptSince(key uint64, machine identity.Machine) time.Time {
-	since := k.since
-	for before := k.former; before != nil; before = before.former {
-		if first := before.first(key); first == nil || first.member.Process.Machine != machine {
-			break
-		}
-		since = before.since
-	}
-	return since
-}
-
-// sameMachines tells whether both sets hold the same machines; both are ordered by machine.
-func (k keeperSet) sameMachines(other keeperSet) bool {
-	if len(k.records) != len(other.records) {
-		return false
-	}
-	for index, known := range k.records {
-		if known.member.Process.Machine != other.records[index].member.Process.Machine {
-			return false
-		}
-	}
-	return true
-}
-
-// first returns the member with the first claim on a key; nil if none has claims.
-func (k keeperSet) first(key uint64) *record {
-	if known, found := k.found.Load(key); found {
-		return known.(*record)
-	}
-	first := k.search(key)
-	k.found.Store(key, first)
-	return first
-}
-
-func (k keeperSet) search(key uint64) *record {
-	var first *record
-	most := uint64(0)
-	for _, candidate := range k.records {
-		if claimed := claim(candidate.digest, key); first == nil || claimed > most {
-			first, most = candidate, claimed
-		}
-	}
-	return first
-}
-
 // Keeper returns the member that keeps a key, as far as this list tells; false if
 // nobody does who lives.
 func (l *List) Keeper(key string) (Member, bool) {
@@ -315,42 +222,3 @@
 		return found.Standing
 	}
 }
-
-// release ends the claims of members that ended, so that others keep what they kept. The
-// one with the first claim on the row does it.
-func (l *Lease) release(parent context.Context, now time.Time) {
-	for _, known := range l.List.current.Load().dead {
-		wait := releaseDeadAfter
-		if known.member.Standing == StandingEnded {
-			wait = releaseEndedAfter
-		}
-		machine := known.member.Process.Machine
-		if !known.member.Standing.claims() || now.Sub(known.diedAt) <= wait || !l.List.Sweeps(string(machine)) {
-			continue
-		}
-		l.releaseOne(parent, known)
-	}
-}
-
-func (l *Lease) releaseOne(parent context.Context, known *record) {
-	ctx, cancel := context.WithTimeout(parent, commitWait)
-	defer cancel()
-	released := known.member
-	released.Standing = StandingReleased
-	machine := zap.String("member", string(released.Process.Machine))
-	value, err := Encode(released)
-	if err != nil {
-		l.Log.Error("members: released claims not written.", machine, zap.String("error", err.Error()))
-		return
-	}
-	key := keyOf(Table, released.Process.Machine)
-	_, err = l.Store.Commit(ctx, state.Commit{
-		Conditions: []state.Condition{{Key: key, Version: known.row}},
-		Puts:       []state.Put{{Key: key, Value: value}},
-	})
-	if err != nil {
-		l.Log.Info("members: claims not released.", machine, zap.String("error", err.Error()))
-		return
-	}
-	l.Log.Info("members: claims released.", machine, zap.Uint64("incarnation", uint64(released.Process.Incarnation)))
-}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -3,8 +3,8 @@
 // lease ran out is marked dead by one that watches it.
 //
 // Guarantee: none that anything true may rest on. The list may name daemons
-// that are gone and lack new ones; who must be certain asks the store. The one
-// promise is MayLend's, with its argument in lender.go.
+// that are gone and lack new ones; who must be certain asks the store. The two
+// promises are MayLend's and Keeps', with their arguments in lender.go and keeper.go.
 //
 // Cost: a daemon renews its own lease and reads those of a few others, at
 // intervals that grow with the fleet, so that all daemons together call the
