State: classes of calls, and refusals of a store that is there, declared

What callers of the store will share before the limits take effect: a class a call, errors for a full store and for one whose rate is used up. Nothing acts on them yet.

--- /dev/null
+++ b/internal/state/class.go
@@ -0,0 +1,29 @@
+package state
+
+import "errors"
+
+// Class tells what a call is for. Where the store's rate or room is short, calls of
+// the more important classes go first.
+type Class uint8
+
+// The classes, the most important first. The zero class is ClassOther.
+const (
+	ClassOther       Class = iota // not told; ranks with ClassRead
+	ClassLease                    // a lease, a member's row, the confirmation of a configuration
+	ClassTurn                     // the end of a turn: an answer waits for it
+	ClassReservation              // what a turn may generate: a request waits for it
+	ClassRead                     // a reading that a request waits for
+	ClassFollow                   // a feed or a reading that follows a table
+	ClassSettlement               // giving back what was reserved
+	ClassSweep                    // removing what is over
+)
+
+// Refusals of a store that is there.
+var (
+	// ErrFull says that the store has no room: nothing was written, and nothing can be
+	// until something was removed.
+	ErrFull = errors.New("the store has no room")
+	// ErrThrottled says that the call was not made, or was refused, since all calls
+	// together exceed the store's rate. It comes with ErrNotDone.
+	ErrThrottled = errors.New("the store's rate is used up")
+)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -49,6 +49,7 @@
 
 // Commit is done whole or not at all.
 type Commit struct {
+	Class      Class
 	Conditions []Condition
 	Puts       []Put
 	Removals   []Key
@@ -83,6 +84,7 @@
 
 // Range selects rows of one partition, by rising names.
 type Range struct {
+	Class     Class
 	Table     string
 	Partition string
 	From      string // included
