Reach: a daemon knows that it is cut off, says that it is not ready, and refuses at once

Cause: in a zone that is cut off, daemons noticed after 1 to 3 s that the store was away, each by its own calls, and never said that they are not ready; each turn waited 1.35 s for what could not come. Change: aggregators, which exchange loads between zones every 100 ms, tell with each picture how long other zones have been silent; a daemon that hears neither these nor the store for 0.4 s is cut off. The spec of the waits for the store gets a gateway, since these waits now depend on it; what it asserts stays.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -57,6 +57,9 @@
 	marginToRun = 30 * time.Millisecond
 	// heldShare is the part of its time that a request waits at most.
 	heldShare = 0.45
+	// cutOffPatience is how long a request waits for daemons of its own zone while this one is
+	// cut off: several answers of another daemon, a tenth of what callers give a first event.
+	cutOffPatience = 200 * time.Millisecond
 	// marginToTell is kept so that a final answer arrives within a caller's patience.
 	marginToTell = 250 * time.Millisecond
 )
@@ -152,6 +155,11 @@
 func (e *execution) prepare(ctx context.Context) error {
 	wait, cancel := context.WithTimeout(ctx, e.storePatience())
 	defer cancel()
+	if e.route.Recorded {
+		// It can't be served here once this daemon is cut off: in another zone it can.
+		stop := context.AfterFunc(e.gateway.Reach.Sound(), cancel)
+		defer stop()
+	}
 	start := time.Now()
 	defer func() {
 		if waited := time.Since(start); waited > time.Millisecond {
@@ -181,6 +189,9 @@
 	if e.route.Streaming && e.route.Patience > 0 {
 		patience = min(patience, e.route.Patience-marginToTell)
 	}
+	if e.gateway.Reach.CutOff() {
+		patience = min(patience, cutOffPatience)
+	}
 	return max(patience, 0)
 }
 
@@ -245,6 +256,8 @@
 		return &Refusal{Status: http.StatusNotFound, Reason: ReasonUnknownTurn, Err: err}
 	case errors.Is(err, turn.ErrUnsure):
 		return notRun(ReasonUnsureTurn, comeBackStore, err)
+	case e.gateway.Reach.CutOff(): // also where a wait that was given up reads as a spent budget
+		return notRun(ReasonCutOff, e.gateway.Reach.Back(), err)
 	case errors.Is(err, budget.ErrSpent):
 		return &Refusal{Status: http.StatusPaymentRequired, Reason: ReasonBudget, Err: err}
 	case e.request.Context().Err() != nil:
--- a/internal/gateway/execution_test.go
+++ b/internal/gateway/execution_test.go
@@ -1,18 +1,26 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/reach"
 	"github.com/thymeloft/thymeloft/internal/routetable"
+	"github.com/thymeloft/thymeloft/internal/state"
 )
 
 var _ = Describe("storePatience", func() {
 	DescribeTable("leaves a refused caller time to come back, and ends before a reader of a stream leaves",
 		func(deadline time.Duration, streaming bool, longest time.Duration) {
 			waiting := &execution{
+				gateway: &Gateway{},
 				arrived: time.Now(),
 				call:    Call{Deadline: deadline},
 				route:   &routetable.Route{Timeout: time.Hour, Streaming: streaming, Patience: 2 * time.Second},
@@ -25,3 +33,46 @@
 		Entry("a plain request", 4*time.Second, false, 1800*time.Millisecond),
 	)
 })
+
+var _ = Describe("a request at a daemon that is cut off", func() {
+	// cutOff is a gateway that hears neither other zones nor its store.
+	cutOff := func(ctx context.Context) *Gateway {
+		GinkgoHelper()
+		silent := time.Now().Add(-time.Hour)
+		monitor := reach.NewMonitor(reach.Options{
+			Observe: func() reach.Observation {
+				return reach.Observation{OutsideKnown: true, OutsideHeard: silent, StoreHeard: silent}
+			},
+			AskStore: func(context.Context) {}, Moved: time.Second, Now: time.Now, Log: zap.NewNop(),
+		})
+		running, end := context.WithCancel(ctx)
+		DeferCleanup(end)
+		go monitor.Run(running)
+		Eventually(monitor.CutOff).WithTimeout(time.Minute).Should(BeTrue())
+		availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
+		for _, partition := range state.Partitions(3) {
+			availability.Failed(partition)
+		}
+		return &Gateway{Options: Options{Reach: monitor, Availability: availability}}
+	}
+
+	It("is refused at once where its turn would have to be kept, with a time to come back", func(ctx SpecContext) {
+		waiting := &execution{
+			gateway: cutOff(ctx),
+			request: httptest.NewRequestWithContext(ctx, "POST", "/", nil),
+			arrived: time.Now(),
+			route:   &routetable.Route{Timeout: time.Hour, Streaming: true, Recorded: true, Patience: time.Hour},
+		}
+		var refusal *Refusal
+		Expect(waiting.prepare(ctx)).To(BeAssignableToTypeOf(refusal))
+		refusal = waiting.prepare(ctx).(*Refusal)
+		Expect(refusal.Reason).To(Equal(ReasonCutOff))
+		Expect(refusal.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(refusal.After).To(BeNumerically(">", 0))
+	})
+
+	It("waits no longer for the daemons of its zone than their answers take", func(ctx SpecContext) {
+		waiting := &execution{gateway: cutOff(ctx), arrived: time.Now(), route: &routetable.Route{Timeout: time.Hour}}
+		Expect(waiting.storePatience()).To(Equal(cutOffPatience))
+	})
+})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/quota"
+	"github.com/thymeloft/thymeloft/internal/reach"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/turn"
@@ -30,8 +31,10 @@
 	Budgets      Budgets
 	Quotas       *quota.Limiter
 	Availability *state.Availability
-	Log          *zap.Logger
-	Metrics      *Metrics
+	// Reach tells whether this daemon is cut off; nil: it never is.
+	Reach   *reach.Monitor
+	Log     *zap.Logger
+	Metrics *Metrics
 	// InstanceGrace is how long an instance whose entry is gone may still be used.
 	InstanceGrace time.Duration
 	// Off is what an experiment goes without.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -25,6 +25,7 @@
 	ReasonUnknownTurn     Reason = "unknown-turn"
 	ReasonUnsureTurn      Reason = "unsure-turn"
 	ReasonStore           Reason = "store-unavailable"
+	ReasonCutOff          Reason = "cut-off"
 	ReasonBudget          Reason = "budget-spent"
 	ReasonNoEngine        Reason = "no-engine"
 	ReasonEnginesFull     Reason = "engines-full"
--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -22,6 +22,9 @@
 	sum     Told             // of reports and shares
 	summed  map[string]Told  // the reports in it
 	sumAt   time.Time
+	// outsideHeard is when an aggregator of another group last answered this one; zero:
+	// there are none, or this daemon does not aggregate.
+	outsideHeard time.Time
 }
 
 // heard is what a daemon or an aggregator last told.
@@ -49,9 +52,41 @@
 	}
 	picture.All = b.sum
 	picture.Own = b.summed[report.Member]
+	picture.Outside = b.outside(now)
 	return nil
 }
 
+// outside is how long the other groups have been silent; the lock is held.
+func (b *Board) outside(now time.Time) Silence {
+	if b.outsideHeard.IsZero() {
+		return Silence{}
+	}
+	return Silence{Known: true, Lasted: now.Sub(b.outsideHeard)}
+}
+
+// heardOutside notes that an aggregator of another group answered.
+func (b *Board) heardOutside() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.outsideHeard = b.now()
+}
+
+// beginOutside counts the silence of the other groups from now on, unless it is counted.
+func (b *Board) beginOutside() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.outsideHeard.IsZero() {
+		b.outsideHeard = b.now()
+	}
+}
+
+// forgetOutside is called while this daemon reaches for no other group.
+func (b *Board) forgetOutside() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.outsideHeard = time.Time{}
+}
+
 // Share is called by other aggregators.
 func (b *Board) Share(share Share, _ *ShareReply) error {
 	if err := check(share.Told); err != nil {
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,7 @@
 	Log    *zap.Logger
 
 	metrics metrics
+	outside atomic.Pointer[heardOutside] // as the last picture told
 
 	mutex      sync.Mutex
 	plan       *plan
@@ -130,6 +132,7 @@
 		return
 	}
 	e.Fleet.Learn(all, own)
+	e.noteOutside(picture.Outside)
 	e.metrics.ended(resultLearned)
 	e.noteAggregator(chosen)
 }
@@ -159,31 +162,46 @@
 func (e *Exchange) share(ctx context.Context) bool {
 	shared, reporters := e.Board.share()
 	e.noteAggregating(reporters)
+	current := e.current()
+	if reporters == 0 || len(current.others) == 0 {
+		e.Board.forgetOutside()
+	}
 	if reporters == 0 {
 		return false
 	}
 	told := Share{Aggregator: string(e.List.Self().Machine), Told: shared}
-	current := e.current()
 	var telling sync.WaitGroup
 	defer telling.Wait()
-	for _, each := range append([]group{current.own}, current.others...) {
-		for _, aggregator := range each.choose(e.usable) {
-			if aggregator.Process == e.List.Self() {
-				continue
-			}
+	for _, aggregator := range current.own.choose(e.usable) {
+		if aggregator.Process != e.List.Self() {
 			telling.Go(func() { e.tell(ctx, aggregator, told) })
 		}
 	}
+	if len(current.others) > 0 {
+		e.Board.beginOutside()
+	}
+	for _, other := range current.others {
+		for _, aggregator := range other.choose(e.usable) {
+			telling.Go(func() {
+				if e.tell(ctx, aggregator, told) {
+					e.Board.heardOutside()
+				}
+			})
+		}
+	}
 	return true
 }
 
-func (e *Exchange) tell(parent context.Context, aggregator members.Member, told Share) {
+// tell shares with one aggregator, and tells whether it answered.
+func (e *Exchange) tell(parent context.Context, aggregator members.Member, told Share) bool {
 	ctx, cancel := context.WithTimeout(parent, reportWait)
 	defer cancel()
 	var reply ShareReply
-	if err := e.Caller.Call(ctx, aggregator.Process.Address, peer.Control, methodShare, told, &reply); err != nil && parent.Err() == nil {
+	err := e.Caller.Call(ctx, aggregator.Process.Address, peer.Control, methodShare, told, &reply)
+	if err != nil && parent.Err() == nil {
 		e.avoid(aggregator, err)
 	}
+	return err == nil
 }
 
 func (e *Exchange) noteAggregating(reporters int) {
@@ -194,3 +212,25 @@
 		e.Log.Info("load: aggregating changed.", zap.Bool("aggregates", aggregates), zap.Int("reporters", reporters))
 	}
 }
+
+// heardOutside is when other groups were last heard, by a picture that came at a moment.
+type heardOutside struct {
+	known bool
+	heard time.Time
+	told  time.Time
+}
+
+func (e *Exchange) noteOutside(silence Silence) {
+	now := time.Now()
+	e.outside.Store(&heardOutside{known: silence.Known, heard: now.Add(-silence.Lasted), told: now})
+}
+
+// Outside tells when daemons of other groups were last heard by this daemon's group; false
+// if there are none, or no picture came for reportKept.
+func (e *Exchange) Outside() (heard time.Time, known bool) {
+	last := e.outside.Load()
+	if last == nil || time.Since(last.told) > reportKept {
+		return time.Time{}, false
+	}
+	return last.heard, last.known
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -76,6 +76,15 @@
 	// Own is how much of it is the reporting daemon's own: its report before this
 	// one, or this one.
 	Own Told
+	// Outside tells how long the aggregator has heard none of another group.
+	Outside Silence
+}
+
+// Silence is how long nothing was heard of the daemons of other groups.
+type Silence struct {
+	// Known tells that there are such daemons, and that the aggregator tried to reach them.
+	Known  bool
+	Lasted time.Duration
 }
 
 // Share is what the daemons that report to one aggregator told.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -117,6 +117,19 @@
 		Expect(reporters).To(Equal(1))
 	})
 
+	It("tells how long other groups have been silent, once it reaches for them", func() {
+		Expect(report("a", Counts{}).Outside.Known).To(BeFalse())
+		board.beginOutside()
+		now = now.Add(time.Second)
+		Expect(report("a", Counts{}).Outside).To(Equal(Silence{Known: true, Lasted: time.Second}))
+		board.beginOutside()
+		Expect(report("a", Counts{}).Outside.Lasted).To(Equal(time.Second), "a silence goes on")
+		board.heardOutside()
+		Expect(report("a", Counts{}).Outside.Lasted).To(BeZero())
+		board.forgetOutside()
+		Expect(report("a", Counts{}).Outside.Known).To(BeFalse())
+	})
+
 	It("refuses what cannot be read", func() {
 		Expect(board.Report(Sample{Member: "a", Told: Told{UnderWay: []byte{1}}}, &Picture{})).To(MatchError(ContainSubstring("report of a")))
 		Expect(board.Share(Share{Aggregator: "z", Told: Told{UnderWay: []byte{1, 2, 3, 4}}}, &ShareReply{})).To(MatchError(ContainSubstring("share of z")))
@@ -309,6 +322,32 @@
 		learn(ctx, zone, zone[0], 14)
 	})
 
+	It("tells all daemons of a zone when other zones were last heard", func(ctx SpecContext) {
+		all := daemons(3, 15)
+		var zone []*started
+		for _, each := range all {
+			if each.List.Self().Zone == "z0" {
+				zone = append(zone, each)
+			}
+		}
+		last := zone[len(zone)-1]
+		learn(ctx, all, last, 44)
+		soundUntil, known := last.Outside()
+		Expect(known).To(BeTrue())
+		for _, each := range all {
+			if each.List.Self().Zone != "z0" {
+				Expect(each.server.Close()).To(Succeed())
+			}
+		}
+		learn(ctx, zone, last, 14)
+		silentSince, known := last.Outside()
+		Expect(known).To(BeTrue())
+		learn(ctx, zone, last, 14)
+		stillSince, _ := last.Outside()
+		Expect(stillSince).To(BeTemporally("~", silentSince, time.Millisecond), "a silence is counted from its beginning")
+		Expect(silentSince).To(BeTemporally(">=", soundUntil.Add(-time.Millisecond)))
+	})
+
 	It("sends one report, and as an aggregator one share to each other one, however many daemons there are", func(ctx SpecContext) {
 		calls := 0
 		for _, each := range []int{20, 39} {
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -39,7 +39,7 @@
 func newFront(listener net.Listener, handler http.Handler, errorLog *log.Logger) *front {
 	made := &front{listener: listener, errors: errorLog, connections: newCallerConnections()}
 	made.handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		handler.ServeHTTP(&answerWriter{ResponseWriter: writer, stopping: &made.connections.stopping}, request)
+		handler.ServeHTTP(&answerWriter{ResponseWriter: writer, connections: made.connections}, request)
 	})
 	made.Limit(firstLimits)
 	go made.accept()
@@ -105,6 +105,10 @@
 	f.connections.stop()
 }
 
+// Divert ends connections with their answers, and those that rest at once, so that
+// callers open new ones, which may lead elsewhere; or lets them stay again.
+func (f *front) Divert(diverts bool) { f.connections.divert(diverts) }
+
 // Stop accepts nothing more and waits until all requests are answered.
 func (f *front) Stop(ctx context.Context) error {
 	_ = f.listener.Close()
--- a/internal/server/front_test.go
+++ b/internal/server/front_test.go
@@ -75,6 +75,26 @@
 		Expect(response.Body.Close()).To(Succeed())
 	})
 
+	It("ends connections while callers are better served elsewhere, and keeps them again after that", func() {
+		resting, busy := dial(), dial()
+		Expect(ask(resting, 10).Close).To(BeFalse())
+		Expect(ask(busy, 10).Close).To(BeFalse())
+		_, err := io.WriteString(busy, "GET / HTTP/1.1\r\nHost: h\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(served.connections.begun).Should(Equal(1))
+		served.Divert(true)
+		_, err = resting.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		_, err = io.WriteString(busy, "\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(busy), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Close).To(BeTrue())
+		Expect(response.Body.Close()).To(Succeed())
+		served.Divert(false)
+		Expect(ask(dial(), 10).Close).To(BeFalse())
+	})
+
 	It("passes nothing on that arrives on a connection that it closed", func() {
 		near, far := net.Pipe()
 		connection := &callerConnection{Conn: near}
--- a/internal/server/idle.go
+++ b/internal/server/idle.go
@@ -67,6 +67,7 @@
 	mutex    sync.Mutex
 	resting  map[*callerConnection]struct{}
 	stopping atomic.Bool
+	diverts  atomic.Bool // callers are better served elsewhere
 }
 
 func newCallerConnections() *callerConnections {
@@ -89,7 +90,7 @@
 	c.mutex.Lock()
 	c.resting[connection] = struct{}{}
 	c.mutex.Unlock()
-	if c.stopping.Load() {
+	if c.ending() {
 		connection.retire()
 	}
 }
@@ -97,6 +98,22 @@
 // stop closes connections on which no request has begun, and others once they rest.
 func (c *callerConnections) stop() {
 	c.stopping.Store(true)
+	c.retireResting()
+}
+
+// divert begins or ends a time in which connections are ended.
+func (c *callerConnections) divert(diverts bool) {
+	c.diverts.Store(diverts)
+	if diverts {
+		c.retireResting()
+	}
+}
+
+// ending tells whether a connection ends with the answer that is on it.
+func (c *callerConnections) ending() bool { return c.stopping.Load() || c.diverts.Load() }
+
+// retireResting closes connections on which no request has begun.
+func (c *callerConnections) retireResting() {
 	c.mutex.Lock()
 	resting := make([]*callerConnection, 0, len(c.resting))
 	for connection := range c.resting {
@@ -109,17 +126,17 @@
 }
 
 // answerWriter tells the caller that its connection ends with this answer, if
-// the process stops when the answer begins.
+// connections are being ended when the answer begins.
 type answerWriter struct {
 	http.ResponseWriter
-	stopping *atomic.Bool
-	begun    bool
+	connections *callerConnections
+	begun       bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (a *answerWriter) WriteHeader(status int) {
 	a.begun = true
-	if a.stopping.Load() {
+	if a.connections.ending() {
 		a.Header().Set("Connection", "close")
 	}
 	a.ResponseWriter.WriteHeader(status)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/gateway"
 	"github.com/thymeloft/thymeloft/internal/pause"
+	"github.com/thymeloft/thymeloft/internal/reach"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/watch"
@@ -46,6 +47,7 @@
 	routes             *routetable.Holder
 	fleet              *backend.Fleet
 	front              *front
+	reach              *reach.Monitor
 	metrics            *gateway.Metrics
 	stopping           atomic.Bool
 	fleetRead          atomic.Bool
@@ -104,10 +106,14 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
+	if err := s.watchReach(parts); err != nil {
+		return err
+	}
 	s.front = newFront(callers, s.handler(parts), zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.follow(background, parts)
+	go s.reach.Run(background)
 	addresses := Addresses{Callers: callers.Addr().String()}
 	for _, endpoint := range s.endpoints() {
 		address, err := endpoint.serve(background, s.Log)
@@ -138,6 +144,7 @@
 		Budgets:       parts.budgets,
 		Quotas:        parts.quotas,
 		Availability:  parts.availability,
+		Reach:         s.reach,
 		Log:           s.Log,
 		Metrics:       s.metrics,
 		InstanceGrace: s.instanceGrace(),
@@ -199,7 +206,7 @@
 
 // ready tells whether callers should be sent here.
 func (s *Server) ready() bool {
-	return !s.stopping.Load() && s.fleetRead.Load() && s.routes.Current() != nil
+	return !s.stopping.Load() && s.fleetRead.Load() && s.routes.Current() != nil && !s.reach.CutOff()
 }
 
 // The names of the endpoints.
--- a/internal/state/availability.go
+++ b/internal/state/availability.go
@@ -65,6 +65,9 @@
 	return true
 }
 
+// Answered is when a call was last answered; zero: never.
+func (a *Availability) Answered() time.Time { return a.gates.answered() }
+
 // Available tells whether the store is believed to answer.
 func (a *Availability) Available() bool {
 	a.mutex.Lock()
--- a/internal/state/gate.go
+++ b/internal/state/gate.go
@@ -159,6 +159,13 @@
 	return g.now().Sub(g.lastAnswered) < span
 }
 
+// answered is when a call was last answered.
+func (g *gates) answered() time.Time {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.lastAnswered
+}
+
 // gatePause grows with the failures.
 func gatePause(failures int) time.Duration {
 	const mostDoublings = 8
