--- a/internal/gateway/execution_test.go
+++ b/internal/gateway/execution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -64,8 +65,7 @@
 			route:   &routetable.Route{Timeout: time.Hour, Streaming: true, Recorded: true, Patience: time.Hour},
 		}
 		var refusal *Refusal
-		Expect(waiting.prepare(ctx)).To(BeAssignableToTypeOf(refusal))
-		refusal = waiting.prepare(ctx).(*Refusal)
+		Expect(errors.As(waiting.prepare(ctx), &refusal)).To(BeTrue())
 		Expect(refusal.Reason).To(Equal(ReasonCutOff))
 		Expect(refusal.Status).To(Equal(http.StatusServiceUnavailable))
 		Expect(refusal.After).To(BeNumerically(">", 0))
