--- a/internal/daemon/assemble.go
+++ b/internal/daemon/assemble.go
@@ -55,7 +55,7 @@
 const membersWait = 2 * time.Second
 
 func (d *Daemon) assembleMembers() error {
-	self := members.Member{Process: d.self, CallerAddress: firstSet(d.settings.AdvertiseCaller, d.caller.address())}
+	self := members.Member{Process: d.self, CallerAddress: firstSet(d.settings.AdvertiseCaller, d.caller.Address())}
 	d.directory = members.NewList(self, time.Now, d.logger)
 	d.lease = &members.Lease{List: d.directory, Store: d.store, ShortestRenewal: shortestRenewal, Log: d.logger}
 	return eris.Wrap(d.directory.Measure(d.registry), "measure members")
@@ -180,7 +180,7 @@
 		},
 		Logger:     d.logger,
 		Registerer: d.registry,
-		Draining:   d.lifecycle.draining,
+		Draining:   d.life.Draining,
 	})
 	d.operators = operatorapi.NewHandler(operatorapi.Options{
 		Administrator: d.configuration,
@@ -192,7 +192,7 @@
 		Keys:          d.settings.OperatorKeyHashes,
 		Logger:        d.logger,
 		Registerer:    d.registry,
-		Draining:      d.lifecycle.draining,
+		Draining:      d.life.Draining,
 	})
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/process"
 	"github.com/thymeloft/thymeloft/internal/routing"
 	"github.com/thymeloft/thymeloft/internal/settings"
 	"github.com/thymeloft/thymeloft/internal/shards"
@@ -28,15 +29,15 @@
 
 // Daemon is one daemon. Make it with New, then call Run once.
 type Daemon struct {
-	settings  settings.Settings
-	self      identity.Process
-	logger    *zap.Logger
-	registry  *prometheus.Registry
-	lifecycle *lifecycle
-
-	caller   *endpoint
-	operator *endpoint
-	metrics  *endpoint
+	settings settings.Settings
+	self     identity.Process
+	logger   *zap.Logger
+	registry *prometheus.Registry
+	life     *process.Life
+
+	caller   *process.Endpoint
+	operator *process.Endpoint
+	metrics  *process.Endpoint
 	server   *peer.Server
 	pool     *peer.Pool
 
@@ -90,7 +91,7 @@
 	}
 	d := &Daemon{settings: configured, newStore: newStore, registry: telemetry.NewRegistry()}
 	d.logger = logger.With(zap.String("machine", configured.Machine), zap.String("zone", configured.Zone))
-	d.lifecycle = newLifecycle(d.logger.Named("daemon"))
+	d.life = process.NewLife("daemon", d.logger.Named("daemon"))
 	for _, step := range []func() error{d.openListeners, d.assemble} {
 		if err := step(); err != nil {
 			d.Close()
@@ -103,10 +104,10 @@
 // Addresses gives the listeners' real addresses.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{
-		Caller:   d.caller.address(),
-		Operator: d.operator.address(),
+		Caller:   d.caller.Address(),
+		Operator: d.operator.Address(),
 		Peer:     d.server.Address(),
-		Metrics:  d.metrics.address(),
+		Metrics:  d.metrics.Address(),
 	}
 }
 
@@ -131,12 +132,22 @@
 	return d.openPeer(files.Peer)
 }
 
-func (d *Daemon) listen(name, address string, files settings.TLSFiles, limits settings.Limits) (*endpoint, error) {
-	opened, err := listen(name, address, files, limits, d.logger)
+func (d *Daemon) listen(name, address string, files settings.TLSFiles, limits settings.Limits) (*process.Endpoint, error) {
+	configuration, err := files.ServerConfig()
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for %s", name)
+	}
+	opened, err := process.Listen(process.EndpointOptions{
+		Name: name, Address: address, TLS: configuration, Log: d.logger,
+		Limits: process.EndpointLimits{
+			HeaderTimeout: limits.HeaderTimeout, ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
+			HeaderBytes: limits.HeaderBytes, Connections: limits.Connections,
+		},
+	})
 	if err != nil {
 		return nil, err
 	}
-	d.closers = append(d.closers, opened.close)
+	d.closers = append(d.closers, opened.Close)
 	return opened, nil
 }
 
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -29,7 +29,7 @@
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
 	defer cancel()
-	d.lifecycle.move(eventDrain)
+	d.life.Drain()
 	d.node.Retire()
 	if err := d.execution.Drain(ctx); err != nil && ctx.Err() == nil {
 		// Others take it once this process has ended; no call is under way here.
@@ -40,8 +40,8 @@
 	}
 	d.awaitReplaced(ctx)
 	var closing sync.WaitGroup
-	closing.Go(func() { d.caller.shutdown(ctx) })
-	closing.Go(func() { d.operator.shutdown(ctx) })
+	closing.Go(func() { d.caller.Shutdown(ctx) })
+	closing.Go(func() { d.operator.Shutdown(ctx) })
 	closing.Wait()
 	if err := ctx.Err(); err != nil {
 		d.logger.Error("daemon: the drain was cut off.", zap.Duration("after", time.Since(started)), zap.Error(err))
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/thymeloft/thymeloft/internal/process"
 	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
@@ -22,7 +23,7 @@
 // after a whole drain.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.Close()
-	defer d.lifecycle.move(eventStop)
+	defer d.life.Stop()
 	d.logger.Info("daemon: listening.", d.addressFields()...)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -37,15 +38,15 @@
 	}
 	drained := d.drain()
 	stop()
-	d.metrics.close()
+	d.metrics.Close()
 	ended := parts.Wait()
 	d.tellEnd()
 	return errors.Join(drained, ended)
 }
 
 func (d *Daemon) closeEndpoints() {
-	for _, each := range []*endpoint{d.caller, d.operator, d.metrics} {
-		each.close()
+	for _, each := range []*process.Endpoint{d.caller, d.operator, d.metrics} {
+		each.Close()
 	}
 }
 
@@ -63,7 +64,7 @@
 			return eris.Wrap(err, name)
 		})
 	}
-	run("metrics", func(context.Context) error { return d.metrics.serve(healthHandler(d.registry, d.conditions())) })
+	run("metrics", func(context.Context) error { return d.metrics.Serve(healthHandler(d.registry, d.conditions())) })
 	run("members", func(ctx context.Context) error {
 		watch.Run(ctx, d.directory.Watch(d.store, membersWait), d.directory)
 		return nil
@@ -76,27 +77,27 @@
 	run("shards", d.node.Run)
 	run("engine", d.fleet.Run)
 	run("execution", d.execution.Run)
-	run("callers", func(context.Context) error { return d.caller.serve(d.callers) })
-	run("operators", func(context.Context) error { return d.operator.serve(d.operators) })
+	run("callers", func(context.Context) error { return d.caller.Serve(d.callers) })
+	run("operators", func(context.Context) error { return d.operator.Serve(d.operators) })
 }
 
 // stopping says whether parts may end.
 func (d *Daemon) stopping(ctx context.Context) bool {
-	return ctx.Err() != nil || d.lifecycle.draining()
+	return ctx.Err() != nil || d.life.Draining()
 }
 
 // conditions are what readiness asks for.
-func (d *Daemon) conditions() []condition {
-	return []condition{
-		{"the store was not heard yet", d.configuration.Heard},
-		{"the shard map is not known", func() bool { return d.node.Current() != nil }},
-		{"the configuration is not confirmed", d.configuration.Confirmed},
-		{"draining", func() bool { return !d.lifecycle.draining() }},
+func (d *Daemon) conditions() process.Conditions {
+	return process.Conditions{
+		{Unmet: "the store was not heard yet", Holds: d.configuration.Heard},
+		{Unmet: "the shard map is not known", Holds: func() bool { return d.node.Current() != nil }},
+		{Unmet: "the configuration is not confirmed", Holds: d.configuration.Confirmed},
+		{Unmet: "draining", Holds: func() bool { return !d.life.Draining() }},
 	}
 }
 
 // Ready says whether the daemon takes work.
-func (d *Daemon) Ready() bool { return len(unmet(d.conditions())) == 0 }
+func (d *Daemon) Ready() bool { return d.conditions().Hold() }
 
 // awaitReady logs the first moment of readiness.
 func (d *Daemon) awaitReady(ctx context.Context) {
@@ -109,7 +110,7 @@
 		case <-ticker.C:
 		}
 	}
-	d.lifecycle.move(eventServe)
+	d.life.Serve()
 	d.logger.Info("daemon: ready.", d.addressFields()...)
 }
 
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -128,7 +128,7 @@
 // register offers what other daemons may ask for.
 func (s *Server) register(parts *collaboration) error {
 	listening := parts.server
-	if err := listening.Register(budget.Service, budget.NewHolder(parts.ledger, s.stopping.Load)); err != nil {
+	if err := listening.Register(budget.Service, budget.NewHolder(parts.ledger, s.life.Draining)); err != nil {
 		return eris.Wrap(err, "serve budgets")
 	}
 	if err := listening.Register(turn.ServiceName, turn.NewService(parts.turns)); err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,13 +9,13 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/gateway"
 	"github.com/thymeloft/thymeloft/internal/pause"
+	"github.com/thymeloft/thymeloft/internal/process"
 	"github.com/thymeloft/thymeloft/internal/reach"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
@@ -49,7 +49,7 @@
 	front              *front
 	reach              *reach.Monitor
 	metrics            *gateway.Metrics
-	stopping           atomic.Bool
+	life               *process.Life
 	fleetRead          atomic.Bool
 	underWay           atomic.Int64
 	graceNow           atomic.Int64 // nanoseconds
@@ -84,6 +84,7 @@
 		routes:  &routetable.Holder{},
 		fleet:   backend.NewFleet(time.Now),
 		metrics: gateway.NewMetrics(options.Registry),
+		life:    process.NewLife("server", options.Log),
 	}
 	made.Reload(options.Settings)
 	return made
@@ -115,15 +116,13 @@
 	s.follow(background, parts)
 	go s.reach.Run(background)
 	addresses := Addresses{Callers: callers.Addr().String()}
-	for _, endpoint := range s.endpoints() {
-		address, err := endpoint.serve(background, s.Log)
-		if err != nil {
-			return err
-		}
-		if endpoint.name == endpointReady {
-			addresses.Ready = address
-		}
+	if addresses.Ready, err = s.serveReadiness(background); err != nil {
+		return err
+	}
+	if err := s.serveMetrics(background); err != nil {
+		return err
 	}
+	s.life.Serve()
 	if s.OnStarted != nil {
 		s.OnStarted(addresses)
 	}
@@ -204,54 +203,14 @@
 	parts.join(ctx)
 }
 
-// ready tells whether callers should be sent here.
-func (s *Server) ready() bool {
-	return !s.stopping.Load() && s.fleetRead.Load() && s.routes.Current() != nil && !s.reach.CutOff()
-}
-
-// The names of the endpoints.
-const (
-	endpointReady   = "ready"
-	endpointMetrics = "metrics"
-)
-
-// endpoint is a small listener beside the callers'.
-type endpoint struct {
-	name    string
-	address string
-	handler http.Handler
-}
-
-func (s *Server) endpoints() []endpoint {
-	readiness := http.NewServeMux()
-	readiness.HandleFunc(s.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
-		if !s.ready() {
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	endpoints := []endpoint{{endpointReady, s.Settings.Listen.Ready, readiness}}
-	if s.Settings.Listen.Metrics != "" {
-		metrics := http.NewServeMux()
-		metrics.Handle("/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
-		endpoints = append(endpoints, endpoint{endpointMetrics, s.Settings.Listen.Metrics, metrics})
-	}
-	return endpoints
-}
-
-func (e endpoint) serve(ctx context.Context, log *zap.Logger) (string, error) {
-	listener, err := net.Listen("tcp", e.address)
-	if err != nil {
-		return "", eris.Wrapf(err, "listen for %s", e.name)
+// conditions are what readiness asks for: callers are sent here while all hold.
+func (s *Server) conditions() process.Conditions {
+	return process.Conditions{
+		{Unmet: "stopping", Holds: func() bool { return !s.life.Draining() }},
+		{Unmet: "the engines are not known", Holds: s.fleetRead.Load},
+		{Unmet: "the configuration is not known", Holds: func() bool { return s.routes.Current() != nil }},
+		{Unmet: "cut off from other zones and the store", Holds: func() bool { return !s.reach.CutOff() }},
 	}
-	const headerTimeout = 3 * time.Second
-	server := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout}
-	go func() {
-		if err := server.Serve(listener); !endsAsPlanned(err) {
-			log.Error("server: endpoint is not served any more.", zap.String("endpoint", e.name), zap.String("error", err.Error()))
-		}
-	}()
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	return listener.Addr().String(), nil
 }
 
 // The course of a planned stop.
@@ -267,7 +226,7 @@
 // returns when nothing is under way.
 func (s *Server) stop(parts *collaboration) error {
 	start := time.Now()
-	s.stopping.Store(true)
+	s.life.Drain()
 	s.Log.Info("server: stopping.", zap.Int64("underWay", s.underWay.Load()))
 	s.front.CloseIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), s.grace()-endMargin)
@@ -279,6 +238,7 @@
 	err := s.front.Stop(ctx)
 	parts.release(ctx)
 	parts.goodbye()
+	s.life.Stop()
 	s.Log.Info("server: stopped.", zap.Duration("took", time.Since(start)), zap.Int64("cut", s.underWay.Load()))
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
