Turns: each holds what it adds; what many first inputs share is kept once

Ruled out: a change of the store's limits, and compression alone, which leaves the square.

Change: a turn's row lists its nearest ancestors (32), which a reader fetches at once; a digest over the conversation tells whether the bytes are those that were recorded. First inputs that begin alike refer to a piece under its digest. Every row and piece carries its expiry; a row refers only to what is kept as long as the turn is promised, otherwise it holds the conversation itself, so removal needs no counting. The holder of a program's budget tells which daemon recorded the previous turn, and that one is asked before the store; the reservation is made before the history is loaded, and given back where it can't be had. In memory a conversation is shared, not copied, and bounded by bytes. Rows of the former format still read; no new row refers to them. A turn over one commit's size goes as pieces first.

--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -25,6 +25,7 @@
 	Total       int64
 	Most        int64
 	Parts       []string // of the turn's prompt, in order
+	Previous    string   // the turn that this one goes on from; empty: none
 }
 
 // Result is a holder's verdict.
@@ -45,6 +46,7 @@
 	Attained int64  // tokens that the program generated before
 	Engine   string // that read the longest part of the prompt; empty: not known
 	Read     int    // parts that it read
+	KeptAt   string // address of the daemon that recorded the previous turn; empty: not known
 }
 
 // SettleRequest tells a holder what a turn generated.
@@ -59,6 +61,8 @@
 	Program string
 	Engine  string // empty: nowhere
 	Part    string // the last of the prompt
+	Turn    string // that was recorded; empty: none was
+	Daemon  string // address of the daemon that recorded it
 }
 
 // SettleReply is empty.
@@ -101,6 +105,7 @@
 		return nil
 	}
 	reply.Engine, reply.Read = h.ledger.trails.find(request.Program, request.Parts)
+	reply.KeptAt = h.ledger.trails.keptAt(request.Program, request.Previous)
 	if reservation, known := h.open.Get(request.Reservation); known {
 		reply.Result, reply.Attained = resultReserved, reservation.Attained()
 		return nil
@@ -140,7 +145,7 @@
 
 // Settle is called by other daemons, perhaps more than once.
 func (h *Holder) Settle(request SettleRequest, _ *SettleReply) error {
-	h.ledger.trails.note(request.Ran.Program, request.Ran.Part, request.Ran.Engine)
+	h.ledger.trails.settled(request.Ran)
 	if reservation := h.settled(request); reservation != nil {
 		reservation.Settle(request.Generated)
 	}
--- a/internal/budget/shared.go
+++ b/internal/budget/shared.go
@@ -36,8 +36,13 @@
 	// ReadAt is the engine that read the longest part of the turn's prompt, and how
 	// many of its parts; "" if that is not known. It is a hint.
 	ReadAt() (engine string, parts int)
+	// KeptAt is the address of the daemon that recorded the turn that this one goes on
+	// from; "" if that is not known. It is a hint.
+	KeptAt() string
 	// RanAt tells where the turn ran. It is to be called before Settle.
 	RanAt(engine string)
+	// Recorded tells that this daemon recorded the turn. It is to be called before Settle.
+	Recorded(turn string)
 	// Settle gives back what was not generated; only the first call counts.
 	Settle(generated int64)
 }
@@ -99,7 +104,11 @@
 		return nil, err
 	}
 	engine, read := s.ledger.trails.find(request.Program, request.Parts)
-	return &local{Reservation: reservation, trails: s.ledger.trails, place: place{request: request, engine: engine, read: read}}, nil
+	told := place{
+		request: request, engine: engine, read: read,
+		keptAt: s.ledger.trails.keptAt(request.Program, request.Previous), self: s.list.Self().Address,
+	}
+	return &local{Reservation: reservation, trails: s.ledger.trails, place: told}, nil
 }
 
 // place is where a turn's prompt was read, and where the turn ran.
@@ -108,11 +117,21 @@
 	engine  string
 	read    int
 	ran     string
+	// Of what the turn goes on from, and of the turn itself.
+	keptAt   string
+	self     string // address of this daemon
+	recorded string
 }
 
 // ReadAt implements Settler.
 func (p *place) ReadAt() (engine string, parts int) { return p.engine, p.read }
 
+// KeptAt implements Settler.
+func (p *place) KeptAt() string { return p.keptAt }
+
+// Recorded implements Settler.
+func (p *place) Recorded(turn string) { p.recorded = turn }
+
 // RanAt implements Settler.
 func (p *place) RanAt(engine string) { p.ran = engine }
 
@@ -121,6 +140,9 @@
 	if count := len(p.request.Parts); count > 0 {
 		ran.Part = p.request.Parts[count-1]
 	}
+	if p.recorded != "" {
+		ran.Turn, ran.Daemon = p.recorded, p.self
+	}
 	return ran
 }
 
@@ -133,8 +155,7 @@
 
 // Settle implements Settler.
 func (l *local) Settle(generated int64) {
-	ran := l.outcome()
-	l.trails.note(ran.Program, ran.Part, ran.Engine)
+	l.trails.settled(l.outcome())
 	l.Reservation.Settle(generated)
 }
 
@@ -145,7 +166,7 @@
 	defer cancel()
 	var reply ReserveReply
 	err := s.caller.Call(limited, home.Process.Address, peer.Control, methodReserve, request, &reply)
-	granted := &remote{shared: s, home: home, place: place{request: request}}
+	granted := &remote{shared: s, home: home, place: place{request: request, self: s.list.Self().Address}}
 	if err != nil {
 		if ctx.Err() == nil {
 			s.avoid(home, suspectWait, err.Error())
@@ -160,6 +181,7 @@
 	case resultReserved:
 		granted.attained = reply.Attained
 		granted.engine, granted.read = reply.Engine, reply.Read
+		granted.keptAt = reply.KeptAt
 		return granted, nil
 	case resultSpent:
 		return nil, &HeldError{Holder: string(home.Process.Machine), Detail: reply.Detail}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -193,9 +193,7 @@
 			return e.gateway.Wire.Answer(0, answer).ID == e.call.ID
 		},
 	}
-	if len(e.history.History) > 0 {
-		outgoing.Body = append(outgoing.Body, e.history.History)
-	}
+	outgoing.Body = append(outgoing.Body, e.history.Segments()...)
 	if len(e.input) > 0 {
 		outgoing.Body = append(outgoing.Body, e.input)
 	}
--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -37,6 +37,14 @@
 	return &Refusal{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey, Err: eris.New(cause)}
 }
 
+// owner names the tenant whose request it is; "": nobody's.
+func (e *execution) owner() string {
+	if e.tenant == nil {
+		return ""
+	}
+	return string(e.tenant.Name)
+}
+
 // scoped makes a name that a caller chose the tenant's own.
 func (e *execution) scoped(name string) string {
 	if e.tenant == nil {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -31,7 +31,7 @@
 	tenant      *tenant.Tenant // nil: nobody's, where no key is needed
 	call        Call
 	input       []byte
-	history     turn.Record
+	history     *turn.Turn   // that the request goes on from; nil: none
 	taken       *quota.Taken // place in the tenant's quota; nil: no limit
 	reservation budget.Settler
 	everywhere  int // parts of the prompt that every engine keeps
@@ -147,8 +147,9 @@
 
 func (e *execution) remaining() time.Duration { return e.allowed() - time.Since(e.arrived) }
 
-// prepare gets what the turn needs of the store before it may run: its
-// history, and a reservation of its program's budget.
+// prepare gets what the turn needs of the store before it may run: a reservation of
+// its program's budget, and its history. Who holds the budget hears of all turns of the
+// program, and tells which daemon has the one before.
 func (e *execution) prepare(ctx context.Context) error {
 	wait, cancel := context.WithTimeout(ctx, e.storePatience())
 	defer cancel()
@@ -164,10 +165,13 @@
 			return e.unprepared(ctx, eris.Wrap(err, "wait for the store"))
 		}
 	}
-	if err := e.loadHistory(wait); err != nil {
+	if err := e.reserve(wait); err != nil {
 		return e.unprepared(ctx, err)
 	}
-	if err := e.reserve(wait); err != nil {
+	if err := e.loadHistory(wait); err != nil {
+		if e.reservation != nil {
+			e.reservation.Settle(0)
+		}
 		return e.unprepared(ctx, err)
 	}
 	return nil
@@ -188,7 +192,11 @@
 	if !e.route.Recorded || e.call.Previous == "" {
 		return nil
 	}
-	history, err := e.gateway.Turns.Load(ctx, e.scoped(e.call.Previous))
+	keptAt := ""
+	if e.reservation != nil {
+		keptAt = e.reservation.KeptAt()
+	}
+	history, err := e.gateway.Turns.Load(ctx, e.scoped(e.call.Previous), keptAt)
 	e.history = history
 	return err
 }
@@ -199,6 +207,7 @@
 	}
 	reservation, err := e.gateway.Budgets.Reserve(ctx, budget.ReserveRequest{
 		Reservation: e.scoped(e.call.ID), Program: e.scoped(e.call.Program), Total: e.call.Budget, Most: e.call.MostTokens, Parts: partNames(e.call.Prefix),
+		Previous: e.scoped(e.call.Previous),
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -127,11 +127,14 @@
 	patience, cancel := context.WithTimeout(ctx, max(e.route.Patience-marginToTell, marginToTell))
 	defer cancel()
 	start := time.Now()
-	history := slices.Concat(e.history.History, e.input, e.events.output)
-	err := e.gateway.Turns.Save(patience, e.scoped(e.call.ID), turn.Record{History: history, Engine: e.instance.ID}, e.route.Retention)
+	added := turn.Addition{Previous: e.history, Owner: e.owner(), Engine: e.instance.ID, Input: e.input, Output: e.events.output}
+	err := e.gateway.Turns.Save(patience, e.scoped(e.call.ID), added, e.route.Retention)
 	e.gateway.Metrics.recorded(time.Since(start), err)
 	if err != nil {
 		return &CutError{Reason: ReasonNotRecorded, Err: err}
 	}
+	if e.reservation != nil {
+		e.reservation.Recorded(e.scoped(e.call.ID))
+	}
 	return nil
 }
--- a/internal/lab/memorystore/memorystore.go
+++ b/internal/lab/memorystore/memorystore.go
@@ -38,6 +38,8 @@
 	Name   string // commit, read or feed
 	Commit state.Commit
 	Table  string
+	// Partition is that of a reading.
+	Partition string
 }
 
 // Script decides how a call goes. It must not call the store.
@@ -76,6 +78,17 @@
 	return s.calls[name]
 }
 
+// Bytes counts the bytes of all values that the store holds now.
+func (s *Store) Bytes() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	bytes := 0
+	for _, row := range s.rows {
+		bytes += len(row.Value)
+	}
+	return bytes
+}
+
 // Release does the late commits whose conditions still hold.
 func (s *Store) Release() {
 	s.mutex.Lock()
@@ -182,7 +195,7 @@
 // Read implements state.Store.
 func (s *Store) Read(ctx context.Context, selected state.Range) (state.Page, error) {
 	s.mutex.Lock()
-	fault := s.begin(Call{Name: "read", Table: selected.Table})
+	fault := s.begin(Call{Name: "read", Table: selected.Table, Partition: selected.Partition})
 	if fault != None {
 		s.mutex.Unlock()
 		return state.Page{}, fail(ctx, fault)
--- a/internal/retention/retention.go
+++ b/internal/retention/retention.go
@@ -19,10 +19,13 @@
 // rowsPerCommit is how many rows one commit removes at most.
 const rowsPerCommit = 100
 
-// batch is rows that are due together.
-type batch struct {
-	due  time.Time
-	keys []state.Key
+// Batch is rows that are due together.
+type Batch struct {
+	Keys []state.Key
+	// Removed is called once the rows are gone; nil: nobody asks.
+	Removed func()
+
+	due time.Time
 }
 
 // Queue holds what this process wrote until it is due.
@@ -32,7 +35,7 @@
 	log   *zap.Logger
 
 	mutex   sync.Mutex
-	batches []batch // by rising time as long as all are kept equally long
+	batches []Batch // by rising time as long as all are kept equally long
 	waiting int
 }
 
@@ -46,48 +49,59 @@
 
 // Add has rows removed after so long.
 func (q *Queue) Add(after time.Duration, keys ...state.Key) {
+	q.AddBatch(after, Batch{Keys: keys})
+}
+
+// AddBatch has rows removed together after so long.
+func (q *Queue) AddBatch(after time.Duration, batch Batch) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if q.waiting+len(keys) > mostWaiting {
+	if q.waiting+len(batch.Keys) > mostWaiting {
 		return
 	}
-	q.waiting += len(keys)
-	q.batches = append(q.batches, batch{due: q.now().Add(after), keys: keys})
+	q.waiting += len(batch.Keys)
+	batch.due = q.now().Add(after)
+	q.batches = append(q.batches, batch)
 }
 
-// take returns rows that are due, at most one commit's worth.
-func (q *Queue) take() []state.Key {
+// take returns batches that are due, at most one commit's worth.
+func (q *Queue) take() (due []Batch, keys []state.Key) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	var due []state.Key
 	for len(q.batches) > 0 && !q.now().Before(q.batches[0].due) {
-		next := q.batches[0].keys
-		if len(due) > 0 && len(due)+len(next) > rowsPerCommit {
+		next := q.batches[0]
+		if len(keys) > 0 && len(keys)+len(next.Keys) > rowsPerCommit {
 			break
 		}
-		due = append(due, next...)
+		due = append(due, next)
+		keys = append(keys, next.Keys...)
 		q.batches = q.batches[1:]
 	}
-	q.waiting -= len(due)
-	return due
+	q.waiting -= len(keys)
+	return due, keys
 }
 
 // RemoveDue removes all rows that are due now.
 func (q *Queue) RemoveDue(ctx context.Context) error {
 	for {
-		due := q.take()
+		due, keys := q.take()
 		if len(due) == 0 {
 			return nil
 		}
-		if err := remove(ctx, q.store, due); err != nil {
+		if err := remove(ctx, q.store, keys); err != nil {
 			return err // the sweep finds them
 		}
+		for _, batch := range due {
+			if batch.Removed != nil {
+				batch.Removed()
+			}
+		}
 	}
 }
 
 func remove(ctx context.Context, store *state.Client, keys []state.Key) error {
 	return store.Repeat(ctx, func() error {
-		_, err := store.Commit(ctx, state.Commit{Removals: keys})
+		_, err := store.Commit(ctx, state.Commit{Class: state.ClassSweep, Removals: keys})
 		return err
 	})
 }
--- a/internal/retention/sweep.go
+++ b/internal/retention/sweep.go
@@ -20,14 +20,21 @@
 	// Over tells whether a row's time is over.
 	Over func(row state.Row) bool
 	Log  *zap.Logger
+	// Every is how long a pass over all partitions takes; 0: an hour.
+	Every time.Duration
 }
 
-// sweepEvery is how long a pass over all partitions takes.
-const sweepEvery = time.Hour
+// defaultEvery is how long a pass takes where a daemon removes what it wrote itself,
+// and the sweep only what lost daemons left.
+const defaultEvery = time.Hour
 
 // Run sweeps one partition after another until the context ends.
 func (s *Sweep) Run(ctx context.Context) {
-	between := sweepEvery / time.Duration(len(s.Partitions))
+	every := s.Every
+	if every <= 0 {
+		every = defaultEvery
+	}
+	between := every / time.Duration(len(s.Partitions))
 	for {
 		for _, partition := range s.Partitions {
 			if !pause.For(ctx, between) {
@@ -52,7 +59,7 @@
 	removed := 0
 	from := ""
 	for {
-		page, err := s.Store.Read(ctx, state.Range{Table: s.Table, Partition: partition, From: from})
+		page, err := s.Store.Read(ctx, state.Range{Class: state.ClassSweep, Table: s.Table, Partition: partition, From: from})
 		if err != nil {
 			return removed, err
 		}
@@ -69,7 +76,7 @@
 // many would hold all of them up.
 func (s *Sweep) removeOver(ctx context.Context, rows []state.Row) (int, error) {
 	const perCommit = rowsPerCommit / 2 // a condition and a removal for each row
-	var commit state.Commit
+	commit := state.Commit{Class: state.ClassSweep}
 	count := 0
 	flush := func() error {
 		if len(commit.Removals) == 0 {
@@ -79,7 +86,7 @@
 		if err == nil {
 			count += len(commit.Removals)
 		}
-		commit = state.Commit{}
+		commit = state.Commit{Class: state.ClassSweep}
 		return err
 	}
 	for _, row := range rows {
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -14,6 +14,7 @@
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
+	"github.com/thymeloft/thymeloft/internal/piece"
 	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/retention"
 	"github.com/thymeloft/thymeloft/internal/state"
@@ -108,6 +109,7 @@
 	parts.budgets.Alone = off.Has(mechanism.SharedBudgets)
 	parts.turns = turn.NewRecords(turn.Options{
 		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
+		CacheBytes: turnsCachedBytes, PieceBytes: piecesCachedBytes, Log: s.Log,
 		Now: time.Now, Removal: parts.removal, Others: &turn.Others{List: parts.list, Caller: parts.pool, Log: s.Log},
 	})
 	parts.loads = &load.Exchange{List: parts.list, Caller: parts.pool, Board: load.NewBoard(time.Now), Fleet: s.fleet, Log: s.Log}
@@ -116,7 +118,7 @@
 	parts.quotas = quota.NewLimiter(quota.Options{
 		Settings: s.Settings.quota(), Keeper: parts.keeper, Directory: parts.list, Caller: parts.pool, Now: time.Now, Log: s.Log,
 	})
-	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry)); err != nil {
+	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry), parts.turns.Measure(s.Registry)); err != nil {
 		return nil, err
 	}
 	if err := s.register(parts); err != nil {
@@ -165,6 +167,7 @@
 		go c.loads.Run(ctx)
 	}
 	go turn.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
+	go piece.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
 	go budget.Leftovers(c.client, c.list.Sweeps, time.Now, c.log).Run(ctx)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -57,10 +57,14 @@
 
 // How much is kept in memory.
 const (
-	turnsCached     = 2048
-	turnsCachedFor  = 90 * time.Second
-	programsKept    = 8192
-	programsKeptFor = 3 * time.Minute
+	turnsCached    = 2048
+	turnsCachedFor = 90 * time.Second
+	// The bytes in memory are a fifth of what the smallest machine has (88 MB). A turn
+	// adds some 3,000, so 4,000 turns fit, more than a daemon ends in its callers' pauses.
+	turnsCachedBytes  = 12 << 20
+	piecesCachedBytes = 4 << 20
+	programsKept      = 8192
+	programsKeptFor   = 3 * time.Minute
 )
 
 // How the store's tables are followed.
--- /dev/null
+++ b/internal/turn/foreign_test.go
@@ -0,0 +1,24 @@
+package turn_test
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/rowset"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+// keyOf is the most likely place of a turn.
+func keyOf(identifier string) state.Key {
+	return state.Key{Table: "turns", Partition: rowset.PlacesOf(identifier)[0], Name: identifier}
+}
+
+// writeFormer writes a turn as earlier versions did: the whole history in one row.
+func writeFormer(store *memorystore.Store, identifier, history string, expires time.Time) {
+	value, err := cbor.Marshal(map[string]any{"h": []byte(history), "e": "e", "x": expires.Unix()})
+	Expect(err).NotTo(HaveOccurred())
+	store.Write(state.Put{Key: keyOf(identifier), Value: value})
+}
--- a/internal/turn/others.go
+++ b/internal/turn/others.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/members"
@@ -14,15 +15,28 @@
 // they keep in memory.
 const ServiceName = "Turns"
 
-const methodRecent = ServiceName + ".Recent"
+const methodChain = ServiceName + ".Chain"
 
-// RecentRequest asks for a turn.
-type RecentRequest struct{ Identifier string }
+// ChainRequest asks for a turn.
+type ChainRequest struct{ Identifier string }
 
-// RecentReply holds the turn if the daemon keeps it in memory.
-type RecentReply struct {
-	Found  bool
-	Record Record
+// ChainReply holds the conversation up to a turn, if the daemon keeps it in memory.
+type ChainReply struct{ Turns []ToldTurn } // the oldest first; empty: it does not
+
+// ToldTurn is a turn on its way between daemons.
+type ToldTurn struct {
+	Identifier string
+	Owner      string
+	Engine     string
+	Parts      []ToldPart
+	Digest     [32]byte // of the conversation up to its end
+	Until      int64    // unix seconds: what it lies in may be removed from then on
+}
+
+// ToldPart is bytes of a turn.
+type ToldPart struct {
+	Bytes  []byte
+	Shared bool // with other conversations
 }
 
 // Service answers other daemons.
@@ -31,15 +45,54 @@
 // NewService makes the answering side.
 func NewService(records *Records) *Service { return &Service{records: records} }
 
-// Recent is called by other daemons. What is in memory was acknowledged by the
+// mostTold bounds the bytes of an answer: a quarter of what one message between daemons
+// may hold, and less than the store takes to send as much.
+const mostTold = 1 << 20
+
+// Chain is called by other daemons. What is in memory was acknowledged by the
 // store, so it is as true as a reading.
-func (s *Service) Recent(request RecentRequest, reply *RecentReply) error {
-	reply.Record, reply.Found = s.records.cache.Peek(request.Identifier)
+func (s *Service) Chain(request ChainRequest, reply *ChainReply) error {
+	known := s.records.cache.peek(request.Identifier)
+	if known == nil || known.length > mostTold {
+		return nil
+	}
+	for _, each := range known.chain() {
+		told := ToldTurn{Identifier: each.identifier, Owner: each.owner, Engine: each.engine, Digest: each.digest, Until: each.until}
+		for _, part := range each.added {
+			told.Parts = append(told.Parts, ToldPart{Bytes: part.bytes, Shared: part.shared})
+		}
+		reply.Turns = append(reply.Turns, told)
+	}
 	return nil
 }
 
-// Others asks the daemons of this zone, and some of other zones, for turns
-// that the store does not give.
+// restore makes a turn of what another daemon told; nil: it has not the turn.
+func (r *Records) restore(identifier string, reply ChainReply) (*Turn, error) {
+	var made *Turn
+	for _, told := range reply.Turns {
+		next := &Turn{identifier: told.Identifier, owner: told.Owner, engine: told.Engine, previous: made, until: told.Until}
+		for _, part := range told.Parts {
+			bytes := part.Bytes
+			if part.Shared {
+				bytes = r.pieces.Share(bytes)
+			}
+			next.added = append(next.added, segment{bytes: bytes, shared: part.Shared})
+		}
+		if next.complete().digest != told.Digest {
+			return nil, &BrokenError{Turn: identifier, At: told.Identifier, Cause: ErrChanged}
+		}
+		made = next
+		if known := r.cache.peek(told.Identifier); known != nil && known.digest == next.digest {
+			made = known // shared in memory
+		}
+	}
+	if made != nil && made.identifier != identifier {
+		return nil, &BrokenError{Turn: identifier, At: made.identifier, Cause: ErrGap}
+	}
+	return made, nil
+}
+
+// Others asks other daemons for turns that they keep in memory.
 type Others struct {
 	List   *members.List
 	Caller peer.Caller
@@ -50,16 +103,37 @@
 	// mostAsked bounds how many daemons are asked at once.
 	mostAsked = 24
 	askWait   = 150 * time.Millisecond
+	// askOneWait is several times what a daemon in reach takes to tell a turn; the
+	// store is read after it.
+	askOneWait = 100 * time.Millisecond
 )
 
+// restorer makes a turn of an answer.
+type restorer func(identifier string, reply ChainReply) (*Turn, error)
+
+// ask asks one daemon. It returns nil if the daemon has not the turn.
+func (o *Others) ask(ctx context.Context, address, identifier string, restored restorer) (*Turn, error) {
+	if address == o.List.Self().Address {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askOneWait)
+	defer cancel()
+	var reply ChainReply
+	if err := o.Caller.Call(ctx, address, peer.Data, methodChain, ChainRequest{Identifier: identifier}, &reply); err != nil {
+		return nil, eris.Wrap(err, "ask for a turn")
+	}
+	return restored(identifier, reply)
+}
+
 // answer is what came of asking one daemon.
 type answer struct {
-	reply RecentReply
+	reply ChainReply
 	err   error
 }
 
-// Recent returns a turn that another daemon keeps in memory.
-func (o *Others) Recent(ctx context.Context, identifier string) (Record, bool) {
+// search asks the daemons of this zone, and some of other zones. It returns nil if
+// none told the turn in time.
+func (o *Others) search(ctx context.Context, identifier string, restored restorer) *Turn {
 	ctx, cancel := context.WithTimeout(ctx, askWait)
 	defer cancel()
 	asked := o.List.Others(identifier, mostAsked)
@@ -67,7 +141,7 @@
 	for _, member := range asked {
 		go func() {
 			var received answer
-			received.err = o.Caller.Call(ctx, member.Process.Address, peer.Data, methodRecent, RecentRequest{Identifier: identifier}, &received.reply)
+			received.err = o.Caller.Call(ctx, member.Process.Address, peer.Data, methodChain, ChainRequest{Identifier: identifier}, &received.reply)
 			answers <- received
 		}()
 	}
@@ -75,15 +149,23 @@
 	var failure error // the last one: most are alike
 	for range asked {
 		received := <-answers
-		if received.err == nil && received.reply.Found {
-			return received.reply.Record, true
+		told, err := restored(identifier, received.reply)
+		if told != nil {
+			return told
 		}
-		if received.err != nil {
-			silent, failure = silent+1, received.err
+		if received.err != nil || err != nil {
+			silent, failure = silent+1, eris.Wrapf(firstOf(received.err, err), "ask for a turn")
 		}
 	}
 	if failure != nil {
 		o.Log.Info("turn: others did not all answer.", zap.String("turn", identifier), zap.Int("asked", len(asked)), zap.Int("silent", silent), zap.String("cause", failure.Error()))
 	}
-	return Record{}, false
+	return nil
+}
+
+func firstOf(one, other error) error {
+	if one != nil {
+		return one
+	}
+	return other
 }
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -1,63 +1,55 @@
 // Package turn keeps the turns of conversations whose history the system
-// holds: each turn that was answered whole, with the history up to its end,
-// found by its identifier alone. A turn may be gone on from by several others.
+// holds: each turn that was answered whole, found by its identifier alone. A turn
+// may be gone on from by several others.
 //
-// Guarantee: a turn whose Save returned nil is found by Load at every process
-// until its retention is over, whatever processes are lost.
+// A turn's rows hold what the turn adds and name the turns before it, so that the
+// bytes kept of a conversation grow with what is said in it. What many first inputs
+// begin with is kept once, as a piece (package piece). A turn refers only to rows and
+// pieces that are kept at least as long as the turn itself is promised; where that
+// cannot be had, its own rows hold the bytes. So rows are removed by their own time
+// alone, and nothing is counted.
+//
+// Guarantee: a turn whose Save returned nil is found by Load at every process,
+// byte for byte, until its retention is over, whatever processes are lost; where that
+// cannot be told for certain, Load returns ErrUnsure.
 package turn
 
 import (
-	"context"
 	"errors"
-	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/hashicorp/golang-lru/v2/expirable"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/piece"
 	"github.com/thymeloft/thymeloft/internal/retention"
+	"github.com/thymeloft/thymeloft/internal/rowset"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
-// Errors of Load.
+// Errors of Load and Save.
 var (
 	// ErrNotFound says that there is no such turn.
 	ErrNotFound = errors.New("no such turn")
 	// ErrUnsure says that the store could not tell for certain.
 	ErrUnsure = errors.New("it is not certain whether the turn exists")
-	// ErrTooLarge says that a history is larger than one commit can hold.
+	// ErrTooLarge says that not even the names of a turn's pieces fit one commit.
 	ErrTooLarge = errors.New("the history is too large to be kept")
 )
 
-// Record is one finished turn.
-type Record struct {
-	History []byte `cbor:"h"` // inputs and outputs of the chain, up to the end of this turn
-	Engine  string `cbor:"e"` // the instance that ran it; a hint where its prefix lies
-	Expires int64  `cbor:"x"` // unix seconds from which it may be removed; set by Save
-}
-
-const (
-	table      = "turns"
-	partitions = 256
-	// places is how many partitions a turn may lie in: a part of them may be
-	// down while the others serve. A turn lies in the first that took it.
-	places         = 5
-	maxRowsPerTurn = 11 // a commit holds 1 MB of base64 text
-	separator      = "/"
-	afterSeparator = "0" // the byte after the separator: the end of a turn's rows
-)
+const table = "turns"
 
 // Options of a Records.
 type Options struct {
 	Store        *state.Client
 	RowBytes     int           // most bytes of a value
 	CacheEntries int           // recent turns kept in memory
-	CacheFor     time.Duration // how long
+	CacheBytes   int           // bytes that they add, at most
+	CacheFor     time.Duration // how long after their last use
+	PieceBytes   int           // bytes of shared pieces kept in memory, at most
 	Now          func() time.Time
-	// Others is asked for a turn while a place where it may lie is not
-	// answered for; nil: nobody is.
+	Log          *zap.Logger // nil: nothing is logged
+	// Others is asked for a turn by name of a daemon, and while a place where the turn
+	// may lie is not answered for; nil: nobody is.
 	Others *Others
 	// Removal takes the rows of turns that were saved; nil: they stay.
 	Removal *retention.Queue
@@ -65,162 +57,54 @@
 
 // Records loads and saves turns. It is safe for concurrent use.
 type Records struct {
-	options Options
-	cache   *expirable.LRU[string, Record]
+	options    Options
+	pieces     *piece.Pieces
+	cache      *cache
+	beginnings *beginnings
+	metrics    *metrics
 }
 
 // NewRecords makes the repository.
 func NewRecords(options Options) *Records {
+	if options.Log == nil {
+		options.Log = zap.NewNop()
+	}
 	return &Records{
 		options: options,
-		cache:   expirable.NewLRU[string, Record](options.CacheEntries, nil, options.CacheFor),
+		pieces: piece.New(piece.Options{
+			Store: options.Store, RowBytes: options.RowBytes, CacheBytes: options.PieceBytes, Now: options.Now,
+		}),
+		cache:      newCache(options),
+		beginnings: newBeginnings(),
+		metrics:    newMetrics(),
 	}
 }
 
 // Cached tells whether Load needs no store.
-func (r *Records) Cached(identifier string) bool { return r.cache.Contains(identifier) }
-
-// Load returns a turn that was saved by any process.
-func (r *Records) Load(ctx context.Context, identifier string) (Record, error) {
-	if record, cached := r.cache.Get(identifier); cached {
-		return record, nil
-	}
-	var record Record
-	err := r.options.Store.Repeat(ctx, func() error {
-		var err error
-		record, err = r.find(ctx, identifier)
-		return err
-	})
-	if err != nil {
-		return Record{}, err
-	}
-	r.remember(identifier, record)
-	return record, nil
-}
-
-// find looks into each place where the turn may lie. If the most likely one
-// does not answer, other daemons are asked before the less likely ones.
-func (r *Records) find(ctx context.Context, identifier string) (Record, error) {
-	likely := placesOf(identifier)
-	ordered := r.options.Store.Prefer(likely)
-	if ordered[0] != likely[0] {
-		if record, found := r.askOthers(ctx, identifier); found {
-			return record, nil
-		}
-	}
-	var unanswered error
-	for _, partition := range ordered {
-		record, err := r.read(ctx, identifier, partition)
-		switch {
-		case err == nil:
-			return record, nil
-		case state.NoVerdict(err):
-			unanswered = err
-		case !errors.Is(err, ErrNotFound):
-			return Record{}, err
-		}
-	}
-	if unanswered != nil {
-		if record, found := r.askOthers(ctx, identifier); found {
-			return record, nil
-		}
-		return Record{}, unanswered
-	}
-	return Record{}, r.confirmAbsence(ctx, identifier)
-}
-
-func (r *Records) askOthers(ctx context.Context, identifier string) (Record, bool) {
-	if r.options.Others == nil {
-		return Record{}, false
-	}
-	return r.options.Others.Recent(ctx, identifier)
-}
-
-func (r *Records) read(ctx context.Context, identifier, partition string) (Record, error) {
-	page, err := r.options.Store.Read(ctx, state.Range{
-		Table:     table,
-		Partition: partition,
-		From:      identifier,
-		To:        identifier + afterSeparator,
-	})
-	if err != nil {
-		return Record{}, eris.Wrap(err, "read turn")
-	}
-	return decode(identifier, page.Rows)
-}
+func (r *Records) Cached(identifier string) bool { return r.cache.peek(identifier) != nil }
 
-// confirmAbsence is ErrNotFound if conditions prove that the turn is in none
-// of its places: readings may be behind, conditions never are.
-func (r *Records) confirmAbsence(ctx context.Context, identifier string) error {
-	var absent []state.Condition
-	for _, partition := range placesOf(identifier) {
-		absent = append(absent, state.Condition{Key: state.Key{Table: table, Partition: partition, Name: identifier}})
-	}
-	_, err := r.options.Store.Commit(ctx, state.Commit{Conditions: absent})
-	var conflict *state.ConflictError
-	switch {
-	case err == nil:
-		return ErrNotFound
-	case errors.As(err, &conflict):
-		return ErrUnsure
-	default:
-		return eris.Wrap(err, "confirm that the turn is absent")
-	}
-}
-
-// expiryMargin is how much longer than asked for a turn is kept: clocks differ,
-// and a caller may ask at the last moment.
+// expiryMargin is how much longer than asked for a turn is kept: clocks differ by some
+// seconds, and a caller may ask at the last moment and be refused a few times, with
+// some hundred milliseconds between, before the store answers again.
 const expiryMargin = 2 * time.Minute
 
-// Save commits a turn in one of its places, to be kept for so long. It may be
-// called again with the same turn after any error, since the rows are the same.
-func (r *Records) Save(ctx context.Context, identifier string, record Record, keep time.Duration) error {
-	record.Expires = r.options.Now().Add(keep + expiryMargin).Unix()
-	value, err := cbor.Marshal(record)
-	if err != nil {
-		return eris.Wrap(err, "encode turn")
-	}
-	err = r.options.Store.Repeat(ctx, func() error { return r.place(ctx, identifier, value, keep+expiryMargin) })
-	if err != nil {
-		return err
-	}
-	r.remember(identifier, record)
-	return nil
-}
-
-// place tries the turn's places until one takes it.
-func (r *Records) place(ctx context.Context, identifier string, value []byte, keep time.Duration) error {
-	var last error
-	for _, partition := range r.options.Store.Prefer(placesOf(identifier)) {
-		puts, err := rowsOf(identifier, partition, value, r.options.RowBytes)
-		if err != nil {
-			return err
-		}
-		r.removeLater(keep, puts) // also after an error: it may be done all the same
-		_, last = r.options.Store.Commit(ctx, state.Commit{Puts: puts})
-		if !state.NoVerdict(last) {
-			break
-		}
-	}
-	return eris.Wrap(last, "save turn")
+// times are until when what a turn writes is kept, in unix seconds.
+type times struct {
+	promised int64 // the turn is found until then
+	expires  int64 // its rows may be removed from then on
+	shared   int64 // pieces that others may refer to may be removed from then on
 }
 
-func (r *Records) removeLater(after time.Duration, puts []state.Put) {
-	if r.options.Removal == nil {
-		return
-	}
-	var keys []state.Key
-	for _, put := range puts {
-		keys = append(keys, put.Key)
-	}
-	r.options.Removal.Add(after, keys...)
-}
-
-// remember caches turns that are small enough to be worth it.
-func (r *Records) remember(identifier string, record Record) {
-	const largestCached = 1 << 17
-	if len(record.History) <= largestCached {
-		r.cache.Add(identifier, record)
+// timesOf gives rows twice the time that is promised: a turn that goes on from this
+// one at its last moment can still refer to it, and a conversation is written anew
+// once in that time at most. Shared pieces last twice as long as rows, so that each is
+// written anew only after half of its time.
+func timesOf(now time.Time, keep time.Duration) times {
+	lasts := 2*keep + expiryMargin
+	return times{
+		promised: now.Add(keep + expiryMargin).Unix(),
+		expires:  now.Add(lasts).Unix(),
+		shared:   now.Add(2 * lasts).Unix(),
 	}
 }
 
@@ -228,22 +112,20 @@
 // partitions this daemon sweeps.
 func Leftovers(store *state.Client, mine func(partition string) bool, now func() time.Time, log *zap.Logger) *retention.Sweep {
 	return &retention.Sweep{
-		Store: store, Table: table, Partitions: state.Partitions(partitions), Mine: mine, Log: log,
+		Store: store, Table: table, Partitions: state.Partitions(rowset.Partitions), Mine: mine, Log: log, Every: sweepEvery,
 		Over: func(row state.Row) bool { return isOver(row, now()) },
 	}
 }
 
-// isOver tells whether a row is the first of a turn that expired. Rows that
-// continue a turn are removed by its writer only; they hold no time.
+// sweepEvery is how long a pass over all turns takes, all daemons together: what lost
+// daemons left takes room for as long. A pass without anything to remove is one
+// reading for each partition, less than one a second.
+const sweepEvery = 10 * time.Minute
+
 func isOver(row state.Row, now time.Time) bool {
-	if strings.Contains(row.Key.Name, separator) {
-		return false
-	}
-	var record struct {
-		Expires int64 `cbor:"x"`
-	}
-	if err := cbor.Unmarshal(row.Value, &record); err != nil {
-		return false
+	expires, ours := rowset.Expires(row)
+	if !ours {
+		expires, ours = formerExpiry(row)
 	}
-	return record.Expires > 0 && now.Unix() > record.Expires
+	return ours && now.Unix() > expires
 }
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,19 +18,25 @@
 	"github.com/thymeloft/thymeloft/internal/turn"
 )
 
-func TestTurn(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "turn")
-}
-
-const rowBytes = 100
+const (
+	rowBytes   = 200
+	cacheBytes = 1 << 20
+)
 
-func newRecords(store state.Store) *turn.Records {
+func clientOf(store state.Store) *state.Client {
 	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
-	client := state.NewClient(state.ClientOptions{Store: store, Availability: availability})
-	return turn.NewRecords(turn.Options{Store: client, RowBytes: rowBytes, CacheEntries: 8, CacheFor: time.Hour, Now: time.Now})
+	return state.NewClient(state.ClientOptions{Store: store, Availability: availability})
+}
+
+func optionsOf(store state.Store) turn.Options {
+	return turn.Options{
+		Store: clientOf(store), RowBytes: rowBytes, CacheEntries: 64, CacheBytes: cacheBytes, PieceBytes: cacheBytes,
+		CacheFor: time.Hour, Now: time.Now,
+	}
 }
 
+func newRecords(store state.Store) *turn.Records { return turn.NewRecords(optionsOf(store)) }
+
 // newRecordsBeside makes the records of a daemon that knows another one.
 func newRecordsBeside(store state.Store, other string) *turn.Records {
 	list := members.NewList(members.Member{Process: identity.Process{Machine: "self", Zone: "z"}}, time.Now, zap.NewNop())
@@ -40,59 +45,82 @@
 	list.Change([]state.Row{row})
 	pool := peer.NewPool(peer.Options{})
 	DeferCleanup(pool.Close)
-	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
-	return turn.NewRecords(turn.Options{
-		Store:    state.NewClient(state.ClientOptions{Store: store, Availability: availability}),
-		RowBytes: rowBytes, CacheEntries: 8, CacheFor: time.Hour, Now: time.Now,
-		Others: &turn.Others{List: list, Caller: pool, Log: zap.NewNop()},
-	})
+	options := optionsOf(store)
+	options.Others = &turn.Others{List: list, Caller: pool, Log: zap.NewNop()}
+	return turn.NewRecords(options)
+}
+
+// serve lets other daemons ask for what records have in memory.
+func serve(records *turn.Records) (address string) {
+	server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	Expect(server.Register(turn.ServiceName, turn.NewService(records))).To(Succeed())
+	return server.Address()
 }
 
+// text is a turn that begins a conversation.
+func text(content string) turn.Addition { return turn.Addition{Input: []byte(content)} }
+
+// historyOf is the whole conversation up to a turn.
+func historyOf(of *turn.Turn) string { return string(bytes.Join(of.Segments(), nil)) }
+
 var _ = Describe("Records", func() {
 	var store *memorystore.Store
 
 	BeforeEach(func() { store = memorystore.New() })
 
-	DescribeTable("keeps a history of any size that a commit holds, for every process", func(ctx SpecContext, size int) {
-		saved := turn.Record{History: bytes.Repeat([]byte("abc"), size/3), Engine: "e"}
-		Expect(newRecords(store).Save(ctx, "t1", saved, time.Minute)).To(Succeed())
-		loaded, err := newRecords(store).Load(ctx, "t1")
+	DescribeTable("keeps what a turn adds, of any size that a commit holds, for every process", func(ctx SpecContext, size int) {
+		added := turn.Addition{Input: bytes.Repeat([]byte("abc"), size/3), Output: []byte("out"), Engine: "e"}
+		Expect(newRecords(store).Save(ctx, "t1", added, time.Minute)).To(Succeed())
+		loaded, err := newRecords(store).Load(ctx, "t1", "")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(loaded.History).To(Equal(saved.History))
-		Expect(loaded.Engine).To(Equal(saved.Engine))
+		Expect(historyOf(loaded)).To(Equal(string(added.Input) + "out"))
+		Expect(loaded.Engine()).To(Equal("e"))
 		Expect(store.Calls("commit")).To(Equal(1))
 		Expect(store.Calls("read")).To(Equal(1))
 	},
 		Entry("one row", 30),
-		Entry("as many rows as allowed", 1000),
+		Entry("as many rows as allowed", 1860),
+	)
+
+	DescribeTable("keeps what a turn adds in several commits where one does not hold it", func(ctx SpecContext, size int) {
+		added := turn.Addition{Input: bytes.Repeat([]byte("abc"), size/3), Output: []byte("out"), Engine: "e"}
+		Expect(newRecords(store).Save(ctx, "t1", added, time.Minute)).To(Succeed())
+		loaded, err := newRecords(store).Load(ctx, "t1", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(historyOf(loaded)).To(Equal(string(added.Input) + "out"))
+	},
+		Entry("two commits", 2100),
+		Entry("ten commits", 20000),
 	)
 
 	It("keeps turns apart whose identifiers begin alike", func(ctx SpecContext) {
-		Expect(newRecords(store).Save(ctx, "t1", turn.Record{History: []byte("long enough for one row")}, time.Minute)).To(Succeed())
-		Expect(newRecords(store).Save(ctx, "t10", turn.Record{History: []byte("another")}, time.Minute)).To(Succeed())
-		loaded, err := newRecords(store).Load(ctx, "t1")
+		Expect(newRecords(store).Save(ctx, "t1", text("long enough for one row"), time.Minute)).To(Succeed())
+		Expect(newRecords(store).Save(ctx, "t10", text("another"), time.Minute)).To(Succeed())
+		loaded, err := newRecords(store).Load(ctx, "t1", "")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(loaded.History)).To(Equal("long enough for one row"))
+		Expect(historyOf(loaded)).To(Equal("long enough for one row"))
 	})
 
 	It("needs no call for a turn that ended here", func(ctx SpecContext) {
 		records := newRecords(store)
-		Expect(records.Save(ctx, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(Succeed())
+		Expect(records.Save(ctx, "t1", text("x"), time.Minute)).To(Succeed())
 		Expect(records.Cached("t1")).To(BeTrue())
-		_, err := records.Load(ctx, "t1")
+		_, err := records.Load(ctx, "t1", "")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(store.Calls("read")).To(BeZero())
 	})
 
 	It("says that there is no such turn when a condition proves it", func(ctx SpecContext) {
-		_, err := newRecords(store).Load(ctx, "t1")
+		_, err := newRecords(store).Load(ctx, "t1", "")
 		Expect(err).To(MatchError(turn.ErrNotFound))
 	})
 
 	It("is not sure when a reading is behind", func(ctx SpecContext) {
-		Expect(newRecords(store).Save(ctx, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(Succeed())
+		Expect(newRecords(store).Save(ctx, "t1", text("x"), time.Minute)).To(Succeed())
 		store.AnswerReadings(&state.Page{})
-		_, err := newRecords(store).Load(ctx, "t1")
+		_, err := newRecords(store).Load(ctx, "t1", "")
 		Expect(err).To(MatchError(turn.ErrUnsure))
 	})
 
@@ -105,7 +133,7 @@
 		})
 		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 		defer cancel()
-		_, err := newRecords(store).Load(short, "t1")
+		_, err := newRecords(store).Load(short, "t1", "")
 		Expect(err).To(MatchError(state.ErrNotDone))
 		Expect(err).NotTo(MatchError(turn.ErrNotFound))
 	})
@@ -121,28 +149,24 @@
 			}
 			return memorystore.None
 		})
-		Expect(newRecords(store).Save(ctx, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(Succeed())
+		Expect(newRecords(store).Save(ctx, "t1", text("x"), time.Minute)).To(Succeed())
 		Expect(store.Calls("commit")).To(Equal(5))
-		loaded, err := newRecords(store).Load(ctx, "t1")
+		loaded, err := newRecords(store).Load(ctx, "t1", "")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(loaded.History)).To(Equal("x"))
+		Expect(historyOf(loaded)).To(Equal("x"))
 	})
 
 	It("is found at another daemon that keeps it while its partition is down", func(ctx SpecContext) {
 		first := newRecords(store)
-		Expect(first.Save(ctx, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(Succeed())
-		server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(server.Close)
-		Expect(server.Register(turn.ServiceName, turn.NewService(first))).To(Succeed())
-		second := newRecordsBeside(store, server.Address())
+		Expect(first.Save(ctx, "t1", text("x"), time.Minute)).To(Succeed())
+		second := newRecordsBeside(store, serve(first))
 		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
-		loaded, err := second.Load(ctx, "t1")
+		loaded, err := second.Load(ctx, "t1", "")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(loaded.History)).To(Equal("x"))
+		Expect(historyOf(loaded)).To(Equal("x"))
 		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 		defer cancel()
-		_, err = second.Load(short, "t2")
+		_, err = second.Load(short, "t2", "")
 		Expect(err).To(MatchError(state.ErrNotDone), "that no daemon keeps a turn proves nothing")
 	})
 
@@ -151,17 +175,15 @@
 		records := newRecords(store)
 		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 		defer cancel()
-		Expect(records.Save(short, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(MatchError(state.ErrUnknown))
+		Expect(records.Save(short, "t1", text("x"), time.Minute)).To(MatchError(state.ErrUnknown))
 		store.Misbehave(nil)
-		Expect(records.Save(ctx, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(Succeed())
+		Expect(records.Save(ctx, "t1", text("x"), time.Minute)).To(Succeed())
 	})
 
 	It("is swept once its time is over, and not before", func(ctx SpecContext) {
-		Expect(newRecords(store).Save(ctx, "t1", turn.Record{History: []byte("x")}, time.Minute)).To(Succeed())
-		availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
-		client := state.NewClient(state.ClientOptions{Store: store, Availability: availability})
+		Expect(newRecords(store).Save(ctx, "t1", text("x"), time.Minute)).To(Succeed())
 		now := time.Now()
-		sweep := turn.Leftovers(client, func(string) bool { return true }, func() time.Time { return now }, zap.NewNop())
+		sweep := turn.Leftovers(clientOf(store), func(string) bool { return true }, func() time.Time { return now }, zap.NewNop())
 		all := func() (removed int) {
 			for _, partition := range sweep.Partitions {
 				count, err := sweep.Partition(ctx, partition)
@@ -173,12 +195,12 @@
 		Expect(all()).To(BeZero())
 		now = now.Add(time.Hour)
 		Expect(all()).To(Equal(1))
-		_, err := newRecords(store).Load(ctx, "t1")
+		_, err := newRecords(store).Load(ctx, "t1", "")
 		Expect(err).To(MatchError(turn.ErrNotFound))
 	})
 
-	It("refuses a history that no commit holds", func(ctx SpecContext) {
-		err := newRecords(store).Save(ctx, "t1", turn.Record{History: make([]byte, 100*rowBytes)}, time.Minute)
+	It("refuses what is so large that one commit does not hold the names of its pieces", func(ctx SpecContext) {
+		err := newRecords(store).Save(ctx, "t1", text(string(make([]byte, 1000*rowBytes))), time.Minute)
 		Expect(err).To(MatchError(turn.ErrTooLarge))
 	})
 })
