--- a/internal/budget/trail_test.go
+++ b/internal/budget/trail_test.go
@@ -66,6 +66,38 @@
 		Expect(engine).To(BeEmpty())
 	})
 
+	It("tells which daemon recorded the turn before", func(ctx SpecContext) {
+		holder, others := home(all, "p")
+		recorded := func(one *member, name, previous string) (keptAt string) {
+			GinkgoHelper()
+			settler, err := one.shared.Reserve(ctx, ReserveRequest{Reservation: name, Program: "p", Total: 13000, Most: 288, Previous: previous})
+			Expect(err).NotTo(HaveOccurred())
+			settler.Recorded(name)
+			settler.Settle(70)
+			Eventually(func() string { return holder.ledger.trails.keptAt("p", name) }).Should(Equal(one.list.Self().Address))
+			return settler.KeptAt()
+		}
+		Expect(recorded(others[0], "one", "")).To(BeEmpty())
+		Expect(recorded(holder, "two", "one")).To(Equal(others[0].list.Self().Address))
+		Expect(recorded(others[1], "three", "two")).To(Equal(holder.list.Self().Address))
+		Expect(recorded(others[1], "four", "one")).To(Equal(others[0].list.Self().Address), "several turns may go on from one")
+		Expect(recorded(others[0], "five", "never recorded")).To(BeEmpty())
+		Expect(holder.ledger.trails.keptAt("q", "one")).To(BeEmpty())
+		for number := range turnsTrailed {
+			recorded(holder, fmt.Sprint("later ", number), "")
+		}
+		Expect(holder.ledger.trails.keptAt("p", "one")).To(BeEmpty(), "it is bounded")
+	})
+
+	It("does not tell a turn that was not recorded", func(ctx SpecContext) {
+		holder, _ := home(all, "p")
+		settler, err := holder.shared.Reserve(ctx, ReserveRequest{Reservation: "one", Program: "p", Total: 13000, Most: 288})
+		Expect(err).NotTo(HaveOccurred())
+		settler.RanAt("e1")
+		settler.Settle(70)
+		Expect(holder.ledger.trails.keptAt("p", "one")).To(BeEmpty())
+	})
+
 	It("is bounded by program", func() {
 		trails := newTrails(8, time.Hour)
 		for part := range partsTrailed + 1 {
--- /dev/null
+++ b/internal/rowset/rowset_test.go
@@ -0,0 +1,82 @@
+package rowset_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/thymeloft/thymeloft/internal/rowset"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+func rowsOf(puts []state.Put) []state.Row {
+	rows := make([]state.Row, 0, len(puts))
+	for _, put := range puts {
+		rows = append(rows, state.Row{Key: put.Key, Value: put.Value, Version: 1})
+	}
+	return rows
+}
+
+// A value is joined whole, or not at all, whichever of its rows is missing, cut short or
+// of another value; and no row is larger than the store takes.
+func TestAValueIsJoinedWholeOrNotAtAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rowBytes := rapid.IntRange(40, 300).Draw(t, "row bytes")
+		value := rapid.SliceOfN(rapid.Byte(), 0, rowset.Capacity(rowBytes)).Draw(t, "value")
+		key := state.Key{Table: "t", Partition: "1", Name: "name"}
+		puts, err := rowset.Cut(key, value, 1<<40, rowBytes)
+		if err != nil {
+			t.Fatalf("cut: %v", err)
+		}
+		rows := rowsOf(puts)
+		for _, row := range rows {
+			if len(row.Value) > rowBytes {
+				t.Fatalf("a row of %d bytes, more than %d", len(row.Value), rowBytes)
+			}
+			if expires, ours := rowset.Expires(row); !ours || expires != 1<<40 {
+				t.Fatalf("row %s does not tell when it is over", row.Key.Name)
+			}
+		}
+		joined, err := rowset.Join("name", rows)
+		if err != nil || !bytes.Equal(joined.Bytes, value) {
+			t.Fatalf("joined %d of %d bytes: %v", len(joined.Bytes), len(value), err)
+		}
+		damaged := rapid.IntRange(0, len(rows)-1).Draw(t, "damaged")
+		if rapid.Bool().Draw(t, "missing") {
+			rows = append(rows[:damaged], rows[damaged+1:]...)
+		} else {
+			rows[damaged].Value = rows[damaged].Value[:len(rows[damaged].Value)-1]
+		}
+		if _, err := rowset.Join("name", rows); err == nil {
+			t.Fatal("joined though a row is not whole")
+		}
+	})
+}
+
+func TestRowsOfTwoValuesAreNotJoined(t *testing.T) {
+	key := state.Key{Table: "t", Partition: "1", Name: "name"}
+	older, err := rowset.Cut(key, bytes.Repeat([]byte("o"), 200), 1000, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer, err := rowset.Cut(key, bytes.Repeat([]byte("n"), 200), 2000, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := rowsOf(append(newer[:1], older[1:]...))
+	if _, err := rowset.Join("name", rows); !errors.Is(err, rowset.ErrTorn) {
+		t.Fatalf("joined rows of two values: %v", err)
+	}
+	if _, err := rowset.Join("another", rows); !errors.Is(err, rowset.ErrAbsent) {
+		t.Fatalf("a value that is not there: %v", err)
+	}
+}
+
+func TestAValueOverACommitIsRefused(t *testing.T) {
+	const rowBytes = 100
+	if _, err := rowset.Cut(state.Key{}, make([]byte, rowset.Capacity(rowBytes)+1), 1, rowBytes); !errors.Is(err, rowset.ErrTooLarge) {
+		t.Fatalf("cut: %v", err)
+	}
+}
--- a/internal/turn/beginnings.go
+++ b/internal/turn/beginnings.go
@@ -32,13 +32,19 @@
 // It is safe for concurrent use.
 type beginnings struct {
 	mutex sync.Mutex
-	known *simplelru.LRU[uint64, [][]byte]
+	known *simplelru.LRU[uint64, []*beginning]
 	bytes int
 }
 
+// beginning is the beginning of a first input.
+type beginning struct {
+	input  []byte
+	shared int // bytes in common with another input; 0: none was found yet
+}
+
 func newBeginnings() *beginnings {
 	made := &beginnings{}
-	known, err := simplelru.NewLRU(mostBeginnings, func(_ uint64, gone [][]byte) { made.bytes -= sizeOf(gone) })
+	known, err := simplelru.NewLRU(mostBeginnings, func(_ uint64, gone []*beginning) { made.bytes -= sizeOf(gone) })
 	if err != nil {
 		panic(err) // only for a size below one
 	}
@@ -46,10 +52,10 @@
 	return made
 }
 
-func sizeOf(inputs [][]byte) int {
+func sizeOf(alike []*beginning) int {
 	size := 0
-	for _, input := range inputs {
-		size += len(input)
+	for _, each := range alike {
+		size += len(each.input)
 	}
 	return size
 }
@@ -65,8 +71,8 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	alike, _ := b.known.Get(key)
-	length, whole := longestCommon(alike, compared)
-	if !whole && length < len(compared)*3/4 {
+	length, again := longestCommon(alike, compared)
+	if !again && length < len(compared)*3/4 {
 		b.remember(key, alike, compared)
 	}
 	return length
@@ -74,25 +80,27 @@
 
 // longestCommon returns the rounded length of the longest beginning in common with one
 // of the inputs. A whole input that came before, as a program that begins anew sends
-// it, counts only if no other is like it: what is in common with other programs is
-// shared by more.
-func longestCommon(alike [][]byte, input []byte) (length int, whole bool) {
-	same := 0
+// it, says nothing of what other programs have in common with it: of that, what was
+// found before counts, if anything was.
+func longestCommon(alike []*beginning, input []byte) (length int, again bool) {
+	longest, same := 0, 0
 	for _, other := range alike {
-		common := commonSteps(other, input)
-		if bytes.Equal(other, input) {
+		common := commonSteps(other.input, input)
+		if common < smallestShared {
+			continue
+		}
+		if bytes.Equal(other.input, input) {
 			same = common
+			longest = max(longest, other.shared)
 			continue
 		}
-		length = max(length, common)
-	}
-	if length < smallestShared {
-		length = same
+		other.shared = max(other.shared, common)
+		longest = max(longest, common)
 	}
-	if length < smallestShared {
-		length = 0
+	if longest == 0 {
+		longest = same
 	}
-	return length, same > 0
+	return longest, same > 0
 }
 
 // commonSteps returns the length of the common beginning, in whole steps.
@@ -108,8 +116,8 @@
 }
 
 // remember keeps an input; the oldest of those alike gives way.
-func (b *beginnings) remember(key uint64, alike [][]byte, input []byte) {
-	kept := append(slices.Clone(alike), slices.Clone(input))
+func (b *beginnings) remember(key uint64, alike []*beginning, input []byte) {
+	kept := append(slices.Clone(alike), &beginning{input: slices.Clone(input)})
 	kept = kept[max(0, len(kept)-mostAlike):]
 	b.bytes += sizeOf(kept) - sizeOf(alike)
 	b.known.Add(key, kept)
