Budgets: one question to the store for all turns that wait, which goes on when they give up

Cause: a turn gave the store 60 ms for a grant (then it is lent to, or asks again within 250 ms), each question ended with its asker, and the program's lock was held meanwhile. Ruled out: the store itself (its answers came in 240 ms), and the outage's rate alone (the first seconds show no 429). A question is the program's, bounded by the time of one call, and its grant stays for whoever comes; the lock is never held while the store is asked; what is known to be spent is said without the store. Tests: two specs that fail on the former code; the plays' ledgers end their questions with their turns, so that they last as long as before.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -105,7 +105,10 @@
 func (l *Ledger) draw(ctx context.Context, held *program, from *account, most int64, inAdvance bool) error {
 	for range maxConflicts {
 		if from.pending == nil {
-			need := most - held.available
+			need := held.missing(most)
+			if need <= 0 {
+				return nil // given back meanwhile
+			}
 			left := from.share - from.known.Granted
 			if left <= 0 {
 				return from.spent(need)
@@ -121,7 +124,7 @@
 			return err
 		}
 		if granted {
-			held.available += from.pending.amount
+			held.granted(from.pending.amount)
 		}
 		from.pending = nil
 		if granted {
@@ -147,10 +150,10 @@
 }
 
 func (a *account) enough(held *program, most int64) error {
-	if held.available >= most {
-		return nil
+	if missing := held.missing(most); missing > 0 {
+		return a.spent(missing)
 	}
-	return a.spent(most - held.available)
+	return nil
 }
 
 func (a *account) spent(need int64) error {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -15,11 +15,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/expirable"
+	"github.com/rotisserie/eris"
 
 	"github.com/thymeloft/thymeloft/internal/state"
 )
@@ -57,25 +57,32 @@
 	reclaim func(ctx context.Context, identifier string)
 	lender  *Lender // nil: nothing is lent
 	trails  *Trails
+	// grantWait bounds one question to the store for a grant.
+	grantWait time.Duration
 }
 
 // program is this process's part in a program's budget.
 type program struct {
-	mutex     sync.Mutex // held during a grant, so that one goroutine asks
+	mutex     sync.Mutex // of what follows; never held while the store is asked
 	available int64      // granted here and neither reserved nor spent
 	inFlight  int
 	settled   chan struct{} // closed and replaced when a reservation is settled
-	accounts  []*account
-	used      time.Time // when a turn was last reserved or settled
-	generated int64     // by turns that were settled
-
+	asking    *granting     // the question to the store that is under way; nil: none
+	used      time.Time     // when a turn was last reserved or settled
+	generated int64         // by turns that were settled
+
+	// storeTurn is held by who asks the store about the accounts, and guards them and
+	// what follows.
+	storeTurn    chan struct{}
+	accounts     []*account
+	drawn        int64         // granted by the store in all
 	reclaimed    time.Time     // when others were last asked to release
 	reclaimPause time.Duration // until they are asked again; grows
 }
 
 // NewLedger makes a ledger that remembers so many programs for so long.
 func NewLedger(store *state.Client, entries int, keep time.Duration) *Ledger {
-	return &Ledger{store: store, programs: expirable.NewLRU[string, *program](entries, nil, keep), trails: newTrails(entries, keep)}
+	return &Ledger{store: store, programs: expirable.NewLRU[string, *program](entries, nil, keep), trails: newTrails(entries, keep), grantWait: grantPatience}
 }
 
 // LendWith lets the ledger lend while the store cannot be had. It is to be
@@ -97,93 +104,117 @@
 // OnCredit tells whether the tokens were lent, not granted by the store.
 func (r *Reservation) OnCredit() bool { return r.loan != nil }
 
+// turnNeed is what one turn asks for.
+type turnNeed struct {
+	program     string
+	total, most int64
+}
+
 // Reserve takes the most that a turn may generate from the program's budget.
 // It returns ErrSpent, or an error of the store or of the context.
 func (l *Ledger) Reserve(ctx context.Context, identifier string, total, most int64) (*Reservation, error) {
 	held := l.open(identifier, total)
+	need := turnNeed{identifier, total, most}
 	for {
-		reservation, settled, err := l.tryReserve(ctx, held, turnNeed{identifier, total, most})
-		if reservation != nil || err != nil {
-			return reservation, err
+		reservation, asked, err := l.takeOrAsk(ctx, held, need)
+		if reservation != nil {
+			return reservation, nil
 		}
-		select {
-		case <-settled:
-		case <-ctx.Done():
-			return nil, ErrSpent
+		var lent *loan
+		if asked != nil {
+			lent, err = l.await(ctx, asked, need)
+		}
+		switch {
+		case lent != nil:
+			return held.onCredit(lent), nil
+		case errors.Is(err, ErrSpent) && (asked == nil || need.most >= asked.most):
+			reservation, err = l.whenSpent(ctx, held, need, err)
+			if reservation != nil || err != nil {
+				return reservation, err
+			}
+		case err != nil && !errors.Is(err, ErrSpent) && (ctx.Err() != nil || !state.NoVerdict(err)):
+			return nil, err
 		}
 	}
 }
 
-// turnNeed is what one turn asks for.
-type turnNeed struct {
-	program     string
-	total, most int64
-}
-
-// tryReserve returns a channel to wait for when only turns under way stand
-// between the program and another turn.
-func (l *Ledger) tryReserve(ctx context.Context, held *program, need turnNeed) (*Reservation, <-chan struct{}, error) {
+// takeOrAsk reserves what is available, or else tells which question to the store is to
+// be waited for; an error says that there is none to wait for.
+func (l *Ledger) takeOrAsk(ctx context.Context, held *program, need turnNeed) (*Reservation, *granting, error) {
+	reservation, err := held.take(ctx, need.most)
+	if reservation != nil || err != nil {
+		return reservation, nil, err
+	}
+	if err := l.knownSpent(held, need); err != nil {
+		return nil, nil, err
+	}
+	if ctx.Err() != nil {
+		return nil, nil, eris.Wrapf(state.ErrNotDone, "no grant was asked for: %v", ctx.Err())
+	}
 	held.mutex.Lock()
 	defer held.mutex.Unlock()
-	if held.available < need.most {
-		lent, err := l.fill(ctx, held, need)
-		switch {
-		case lent != nil:
-			return &Reservation{program: held, attained: held.generated, loan: lent}, nil, nil
-		case errors.Is(err, ErrSpent) && held.inFlight > 0:
-			return nil, held.settled, nil
-		case err != nil:
-			return nil, nil, err
-		}
+	if held.asking == nil {
+		held.asking = l.beginGranting(held, need)
+	}
+	return nil, held.asking, nil
+}
+
+// take reserves so much if it is available.
+func (p *program) take(ctx context.Context, most int64) (*Reservation, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.available < most {
+		return nil, nil
 	}
 	if err := ctx.Err(); err != nil {
-		return nil, nil, err // it took long: nobody waits for this reservation any more
+		return nil, err // nobody waits for the reservation any more
 	}
-	held.available -= need.most
-	held.inFlight++
-	held.used = time.Now()
-	return &Reservation{program: held, most: need.most, attained: held.generated}, nil, nil
+	p.available -= most
+	p.inFlight++
+	p.used = time.Now()
+	return &Reservation{program: p, most: most, attained: p.generated}, nil
 }
 
-// lendAfter is how long a turn waits for the store before it runs on credit:
-// several times what a sound store takes.
-const lendAfter = 60 * time.Millisecond
+// onCredit makes the reservation of a loan.
+func (p *program) onCredit(lent *loan) *Reservation {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return &Reservation{program: p, attained: p.generated, loan: lent}
+}
 
-// fill raises what is available to the need of a turn, or lends it: when the
-// store does not grant it soon, or has granted all that it may.
-func (l *Ledger) fill(ctx context.Context, held *program, need turnNeed) (*loan, error) {
-	err := l.fillSoon(ctx, held, need)
-	if state.NoVerdict(err) {
-		if lent := l.lender.lend(need, causeOutage); lent != nil {
-			return lent, nil
-		}
-		err = l.fillFromStore(ctx, held, need)
+// whenSpent lends once the store has granted all that it may, or waits for a turn under
+// way to give something back: it returns nothing when the reservation is to be tried again.
+func (l *Ledger) whenSpent(ctx context.Context, held *program, need turnNeed, spent error) (*Reservation, error) {
+	if lent := l.lender.lend(need, causeSpent); lent != nil {
+		return held.onCredit(lent), nil
 	}
-	if errors.Is(err, ErrSpent) {
-		return l.lender.lend(need, causeSpent), err
+	settled, again := held.awaitable(need.most)
+	switch {
+	case again:
+		return nil, nil
+	case settled == nil:
+		return nil, spent
 	}
-	return nil, err
-}
-
-// fillSoon gives the store a short time, and none when it is known to be down.
-func (l *Ledger) fillSoon(ctx context.Context, held *program, need turnNeed) error {
-	if !l.store.Available() {
-		return state.ErrNotDone
+	select {
+	case <-settled:
+		return nil, nil
+	case <-ctx.Done():
+		return nil, ErrSpent
 	}
-	soon, cancel := context.WithTimeout(ctx, lendAfter)
-	defer cancel()
-	return l.fillFromStore(soon, held, need)
 }
 
-func (l *Ledger) fillFromStore(ctx context.Context, held *program, need turnNeed) error {
-	grant := func() error { return l.grant(ctx, held, need.most) }
-	err := l.store.Repeat(ctx, grant)
-	if errors.Is(err, ErrSpent) && l.mayReclaim(held) {
-		l.askOthers(ctx, need.program)
-		held.forget()
-		err = l.store.Repeat(ctx, grant)
+// awaitable tells whether so much has become available, or else the channel that is closed when a
+// turn under way is settled; nil: none is.
+func (p *program) awaitable(most int64) (settled <-chan struct{}, available bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.available >= most {
+		return nil, true
 	}
-	return err
+	if p.inFlight == 0 {
+		return nil, false
+	}
+	return p.settled, false
 }
 
 // Settle gives back what the turn did not generate.
@@ -204,82 +235,13 @@
 	})
 }
 
-// Pauses between two questions to others about one program: one that loops
-// asks again and again after its budget is spent.
-const (
-	firstReclaimPause   = time.Second
-	longestReclaimPause = 30 * time.Second
-)
-
-func (l *Ledger) mayReclaim(held *program) bool {
-	if l.reclaim == nil || time.Since(held.reclaimed) < held.reclaimPause {
-		return false
-	}
-	held.reclaimed = time.Now()
-	held.reclaimPause = min(max(2*held.reclaimPause, firstReclaimPause), longestReclaimPause)
-	return true
-}
-
-// reclaimWait bounds the question, so that time is left for the own grant.
-const reclaimWait = 100 * time.Millisecond
-
-func (l *Ledger) askOthers(ctx context.Context, identifier string) {
-	ctx, cancel := context.WithTimeout(ctx, reclaimWait)
-	defer cancel()
-	l.reclaim(ctx, identifier)
-}
-
-// forget drops what is known of the rows: others may have released since.
-func (p *program) forget() {
-	for _, each := range p.accounts {
-		if each.pending == nil {
-			each.known, each.version = row{}, 0
-		}
-	}
-}
-
 func (l *Ledger) open(identifier string, total int64) *program {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if found, known := l.programs.Get(identifier); known {
 		return found
 	}
-	opened := &program{settled: make(chan struct{}), accounts: accountsOf(identifier, total)}
+	opened := &program{settled: make(chan struct{}), storeTurn: make(chan struct{}, 1), accounts: accountsOf(identifier, total)}
 	l.programs.Add(identifier, opened)
 	return opened
 }
-
-// grant takes what a turn needs from the accounts, those first whose
-// partitions are sound. What it took stays available if the rest fails.
-func (l *Ledger) grant(ctx context.Context, held *program, most int64) error {
-	var failure error
-	before := held.available
-	for _, from := range l.sorted(held.accounts) {
-		if held.available >= most {
-			return nil
-		}
-		err := l.draw(ctx, held, from, most, held.available == before)
-		var spent *SpentError
-		if err != nil && (failure == nil || errors.As(failure, &spent)) {
-			failure = err
-		}
-	}
-	if held.available >= most {
-		return nil
-	}
-	return failure
-}
-
-// sorted puts accounts last whose partition failed a moment ago.
-func (l *Ledger) sorted(accounts []*account) []*account {
-	var names []string
-	for _, each := range accounts {
-		names = append(names, each.key.Partition)
-	}
-	order := l.store.Prefer(names)
-	ordered := slices.Clone(accounts)
-	slices.SortStableFunc(ordered, func(a, b *account) int {
-		return slices.Index(order, a.key.Partition) - slices.Index(order, b.key.Partition)
-	})
-	return ordered
-}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,14 @@
 	return NewLedger(state.NewClient(state.ClientOptions{Store: store, Availability: availability}), 64, time.Hour)
 }
 
+// newBriefLedger makes one whose questions to the store end as soon as its turns give up, so
+// that a play of many steps does not wait for a store that refuses.
+func newBriefLedger(store state.Store) *Ledger {
+	made := newLedger(store)
+	made.grantWait = briefly
+	return made
+}
+
 // budgetOf is the budget of which the store grants so much.
 func budgetOf(granted int64) int64 {
 	for total := granted; ; total++ {
@@ -88,6 +97,40 @@
 		Expect(err.Error()).To(ContainSubstring("576 of 576 tokens granted, 288 more needed"))
 	})
 
+	It("asks a slow store once for all turns that wait, and goes on when they give up", func(ctx SpecContext) {
+		answers, commits := make(chan struct{}), atomic.Int64{}
+		ledger := newSlowLedger(&slowStore{Store: store, answers: answers, commits: &commits})
+		for range 5 {
+			short, cancel := context.WithTimeout(ctx, briefly)
+			_, err := ledger.Reserve(short, "p", 576, 288)
+			cancel()
+			Expect(err).To(MatchError(state.ErrNotDone))
+		}
+		Expect(commits.Load()).To(BeNumerically("==", 1))
+		close(answers)
+		_, err := ledger.Reserve(ctx, "p", 576, 288)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(commits.Load()).To(BeNumerically("==", 1))
+	})
+
+	It("does not keep a turn waiting for another one's question when there is enough", func(ctx SpecContext) {
+		answers := make(chan struct{})
+		close(answers)
+		slow := &slowStore{Store: store, answers: answers, commits: &atomic.Int64{}}
+		ledger := newSlowLedger(slow)
+		first, err := ledger.Reserve(ctx, "p", 576, 300)
+		Expect(err).NotTo(HaveOccurred())
+		slow.answers = make(chan struct{})
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := ledger.Reserve(ctx, "p", 576, 288)
+			waiting <- err
+		}()
+		first.Settle(0)
+		Eventually(ctx, waiting).Should(Receive(BeNil()))
+		close(slow.answers)
+	})
+
 	It("waits for turns under way here before it says that the budget is spent", func(ctx SpecContext) {
 		ledger := newLedger(store)
 		running, err := ledger.Reserve(ctx, "p", 288, 288)
@@ -203,6 +246,30 @@
 	})
 })
 
+// slowStore answers commits once it is told to.
+type slowStore struct {
+	*memorystore.Store
+	answers chan struct{}
+	commits *atomic.Int64
+}
+
+// Commit implements state.Store.
+func (s *slowStore) Commit(ctx context.Context, commit state.Commit) (state.Version, error) {
+	s.commits.Add(1)
+	select {
+	case <-s.answers:
+		return s.Store.Commit(ctx, commit)
+	case <-ctx.Done():
+		return 0, state.ErrUnknown
+	}
+}
+
+// newSlowLedger makes one that sends each commit once, however long its answer takes.
+func newSlowLedger(store state.Store) *Ledger {
+	availability := state.NewAvailability(time.Now, func(bool, time.Duration) {})
+	return NewLedger(state.NewClient(state.ClientOptions{Store: store, Availability: availability, NotHedged: true}), 64, time.Hour)
+}
+
 func expired(ctx context.Context) context.Context {
 	ended, cancel := context.WithCancel(ctx)
 	cancel()
@@ -233,7 +300,7 @@
 func play(t *rapid.T) (generated, total int64) {
 	store := memorystore.New()
 	total = rapid.Int64Range(most, 20*most).Draw(t, "total")
-	ledgers := []*Ledger{newLedger(store), newLedger(store), newLedger(store)}
+	ledgers := []*Ledger{newBriefLedger(store), newBriefLedger(store), newBriefLedger(store)}
 	turns := make([][]running, len(ledgers))
 	faults := []memorystore.Fault{memorystore.None, memorystore.None, memorystore.Refused, memorystore.Lost, memorystore.Late}
 	steps := rapid.IntRange(1, 60).Draw(t, "steps")
@@ -262,7 +329,7 @@
 		case 3: // the process dies; what it had running was handed out whole
 			generated += most * int64(len(turns[process]))
 			turns[process] = nil
-			ledgers[process] = newLedger(store)
+			ledgers[process] = newBriefLedger(store)
 			store.Release()
 		}
 	}
--- a/internal/budget/credit_test.go
+++ b/internal/budget/credit_test.go
@@ -145,7 +145,7 @@
 func playLending(t *rapid.T) (generated, total int64) {
 	store := memorystore.New()
 	total = rapid.Int64Range(most, 40*most).Draw(t, "total")
-	ledgers := []*Ledger{newLedger(store), newLedger(store)}
+	ledgers := []*Ledger{newBriefLedger(store), newBriefLedger(store)}
 	ledgers[0].LendWith(NewLender(always, time.Now, zap.NewNop()))
 	turns := make([][]*Reservation, len(ledgers))
 	faults := []memorystore.Fault{memorystore.None, memorystore.Refused, memorystore.Refused, memorystore.Lost, memorystore.Late}
@@ -171,7 +171,7 @@
 		default: // the process dies; what it had running was handed out whole
 			generated += most * int64(len(turns[process]))
 			turns[process] = nil
-			ledgers[process] = newLedger(store) // it lends no more
+			ledgers[process] = newBriefLedger(store) // it lends no more
 			store.Release()
 		}
 	}
--- a/internal/budget/release.go
+++ b/internal/budget/release.go
@@ -22,20 +22,24 @@
 	if !known {
 		return 0, nil
 	}
-	held.mutex.Lock()
-	defer held.mutex.Unlock()
+	if err := held.takeStoreTurn(ctx); err != nil {
+		return 0, err
+	}
+	defer held.endStoreTurn()
 	return l.releaseHeld(ctx, held)
 }
 
 func (l *Ledger) releaseHeld(ctx context.Context, held *program) (int64, error) {
 	released := int64(0)
 	for _, to := range l.sorted(held.accounts) {
-		amount := min(held.available, to.known.Granted)
-		if amount <= 0 || to.pending != nil {
+		if to.pending != nil {
 			continue
 		}
 		// Whether or not the commit is done: never spent here any more.
-		held.available -= amount
+		amount := held.withdraw(to.known.Granted)
+		if amount == 0 {
+			continue
+		}
 		if err := l.giveBack(ctx, to, amount); err != nil {
 			return released, err
 		}
