--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -187,7 +187,7 @@
 	"malformed":           "a header could not be read",
 	"too-large":           "its body was over the limit of the configuration",
 	"unknown-turn":        "a condition in the store proved that the turn it goes on from does not exist",
-	"unsure-turn":         "a reading of the store did not show the turn it goes on from, but a condition did: the reading was behind; the request did not run",
+	"unsure-turn":         "the turn it goes on from exists, and what it holds is not certain: a reading of the store was behind, or the conversation's rows are broken (the line 'turn: its conversation is broken.' tells where); the request did not run",
 	"store-unavailable":   "the store did not answer while the request waited for its history or budget; it did not run",
 	"budget-spent":        "the budget of its program held no further turn; it did not run",
 	"no-engine":           "no engine of its service was known to be ready; it did not run",
--- a/internal/turn/broken_test.go
+++ b/internal/turn/broken_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/piece"
 	"github.com/thymeloft/thymeloft/internal/rowset"
 	"github.com/thymeloft/thymeloft/internal/state"
@@ -119,6 +120,21 @@
 		}, "a", piece.ErrDiffers),
 	)
 
+	It("is waited for where a place of a turn before it does not answer at once", func(ctx SpecContext) {
+		refused := 0
+		store.Misbehave(func(call memorystore.Call) memorystore.Fault {
+			if call.Name == "read" && call.Partition == rowset.PlacesOf("b")[0] && refused < 4 {
+				refused++
+				return memorystore.Refused
+			}
+			return memorystore.None
+		})
+		loaded, err := newRecords(store).Load(ctx, "c", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(historyOf(loaded)).To(HaveSuffix("firstbc"))
+		Expect(refused).To(Equal(4))
+	})
+
 	It("is had from a daemon that has it in memory", func(ctx SpecContext) {
 		first := newRecords(store)
 		_, err := first.Load(ctx, "c", "")
@@ -142,6 +158,15 @@
 	})
 })
 
+// teller tells the same of every turn.
+type teller struct{ reply turn.ChainReply }
+
+// Chain is called by other daemons.
+func (t *teller) Chain(_ turn.ChainRequest, reply *turn.ChainReply) error {
+	*reply = t.reply
+	return nil
+}
+
 var _ = Describe("A turn that a daemon is said to have in memory", func() {
 	var store *memorystore.Store
 	var first *turn.Records
@@ -169,6 +194,22 @@
 		Expect(historyOf(afterwards)).To(Equal("ABC"))
 	})
 
+	It("is read from the store where what is told is not that turn", func(ctx SpecContext) {
+		var told turn.ChainReply
+		Expect(turn.NewService(first).Chain(turn.ChainRequest{Identifier: "b"}, &told)).To(Succeed())
+		changed := turn.ChainReply{Turns: append([]turn.ToldTurn(nil), told.Turns...)}
+		changed.Turns[1].Parts = []turn.ToldPart{{Bytes: []byte("changed")}}
+		for _, lie := range []turn.ChainReply{changed, {Turns: told.Turns[:1]}} {
+			server, err := peer.Listen("127.0.0.1:0", peer.Options{CloseTimeout: time.Millisecond})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Close)
+			Expect(server.Register(turn.ServiceName, &teller{lie})).To(Succeed())
+			loaded, err := newRecordsBeside(store, server.Address()).Load(ctx, "b", server.Address())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(historyOf(loaded)).To(Equal("AB"))
+		}
+	})
+
 	It("is read from the store where that daemon has it no more, or does not answer", func(ctx SpecContext) {
 		for _, address := range []string{serve(newRecords(store)), "127.0.0.1:1"} {
 			loaded, err := newRecordsBeside(store, address).Load(ctx, "b", address)
--- a/internal/turn/conversation_test.go
+++ b/internal/turn/conversation_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/piece"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/turn"
 )
@@ -99,6 +100,23 @@
 		}
 	})
 
+	It("do not grow with the length of a long conversation", func(ctx SpecContext) {
+		store := memorystore.New()
+		records := turn.NewRecords(usualOptions(store))
+		var previous *turn.Turn
+		var sizes []int
+		for number := range 200 {
+			before := store.Bytes()
+			name := fmt.Sprintf("turn-%03d", number)
+			Expect(records.Save(ctx, name, turn.Addition{Previous: previous, Input: []byte("x")}, time.Minute)).To(Succeed())
+			sizes = append(sizes, store.Bytes()-before)
+			var err error
+			previous, err = records.Load(ctx, name, "")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(sizes[199]).To(Equal(sizes[40]))
+	})
+
 	It("are read in two steps for a chain of a usual length", func(ctx SpecContext) {
 		store := memorystore.New()
 		writer := turn.NewRecords(usualOptions(store))
@@ -151,6 +169,15 @@
 		return removed
 	}
 
+	sweepPieces := func(ctx context.Context) {
+		GinkgoHelper()
+		sweep := piece.Leftovers(clientOf(store), func(string) bool { return true }, func() time.Time { return now }, nil)
+		for _, partition := range sweep.Partitions {
+			_, err := sweep.Partition(ctx, partition)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
+
 	It("forks", func(ctx SpecContext) {
 		save(ctx, "", "a", "A")
 		save(ctx, "a", "b", "B")
@@ -172,6 +199,32 @@
 		Expect(load(ctx, "aaaaaaaaa")).To(Equal("ABBBBBBBB"))
 	})
 
+	DescribeTable("is whole until the end of what was promised when a piece that it shares is over before", func(ctx SpecContext, cached bool) {
+		common := strings.Repeat("common ", 1000)
+		save(ctx, "", "other", common+"other")
+		shared := daemon()
+		Expect(shared.Save(ctx, "first", text(common+"first"), time.Minute)).To(Succeed())
+		Expect(shared.Save(ctx, "second", text(common+"second"), time.Minute)).To(Succeed())
+		const pieceLasts = 2 * (2*time.Minute + 2*time.Minute) // twice what a turn's rows last
+		now = now.Add(pieceLasts - 3*time.Minute)              // the last moment at which a turn may refer to the piece
+		Expect(shared.Save(ctx, "a", text(common+"a"), time.Minute)).To(Succeed())
+		reader := shared
+		if !cached {
+			reader = daemon()
+		}
+		now = now.Add(50 * time.Second)
+		previous, err := reader.Load(ctx, "a", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reader.Save(ctx, "b", turn.Addition{Previous: previous, Input: []byte("B")}, time.Minute)).To(Succeed())
+		now = now.Add(3 * time.Minute)
+		sweep(ctx)
+		sweepPieces(ctx)
+		Expect(load(ctx, "b")).To(Equal(common + "aB"))
+	},
+		Entry("at the daemon that had it in memory", true),
+		Entry("at a daemon that read it", false),
+	)
+
 	It("goes on from a turn of the former format", func(ctx SpecContext) {
 		writeFormer(store, "a", "A", now.Add(3*time.Minute))
 		Expect(load(ctx, "a")).To(Equal("A"))
