--- a/internal/piece/piece.go
+++ b/internal/piece/piece.go
@@ -52,7 +52,6 @@
 	RowBytes int // most bytes of a value
 	// CacheBytes bounds the pieces in memory.
 	CacheBytes int
-	Now        func() time.Time
 }
 
 // Pieces loads and keeps pieces. It is safe for concurrent use.
--- a/internal/turn/beginnings.go
+++ b/internal/turn/beginnings.go
@@ -29,6 +29,9 @@
 )
 
 // beginnings notices, by content alone, that first inputs begin with the same bytes.
+// Where they do, all that they have in common is kept once instead of with each program
+// (BenchmarkBytesKept: 2,300 bytes in place of 14,500 for a first turn of which 12,600
+// bytes are common). Where callers share nothing, it costs a hash of the first bytes.
 // It is safe for concurrent use.
 type beginnings struct {
 	mutex sync.Mutex
--- a/internal/turn/save.go
+++ b/internal/turn/save.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	writing := written{identifier: identifier, value: value, expires: until.expires, lasts: 2*keep + expiryMargin}
+	writing := written{identifier: identifier, value: value, expires: until.expires, lasts: rowsLast(keep)}
 	if err := r.options.Store.Repeat(ctx, func() error { return r.place(ctx, writing) }); err != nil {
 		return err
 	}
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -72,7 +72,7 @@
 	return &Records{
 		options: options,
 		pieces: piece.New(piece.Options{
-			Store: options.Store, RowBytes: options.RowBytes, CacheBytes: options.PieceBytes, Now: options.Now,
+			Store: options.Store, RowBytes: options.RowBytes, CacheBytes: options.PieceBytes,
 		}),
 		cache:      newCache(options),
 		beginnings: newBeginnings(),
@@ -83,10 +83,12 @@
 // Cached tells whether Load needs no store.
 func (r *Records) Cached(identifier string) bool { return r.cache.peek(identifier) != nil }
 
-// expiryMargin is how much longer than asked for a turn is kept: clocks differ by some
-// seconds, and a caller may ask at the last moment and be refused a few times, with
-// some hundred milliseconds between, before the store answers again.
-const expiryMargin = 2 * time.Minute
+// expiryMargin is how much longer than asked for a turn is kept. It covers, several
+// times, that clocks of machines step by some seconds, that a record is tried for some
+// seconds after its time was set, and that a caller who asks at the last moment is
+// refused a few times first. Each second of it takes as much room in the store as all
+// daemons write in a second.
+const expiryMargin = 30 * time.Second
 
 // times are until when what a turn writes is kept, in unix seconds.
 type times struct {
@@ -95,12 +97,15 @@
 	shared   int64 // pieces that others may refer to may be removed from then on
 }
 
+// rowsLast is how long a turn's rows are kept.
+func rowsLast(keep time.Duration) time.Duration { return 2*keep + expiryMargin }
+
 // timesOf gives rows twice the time that is promised: a turn that goes on from this
 // one at its last moment can still refer to it, and a conversation is written anew
 // once in that time at most. Shared pieces last twice as long as rows, so that each is
 // written anew only after half of its time.
 func timesOf(now time.Time, keep time.Duration) times {
-	lasts := 2*keep + expiryMargin
+	lasts := rowsLast(keep)
 	return times{
 		promised: now.Add(keep + expiryMargin).Unix(),
 		expires:  now.Add(lasts).Unix(),
