Turns: a daemon that does not answer is not asked for a turn by each request

Cause: behind a cut each request whose previous turn lies there would wait 100 ms before it reads the store. Ruled out: a shorter wait, which would send sound requests to the store. Change: who did not answer is passed over for a second. Specs of this, of the bytes told as kept, and of the classes of calls.

--- a/internal/retention/retention_test.go
+++ b/internal/retention/retention_test.go
@@ -60,6 +60,25 @@
 		Expect(store.Calls("commit") - before).To(Equal(3))
 	})
 
+	It("are told as removed once they are gone, and as a sweep's work", func(ctx SpecContext) {
+		queue := retention.NewQueue(client, func() time.Time { return now }, zap.NewNop())
+		removed := 0
+		for number := range 250 {
+			queue.AddBatch(time.Minute, retention.Batch{Keys: []state.Key{key(number)}, Removed: func() { removed++ }})
+		}
+		var classes []state.Class
+		store.Misbehave(func(call memorystore.Call) memorystore.Fault {
+			classes = append(classes, call.Commit.Class)
+			return memorystore.None
+		})
+		Expect(queue.RemoveDue(ctx)).To(Succeed())
+		Expect(removed).To(BeZero())
+		now = now.Add(time.Minute)
+		Expect(queue.RemoveDue(ctx)).To(Succeed())
+		Expect(removed).To(Equal(250))
+		Expect(classes).To(HaveEach(state.ClassSweep))
+	})
+
 	It("are swept in the version that was read, and others stay", func(ctx SpecContext) {
 		sweep := &retention.Sweep{
 			Store: client, Table: "t", Log: zap.NewNop(),
--- a/internal/turn/broken_test.go
+++ b/internal/turn/broken_test.go
@@ -8,8 +8,11 @@
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/piece"
 	"github.com/thymeloft/thymeloft/internal/rowset"
@@ -159,6 +162,18 @@
 	})
 })
 
+// silentCaller counts calls that are not answered.
+type silentCaller struct {
+	peer.Caller
+	calls int
+}
+
+func (s *silentCaller) Call(ctx context.Context, _ string, _ peer.Class, _ string, _, _ any) error {
+	s.calls++
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // teller tells the same of every turn.
 type teller struct{ reply turn.ChainReply }
 
@@ -195,6 +210,19 @@
 		Expect(historyOf(afterwards)).To(Equal("ABC"))
 	})
 
+	It("is not asked for by each request at a daemon that does not answer", func(ctx SpecContext) {
+		caller := &silentCaller{}
+		options := optionsOf(store)
+		list := members.NewList(members.Member{Process: identity.Process{Machine: "self", Zone: "z"}}, time.Now, zap.NewNop())
+		options.Others = &turn.Others{List: list, Caller: caller, Log: zap.NewNop()}
+		records := turn.NewRecords(options)
+		for _, name := range []string{"a", "b"} {
+			_, err := records.Load(ctx, name, "silent:1")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(caller.calls).To(Equal(1))
+	})
+
 	It("is read from the store where what is told is not that turn", func(ctx SpecContext) {
 		var told turn.ChainReply
 		Expect(turn.NewService(first).Chain(turn.ChainRequest{Identifier: "b"}, &told)).To(Succeed())
--- /dev/null
+++ b/internal/turn/metrics_test.go
@@ -0,0 +1,50 @@
+package turn_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/retention"
+	"github.com/thymeloft/thymeloft/internal/turn"
+)
+
+var _ = Describe("The metrics of turns", func() {
+	It("tell the bytes that are kept, until they are removed", func(ctx SpecContext) {
+		store, now := memorystore.New(), time.Unix(1000000, 0)
+		clock := func() time.Time { return now }
+		options := optionsOf(store)
+		options.Now = clock
+		options.Removal = retention.NewQueue(options.Store, clock, zap.NewNop())
+		records := turn.NewRecords(options)
+		registry := prometheus.NewRegistry()
+		Expect(records.Measure(registry)).To(Succeed())
+		kept := func() float64 {
+			GinkgoHelper()
+			families, err := registry.Gather()
+			Expect(err).NotTo(HaveOccurred())
+			for _, family := range families {
+				if family.GetName() == "thymeloft_turn_kept_bytes" {
+					return family.GetMetric()[0].GetGauge().GetValue()
+				}
+			}
+			Fail("no such metric")
+			return 0
+		}
+		for _, name := range []string{"a", "b"} {
+			Expect(records.Save(ctx, name, text("content"), time.Minute)).To(Succeed())
+		}
+		Expect(kept()).To(BeNumerically(">", 0))
+		Expect(kept()).To(BeNumerically("<=", store.Bytes()))
+		Expect(options.Removal.RemoveDue(ctx)).To(Succeed())
+		Expect(kept()).To(BeNumerically(">", 0))
+		now = now.Add(3 * time.Minute)
+		Expect(options.Removal.RemoveDue(ctx)).To(Succeed())
+		Expect(kept()).To(BeZero())
+		Expect(store.Bytes()).To(BeZero())
+	})
+})
--- a/internal/turn/others.go
+++ b/internal/turn/others.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -92,11 +93,15 @@
 	return made, nil
 }
 
-// Others asks other daemons for turns that they keep in memory.
+// Others asks other daemons for turns that they keep in memory. It is safe for
+// concurrent use.
 type Others struct {
 	List   *members.List
 	Caller peer.Caller
 	Log    *zap.Logger
+
+	mutex  sync.Mutex
+	silent map[string]time.Time // until when a daemon that did not answer is not asked by name
 }
 
 const (
@@ -106,25 +111,47 @@
 	// askOneWait is several times what a daemon in reach takes to tell a turn; the
 	// store is read after it.
 	askOneWait = 100 * time.Millisecond
+	// silentFor is how long a daemon that did not answer is passed over: behind a cut, one
+	// request a second waits for it, not each.
+	silentFor = time.Second
+	// mostSilent bounds the daemons that are passed over, at far more than there are.
+	mostSilent = 4096
 )
 
 // restorer makes a turn of an answer.
 type restorer func(identifier string, reply ChainReply) (*Turn, error)
 
-// ask asks one daemon. It returns nil if the daemon has not the turn.
+// ask asks one daemon. It returns nil if the daemon has not the turn, or did not answer
+// a moment ago.
 func (o *Others) ask(ctx context.Context, address, identifier string, restored restorer) (*Turn, error) {
-	if address == o.List.Self().Address {
+	if address == o.List.Self().Address || o.isSilent(address) {
 		return nil, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, askOneWait)
 	defer cancel()
 	var reply ChainReply
 	if err := o.Caller.Call(ctx, address, peer.Data, methodChain, ChainRequest{Identifier: identifier}, &reply); err != nil {
+		o.noteSilent(address)
 		return nil, eris.Wrap(err, "ask for a turn")
 	}
 	return restored(identifier, reply)
 }
 
+func (o *Others) isSilent(address string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return time.Now().Before(o.silent[address])
+}
+
+func (o *Others) noteSilent(address string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.silent == nil || len(o.silent) >= mostSilent {
+		o.silent = map[string]time.Time{}
+	}
+	o.silent[address] = time.Now().Add(silentFor)
+}
+
 // answer is what came of asking one daemon.
 type answer struct {
 	reply ChainReply
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -112,6 +112,18 @@
 		Expect(store.Calls("read")).To(BeZero())
 	})
 
+	It("is written as a call that an answer waits for", func(ctx SpecContext) {
+		var classes []state.Class
+		store.Misbehave(func(call memorystore.Call) memorystore.Fault {
+			classes = append(classes, call.Commit.Class)
+			return memorystore.None
+		})
+		added := text(string(make([]byte, 3000))) // the turn's rows, and pieces
+		Expect(newRecords(store).Save(ctx, "t1", added, time.Minute)).To(Succeed())
+		Expect(len(classes)).To(BeNumerically(">", 1))
+		Expect(classes).To(HaveEach(state.ClassTurn))
+	})
+
 	It("says that there is no such turn when a condition proves it", func(ctx SpecContext) {
 		_, err := newRecords(store).Load(ctx, "t1", "")
 		Expect(err).To(MatchError(turn.ErrNotFound))
