Members: a marker ends the founding; no founder comes after it

A second hole was found by reading: a member that joined lends ten minutes after it registered, and nothing kept a founder from coming then.

Ruled out: the steady clock of the store (processes would have to agree on how late a founder may be); a marker in a table of its own (a list that was asked for before and heard after it would count).

Change: a row beside the members' marks the end of the founding; members write it with the first renewal 4.5 s after their start. A founder's registration is on condition that it is absent, and nobody lends, or settles as a keeper, by a list that does not show it. A reading of several pages shows it only if it is as old as the oldest page. The extra look at the list 4.5 s after a start is gone, since the marker is told by the feed.

Three specs take a renewal before they expect a lender, since that writes the marker; the one of the extra look became one of the feed.

--- a/internal/members/keeper.go
+++ b/internal/members/keeper.go
@@ -70,8 +70,11 @@
 // Keeps tells whether this process is the one that keeps a key, and since when nobody
 // else did.
 func (l *List) Keeps(key string) (since time.Time, keeps bool) {
-	current, digest := l.current.Load(), digestOf(key)
-	if !l.mayKeep() || current.keepers.first(digest) != current.own {
+	if !l.mayKeep() {
+		return time.Time{}, false
+	}
+	current, digest := l.current.Load(), digestOf(key) // no older than the list by which it may
+	if current.keepers.first(digest) != current.own {
 		return time.Time{}, false
 	}
 	l.seasoning.kept.Store(true)
@@ -109,10 +112,7 @@
 	case StandingKeeps:
 		return true
 	case StandingSettling:
-		if l.seasoning.founder.Load() {
-			return heard > int64(founding+foundersApart)
-		}
-		return elapsed > l.settledAt()
+		return l.seasoning.founded.Load() && elapsed > l.settledAt()
 	default:
 		return false
 	}
@@ -193,11 +193,10 @@
 	if !l.seasoning.founder.Load() || l.standing() != StandingSettling {
 		return 0, false
 	}
-	elapsed := time.Duration(l.seasoning.elapsed(l.now()))
-	return max(founding+foundersApart+founderRecheck-elapsed, founderRecheck), true
+	return max(l.untilFounded(), founderRecheck), true
 }
 
-// founderRecheck is what it takes to hear the list again once the founding is over.
+// founderRecheck is what it takes to hear that the founding is over.
 const founderRecheck = 200 * time.Millisecond
 
 func (l *List) joinedLongAgo() bool {
--- a/internal/members/keeper_test.go
+++ b/internal/members/keeper_test.go
@@ -249,7 +249,7 @@
 			address = fmt.Sprint(name, "/", p.started)
 			p.former = append(p.former, chosen) // it may run on there
 		}
-		again := p.startAt(name, address, false) // a system is started for the first time once
+		again := p.startAt(name, address, rapid.Bool().Draw(t, "told that it is the first start"))
 		if rapid.Bool().Draw(t, "registers at once") {
 			register(again)
 		} else {
--- a/internal/members/lease.go
+++ b/internal/members/lease.go
@@ -180,6 +180,9 @@
 		Conditions: []state.Condition{{Key: key, Version: l.version}},
 		Puts:       []state.Put{{Key: key, Value: value}},
 	}
+	if l.List.endsFounding() {
+		commit.Puts = append(commit.Puts, state.Put{Key: foundedKey, Value: []byte{}})
+	}
 	standing := l.List.nextStanding()
 	advances := standing != l.List.standing()
 	if advances {
--- a/internal/members/lender.go
+++ b/internal/members/lender.go
@@ -19,14 +19,14 @@
 //     last heard a list in which it lived; one that hears that it was marked dead
 //     lends no more, and as a newcomer only if it registers again;
 //   - the founders of a system lend soon, since there were no programs before, and
-//     no row was ever removed (removedKey). Each has written its row within founding
-//     of its start, or is none, and none lends on a list that it read before all
-//     founders had written theirs.
+//     no row was ever removed (removedKey). Each has written its row on condition that
+//     the founding was not over (foundedKey), and nobody lends on a list that does not
+//     show that it is: such a list has the rows of all founders.
 const (
-	// founding is the time from the first start of the system within which a
-	// founder must have registered.
+	// founding is the time from its own start within which a founder must have registered.
 	founding = 3500 * time.Millisecond
-	// foundersApart is how far apart the machines of a system start at most.
+	// foundersApart is how far apart the machines of a system usually start. Who starts later
+	// than foundersApart and founding after the first joins: it lends and keeps later, never wrongly.
 	foundersApart = time.Second
 	// lenderContact is how long a list is believed.
 	lenderContact = time.Minute
@@ -42,6 +42,7 @@
 	registered atomic.Int64 // when its row was acknowledged; 0: it was not
 	heard      atomic.Int64 // when the list was last heard; 0: it was not
 	founder    atomic.Bool
+	founded    atomic.Bool   // the list in force shows that the founding is over
 	standing   atomic.Uint32 // that this process's row has, for what one member keeps
 	stood      atomic.Int64  // when it was acknowledged
 	// settled is since when nobody else may have kept what this process may keep; it
@@ -83,29 +84,10 @@
 func (s *seasoning) lends(now time.Time) bool {
 	elapsed := s.elapsed(now)
 	heard, registered := s.heard.Load(), s.registered.Load()
-	if heard == 0 || registered == 0 || elapsed-heard > int64(lenderContact) {
+	if heard == 0 || registered == 0 || elapsed-heard > int64(lenderContact) || !s.founded.Load() {
 		return false
 	}
-	if s.founder.Load() {
-		return heard > int64(founding+foundersApart)
-	}
-	return elapsed-registered > int64(memoryOfPrograms)
-}
-
-// afterFounding is how much later than the founding the list is asked for, so that
-// the answer is past it.
-const afterFounding = 10 * time.Millisecond
-
-// untilFounded is how long until the list is to be heard so that founders may lend on
-// it; zero once it was. Without this look a founder of a quiet fleet would hear the
-// list again only when a feed's wait is over, and lend nothing in an outage before that.
-func (l *List) untilFounded() time.Duration {
-	const founded = founding + foundersApart
-	if l.seasoning.heard.Load() > int64(founded) {
-		return 0
-	}
-	elapsed := time.Duration(l.seasoning.elapsed(l.now()))
-	return max(founded-elapsed, 0) + afterFounding
+	return s.founder.Load() || elapsed-registered > int64(memoryOfPrograms)
 }
 
 // noteRegistered takes in that this process's row stands in the store. founder
--- a/internal/members/lender_test.go
+++ b/internal/members/lender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/state"
 )
 
 var _ = Describe("Lenders", func() {
@@ -22,7 +24,7 @@
 		first := world.start("1", true)
 		register(first)
 		world.now = world.now.Add(founding + foundersApart + time.Millisecond)
-		first.read()
+		first.step()
 		return first
 	}
 
@@ -32,24 +34,34 @@
 		first.read()
 		world.now = world.now.Add(time.Minute / 2)
 		Expect(first.list.MayLend("p")).To(BeFalse(), "the list is older than the founding")
+		register(first)
+		Expect(first.list.MayLend("p")).To(BeFalse(), "the list does not show that the founding is over")
 		first.read()
 		Expect(first.list.MayLend("p")).To(BeTrue())
 	})
 
-	It("hear the list as soon as it lets them lend, however long its feed may be silent", func() {
-		first := world.start("1", true)
+	It("hear at once that the founding is over, however long the feed may be silent, and not before they know all founders", func(ctx SpecContext) {
+		first, second := world.start("m0", true), world.start("m1", true)
 		register(first)
 		first.read()
-		options := first.list.Watch(world.store, time.Hour)
-		asked := options.Due()
-		Expect(asked).To(BeNumerically(">", 0))
-		Expect(asked).To(BeNumerically("<=", founding+foundersApart+time.Second))
-		world.now = world.now.Add(asked)
-		Expect(first.list.MayLend("p")).To(BeFalse(), "the list was not heard again yet")
-		Expect(options.Due()).To(Equal(afterFounding), "a late answer is asked for at once")
-		options.OnHeard()
-		Expect(first.list.MayLend("p")).To(BeTrue())
-		Expect(options.Due()).To(BeZero(), "one look is enough")
+		read, err := world.store.Read(ctx, state.Range{Table: Table, Partition: partition})
+		Expect(err).NotTo(HaveOccurred())
+		register(second)
+		world.now = world.now.Add(founding + foundersApart)
+		register(second)
+		change, err := world.store.Feed(ctx, Table, read.Version, time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(change.Rows).NotTo(BeEmpty())
+		late, err := world.store.Read(ctx, state.Range{Table: Table, Partition: partition})
+		Expect(err).NotTo(HaveOccurred())
+		marker := slices.IndexFunc(late.Rows, func(row state.Row) bool { return row.Key == foundedKey })
+		first.list.Replace(append(read.Rows, late.Rows[marker]), read.Version) // two pages, of two moments
+		first.list.Heard()
+		Expect(first.list.MayLend("p")).To(BeFalse(), "a page of this reading is older than the end of the founding")
+		first.list.Change(change.Rows)
+		first.list.Heard()
+		second.read()
+		Expect(first.list.MayLend("p") != second.list.MayLend("p")).To(BeTrue())
 	})
 
 	It("are not those that registered late, or were started before", func() {
@@ -71,7 +83,7 @@
 		joined := world.start("1", false)
 		register(joined)
 		world.now = world.now.Add(memoryOfPrograms - time.Second)
-		joined.read()
+		joined.step()
 		Expect(joined.list.MayLend("p")).To(BeFalse())
 		world.now = world.now.Add(2 * time.Second)
 		Expect(joined.list.MayLend("p")).To(BeTrue())
@@ -96,6 +108,21 @@
 		}
 	})
 
+	It("are one where the founding was over before a machine is told of the first start once more", func() {
+		first, second := world.start("m0", true), world.start("m1", true)
+		first.cut = true
+		register(second)
+		world.run(founding+foundersApart+2*testRenewal, second)
+		Expect(second.list.MayLend("p")).To(BeTrue())
+		again := world.start("m0", true)
+		register(again)
+		world.run(founding+foundersApart+2*testRenewal, again)
+		for number := range 100 {
+			program := fmt.Sprint("p", number)
+			Expect(again.list.MayLend(program)).To(BeFalse())
+		}
+	})
+
 	It("do not believe an old list", func() {
 		first := founded()
 		Expect(first.list.MayLend("p")).To(BeTrue())
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -78,7 +79,7 @@
 // Watch are the options to follow the list with.
 func (l *List) Watch(store state.Store, wait time.Duration) watch.Options {
 	return watch.Options{
-		Store: store, Table: Table, Partition: partition, Wait: wait, Due: l.untilFounded, Pause: changesTogether, Log: l.log, OnHeard: l.Heard,
+		Store: store, Table: Table, Partition: partition, Wait: wait, Pause: changesTogether, Log: l.log, OnHeard: l.Heard,
 	}
 }
 
@@ -87,7 +88,7 @@
 const changesTogether = 200 * time.Millisecond
 
 // Replace implements watch.Follower.
-func (l *List) Replace(rows []state.Row, _ state.Version) {
+func (l *List) Replace(rows []state.Row, version state.Version) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	listed := make(map[identity.Machine]bool, len(rows))
@@ -101,6 +102,7 @@
 	}
 	l.read = true
 	l.take(rows)
+	l.noteFounded(rows, version)
 }
 
 // Change implements watch.Follower.
@@ -108,6 +110,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.take(rows)
+	l.noteFounded(rows, math.MaxUint64) // a feed tells each change after all that came before it
 }
 
 // take takes rows in; the lock is held.
@@ -121,6 +124,9 @@
 }
 
 func (l *List) takeRow(row state.Row) {
+	if row.Key.Name == foundedKey.Name {
+		return
+	}
 	machine := identity.Machine(row.Key.Name)
 	if machine == l.self.Process.Machine {
 		l.takeOwnRow(row)
--- a/internal/members/registration.go
+++ b/internal/members/registration.go
@@ -64,6 +64,9 @@
 	if r.newcomer {
 		commit.Conditions = append(commit.Conditions, state.Condition{Key: removedKey})
 	}
+	if r.newcomer && r.lease.FirstStart {
+		commit.Conditions = append(commit.Conditions, state.Condition{Key: foundedKey})
+	}
 	return commit, nil
 }
 
@@ -71,7 +74,7 @@
 func (r *registration) learn(conflict *state.ConflictError) (done bool, err error) {
 	row, exists := conflict.Find(r.row)
 	if !exists {
-		r.newcomer, r.seen, r.found = false, 0, nil // a row of some machine was removed before
+		r.newcomer, r.seen, r.found = false, 0, nil // a row of some machine was removed before, or the founding is over
 		return false, nil
 	}
 	found, err := decode(row.Key.Name, row.Value)
