Members, quota: each zone keeps a part of each tenant's places

Change: a layout in the store (one row, beside the members' rows, with the end of the founding) names the zones that hold parts. Each part of an owner in turn takes the zone with the first claim on it that no part before took, and there the member with the first claim keeps it. A limiter asks the parts of its own zone first. A machine that is started again in another zone goes on in the zone of its claims.

Ruled out: zones from the list alone, with a wait of settlingTime after the new keeper saw a part move. A process that is started again does not know when its list changed, and who missed a list that was there for a moment (a part that went away and came back) takes it for its own: both would let two keep one part.

Found by the longer plays: a process took the list that it knew before its first reading, with itself alone, for one in which nobody else kept (since this package has "since when"); seen where all others' claims were released before it read.

--- a/internal/members/claims.go
+++ b/internal/members/claims.go
@@ -21,8 +21,8 @@
 	self    identity.Process // this daemon
 }
 
-func newPicture(view *View, records []*record, self identity.Process, own Standing) *picture {
-	made := &picture{view: view, self: self, regions: make([][]*record, 1), keepers: keeperSet{found: &sync.Map{}}}
+func newPicture(view *View, records []*record, self identity.Process, own Standing, laid seenLayout) *picture {
+	made := &picture{view: view, self: self, regions: make([][]*record, 1), keepers: keeperSet{layout: laid, found: &sync.Map{}}}
 	places := map[identity.Region]int{self.Region: 0}
 	for _, known := range records {
 		process := known.member.Process
--- a/internal/members/keeper.go
+++ b/internal/members/keeper.go
@@ -1,12 +1,18 @@
 package members
 
-import "time"
+import (
+	"time"
 
-// Some things are kept by one member alone, in its memory: the one with the first
-// claim on a key among all members whose standing lets them have claims.
+	"github.com/thymeloft/thymeloft/internal/identity"
+)
+
+// Some things are kept in parts, each by one member alone, in its memory. The layout says
+// in which zone a part is kept: there it is the member with the first claim on it among those
+// whose standing lets them have claims.
 //
-// Guarantee: no two processes keep one key at a moment, however old their lists are;
-// and who keeps a key was told since when nobody else did. A claim moves in two ways:
+// Guarantee: no two processes keep one part at a moment, however old their lists are;
+// and who keeps a part was told since when nobody else did. A part moves to another zone by an
+// announced change of the layout (layout.go). Within a zone a claim moves in two ways:
 //   - to a member that joined: its claims do not count before it is settling, and it
 //     keeps nothing before settlingTime is over. Others stop when they hear of it, or
 //     keeperContact after they last heard the list, which is shorter;
@@ -57,28 +63,28 @@
 // claims tells whether a member of this standing has claims.
 func (s Standing) claims() bool { return s != StandingJoined && s != StandingReleased }
 
-// Keeper returns the member that keeps a key, as far as this list tells; false if
-// nobody does who lives.
-func (l *List) Keeper(key string) (Member, bool) {
-	first := l.current.Load().keepers.first(digestOf(key))
+// Keeper returns the member that keeps a part of what an owner has, as far as this list tells;
+// false if nobody does who lives.
+func (l *List) Keeper(owner string, part int) (Member, bool) {
+	first := l.current.Load().keepers.first(share{digestOf(owner), part})
 	if first == nil || first.member.State == StateDead {
 		return Member{}, false
 	}
 	return first.member, true
 }
 
-// Keeps tells whether this process is the one that keeps a key, and since when nobody
-// else did.
-func (l *List) Keeps(key string) (since time.Time, keeps bool) {
+// Keeps tells whether this process is the one that keeps a part of what an owner has, and since
+// when nobody else did.
+func (l *List) Keeps(owner string, part int) (since time.Time, keeps bool) {
 	if !l.mayKeep() {
 		return time.Time{}, false
 	}
-	current, digest := l.current.Load(), digestOf(key) // no older than the list by which it may
-	if current.keepers.first(digest) != current.own {
+	current, kept := l.current.Load(), share{digestOf(owner), part} // no older than the list by which it may
+	if current.keepers.first(kept) != current.own {
 		return time.Time{}, false
 	}
 	l.seasoning.kept.Store(true)
-	since = current.keepers.keptSince(digest, l.self.Process.Machine)
+	since = current.keepers.keptSince(kept, l.self.Process.Machine)
 	// What others kept while this list was not believed does not show in it.
 	latest := max(l.seasoning.heardAgain.Load(), l.settledAt())
 	if permitted := l.seasoning.started.Add(time.Duration(latest)); permitted.After(since) {
@@ -127,21 +133,21 @@
 	if !goesOn || former.Process.Incarnation >= l.self.Process.Incarnation || l.seasoning.registered.Load() != 0 || l.seasoning.inherited.Load() != 0 {
 		return
 	}
-	l.stand(StandingKeeps)
+	l.stand(StandingKeeps, former.claimZone())
 	l.seasoning.inherited.Store(l.seasoning.elapsed(l.now()))
 }
 
 // noteStanding takes in the standing that this process's row has in the store.
-func (l *List) noteStanding(standing Standing) {
+func (l *List) noteStanding(standing Standing, claimZone identity.Zone) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.stand(standing)
+	l.stand(standing, claimZone)
 	l.seasoning.inherited.Store(0) // the own row counts from now on
 	l.publish()
 }
 
-// stand changes the standing; the lock is held, and publish follows.
-func (l *List) stand(standing Standing) {
+// stand changes the standing and the zone in which its claims are; the lock is held, and publish follows.
+func (l *List) stand(standing Standing, claimZone identity.Zone) {
 	now := l.seasoning.elapsed(l.now())
 	settled := now
 	switch {
@@ -154,13 +160,14 @@
 	l.seasoning.stood.Store(now)
 	l.seasoning.standing.Store(uint32(standing))
 	own := *l.records[l.self.Process.Machine]
-	own.member.Standing = standing
+	own.member.Standing, own.member.ClaimZone = standing, claimZone
 	l.records[l.self.Process.Machine] = &own
 }
 
 // setSince is since when nobody else kept what the members with claims, as they are now, let this
 // process keep. Before it kept anything, that is its start: the former process of its machine ended
-// before, and the claims of other members that ended were released releaseEndedAfter later at the earliest.
+// before, and the claims of other members that ended were released releaseEndedAfter later at the earliest,
+// as a change of the layout is in force so much after everybody else stopped.
 func (l *List) setSince() time.Time {
 	now := l.now()
 	if earliest := now.Add(-releaseEndedAfter); !l.seasoning.kept.Load() && l.seasoning.started.After(earliest) {
--- a/internal/members/lease.go
+++ b/internal/members/lease.go
@@ -68,6 +68,7 @@
 	mutex      sync.Mutex // of what follows
 	registered bool
 	version    state.Version // of the own row in LeaseTable
+	claimZone  identity.Zone // that the own row names
 	leaving    bool          // Leave was called
 	superseded bool          // a later process of this machine has registered
 	finished   bool          // this process ends
@@ -131,6 +132,7 @@
 		}
 		return l.registered
 	}
+	l.endFounding(ctx)
 	l.lookAfterOthers(ctx)
 	return true
 }
@@ -161,7 +163,8 @@
 	}
 	l.registered = true
 	l.List.noteRegistered(registration.newcomer && l.FirstStart)
-	l.List.noteStanding(registration.standing)
+	l.claimZone = registration.claimZone
+	l.List.noteStanding(registration.standing, l.claimZone)
 	l.Log.Info("members: registered.", zap.Uint64("version", uint64(l.version)), zap.Bool("newcomer", registration.newcomer),
 		zap.Uint8("standing", uint8(registration.standing)))
 	return nil
@@ -180,9 +183,6 @@
 		Conditions: []state.Condition{{Key: key, Version: l.version}},
 		Puts:       []state.Put{{Key: key, Value: value}},
 	}
-	if l.List.endsFounding() {
-		commit.Puts = append(commit.Puts, state.Put{Key: foundedKey, Value: []byte{}})
-	}
 	standing := l.List.nextStanding()
 	advances := standing != l.List.standing()
 	if advances {
@@ -196,7 +196,7 @@
 	if err == nil {
 		l.version = version
 		if advances {
-			l.List.noteStanding(standing)
+			l.List.noteStanding(standing, l.claimZone)
 			l.Log.Info("members: standing changed.", zap.Uint8("standing", uint8(standing)), zap.Uint64("version", uint64(version)))
 		}
 		return nil
@@ -229,7 +229,7 @@
 // member is this daemon as its row says.
 func (l *Lease) member(standing Standing) Member {
 	member := l.List.self
-	member.Standing = standing
+	member.Standing, member.ClaimZone = standing, l.claimZone
 	if l.leaving {
 		member.State = StateLeaving
 	}
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -27,6 +27,7 @@
 	records     map[identity.Machine]*record
 	version     uint64
 	read        bool
+	layout      seenLayout
 	subscribers []chan struct{}
 
 	seasoning seasoning
@@ -125,6 +126,7 @@
 
 func (l *List) takeRow(row state.Row) {
 	if row.Key.Name == foundedKey.Name {
+		l.takeLayout(row)
 		return
 	}
 	machine := identity.Machine(row.Key.Name)
@@ -151,6 +153,16 @@
 	l.records[machine] = next
 }
 
+func (l *List) takeLayout(row state.Row) {
+	laid, err := decodeLayout(row.Value)
+	if err != nil {
+		l.log.Error("members: layout cannot be read; nothing is kept.", zap.Uint64("version", uint64(row.Version)), zap.String("error", err.Error()))
+	}
+	if row.Version != l.layout.version {
+		l.layout = seenLayout{layout: laid, version: row.Version, since: l.now(), unreadable: err != nil}
+	}
+}
+
 // takeOwnRow takes in what the store says of this daemon: that it was marked
 // dead ends its standing as a lender, and its lease registers it again.
 func (l *List) takeOwnRow(row state.Row) {
@@ -198,9 +210,9 @@
 	for _, known := range records {
 		view.Members = append(view.Members, known.member)
 	}
-	next := newPicture(view, records, l.self.Process, l.standing())
+	next := newPicture(view, records, l.self.Process, l.standing(), l.layout)
 	next.keepers.since = l.setSince()
-	if former := l.current.Load(); former != nil {
+	if former := l.current.Load(); former != nil && former.view.Read { // before, it knew of itself alone
 		next.keepers = next.keepers.follows(former.keepers, next.keepers.since)
 	}
 	l.current.Store(next)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -42,6 +42,17 @@
 	Capacity float64
 	State    State
 	Standing Standing
+	// ClaimZone is the zone in which the member has claims; empty: its own. A machine that moved
+	// to another zone keeps for its former one until its claims were released.
+	ClaimZone identity.Zone
+}
+
+// claimZone is the zone in which the member has claims.
+func (m *Member) claimZone() identity.Zone {
+	if m.ClaimZone != "" {
+		return m.ClaimZone
+	}
+	return m.Process.Zone
 }
 
 // View is an immutable picture of all members, ordered by machine name.
@@ -72,6 +83,7 @@
 	Capacity      float64              `cbor:"p,omitempty"`
 	State         State                `cbor:"s"`
 	Standing      Standing             `cbor:"k,omitempty"`
+	ClaimZone     identity.Zone        `cbor:"w,omitempty"`
 }
 
 // Encode gives the value of the member's row.
@@ -79,7 +91,7 @@
 	row := memberRow{
 		Address: member.Process.Address, Zone: member.Process.Zone, Region: member.Process.Region,
 		Incarnation: member.Process.Incarnation, CallerAddress: member.CallerAddress, Capacity: member.Capacity, State: member.State,
-		Standing: member.Standing,
+		Standing: member.Standing, ClaimZone: member.ClaimZone,
 	}
 	value, err := cbor.Marshal(row)
 	return value, eris.Wrap(err, "encode member")
@@ -99,6 +111,7 @@
 		Capacity:      row.Capacity,
 		State:         row.State,
 		Standing:      row.Standing,
+		ClaimZone:     row.ClaimZone,
 	}
 	return member, nil
 }
--- a/internal/members/registration.go
+++ b/internal/members/registration.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
@@ -18,6 +19,8 @@
 	found    *Member       // what the row said
 	newcomer bool          // no row of this machine was there, and none was ever removed
 	standing Standing
+	// claimZone is that of the machine's claims, if it has any already.
+	claimZone identity.Zone
 }
 
 // try commits the rows; on a conflict it tries once more by the row that was found.
@@ -48,7 +51,13 @@
 
 func (r *registration) rows() (state.Commit, error) {
 	r.standing = registeredStanding(r.found, r.lease.List.self, r.newcomer && r.lease.FirstStart)
-	value, err := Encode(r.lease.member(r.standing))
+	r.claimZone = ""
+	if r.found != nil && r.standing.claims() && r.found.claimZone() != r.lease.List.self.Process.Zone {
+		r.claimZone = r.found.claimZone()
+	}
+	member := r.lease.member(r.standing)
+	member.ClaimZone = r.claimZone
+	value, err := Encode(member)
 	if err != nil {
 		return state.Commit{}, err
 	}
@@ -82,7 +91,7 @@
 		return false, err
 	}
 	if found.Process == r.lease.List.self.Process && found.State != StateDead {
-		r.lease.version, r.standing = row.Version, found.Standing
+		r.lease.version, r.standing, r.claimZone = row.Version, found.Standing, found.ClaimZone
 		return true, nil
 	}
 	r.newcomer, r.seen, r.found = false, row.Version, &found
--- a/internal/members/watching.go
+++ b/internal/members/watching.go
@@ -68,6 +68,7 @@
 		l.Log.Warn("members: leases of others not read.", zap.String("error", err.Error()))
 	}
 	l.release(ctx, now)
+	l.lay(ctx, now)
 	l.removeDead(ctx, now)
 }
 
--- a/internal/quota/alone.go
+++ b/internal/quota/alone.go
@@ -13,13 +13,13 @@
 type alone struct{ since time.Time }
 
 // Keeper implements Directory.
-func (alone) Keeper(string) (members.Member, bool) { return members.Member{}, true }
+func (alone) Keeper(string, int) (members.Member, bool) { return members.Member{}, true }
 
 // Self implements Directory.
 func (alone) Self() identity.Process { return identity.Process{} }
 
 // Keeps implements Standing.
-func (a alone) Keeps(string) (time.Time, bool) { return a.since, true }
+func (a alone) Keeps(string, int) (time.Time, bool) { return a.since, true }
 
 // longAgo fills up any quota that has a place a year or more.
 const longAgo = 10 * 365 * 24 * time.Hour
--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -33,27 +33,31 @@
 	err   error
 }
 
-// newAsking orders the parts: at random, so that all are used alike and none is empty while
-// another overflows, with keepers that did not answer lately at the end.
+// newAsking orders the parts: those kept in this zone first, since an answer from there is a hop less far
+// and comes also while other zones are cut off; else at random, so that all are used alike and none is empty
+// while another overflows; and keepers that did not answer lately at the end.
 func newAsking(limiter *Limiter, request Request) *asking {
 	made := &asking{limiter: limiter, request: request, answers: make(chan answer, limiter.settings.Parts), back: never}
-	var last []candidate
+	var far, last []candidate
+	own := limiter.directory.Self().Zone
 	for _, number := range rand.Perm(limiter.settings.Parts) {
 		part := partKey{tenant: request.Tenant, number: number}
 		if made.knownEmpty(part) {
 			continue
 		}
-		keeper, known := limiter.directory.Keeper(part.memberKey())
+		keeper, known := limiter.directory.Keeper(ownerOf(part.tenant), part.number)
 		switch {
 		case !known:
 			made.decision.Silent++
 		case limiter.isAvoided(keeper.Process.Machine):
 			last = append(last, candidate{part, keeper})
+		case keeper.Process.Zone != own:
+			far = append(far, candidate{part, keeper})
 		default:
 			made.left = append(made.left, candidate{part, keeper})
 		}
 	}
-	made.left = append(made.left, last...)
+	made.left = append(append(made.left, far...), last...)
 	return made
 }
 
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -65,9 +64,9 @@
 // GiveBackReply is empty: a place that can't be taken back stays taken.
 type GiveBackReply struct{}
 
-// Standing tells which keys this process keeps alone (package members).
+// Standing tells which parts this process keeps alone (package members).
 type Standing interface {
-	Keeps(key string) (since time.Time, keeps bool)
+	Keeps(owner string, part int) (since time.Time, keeps bool)
 }
 
 // Keeper gives out the places of the parts of quotas that this daemon keeps. It is safe
@@ -87,10 +86,8 @@
 	number int
 }
 
-// memberKey is the key by which members claim a part.
-func (k partKey) memberKey() string {
-	return "quota\x00" + string(k.tenant) + "\x00" + strconv.Itoa(k.number)
-}
+// ownerOf is the name by which members claim the parts of a tenant's quota.
+func ownerOf(tenant identity.Tenant) string { return "quota\x00" + string(tenant) }
 
 // part is a part of one tenant's quota.
 type part struct {
@@ -115,7 +112,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	now := k.now()
-	since, keeps := k.standing.Keeps(key.memberKey())
+	since, keeps := k.standing.Keeps(ownerOf(key.tenant), key.number)
 	if !keeps {
 		// What was given stays in memory: if nobody else keeps the part meanwhile, it goes on.
 		reply.Verdict = VerdictNotKept
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -35,7 +35,7 @@
 
 // Directory tells who keeps what; *members.List implements it.
 type Directory interface {
-	Keeper(key string) (members.Member, bool)
+	Keeper(owner string, part int) (members.Member, bool)
 	Self() identity.Process
 }
 
--- /dev/null
+++ b/internal/quota/zones_test.go
@@ -0,0 +1,60 @@
+package quota_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/quota"
+	"github.com/thymeloft/thymeloft/internal/tenant"
+)
+
+var _ = Describe("Keeper", func() {
+	It("makes a part anew when another one kept it meanwhile, with nothing in it", func() {
+		fleet := newKeptFleet(1, time.Unix(1000, 0))
+		only := fleet.daemons[0]
+		fleet.pass(2 * length)
+		asked := quota.TakeRequest{Tenant: "t", UnderWay: true, PerSecond: perSecond, Burst: burst}
+		var reply quota.TakeReply
+		Expect(only.keeper.Take(asked, &reply)).To(Succeed())
+		Expect(reply.Verdict).To(Equal(quota.VerdictTaken), "it was full")
+		former := reply.Place
+		only.since = fleet.now()
+		Expect(only.keeper.Take(asked, &reply)).To(Succeed())
+		Expect(reply.Verdict).To(Equal(quota.VerdictRefused), "who kept it meanwhile may have given out all")
+		Expect(only.keeper.GiveBack(quota.GiveBackRequest{Tenant: "t", Place: former}, &quota.GiveBackReply{})).To(Succeed())
+		Expect(only.keeper.Take(asked, &reply)).To(Succeed())
+		Expect(reply.Verdict).To(Equal(quota.VerdictRefused), "a place of before is none of this part")
+	})
+})
+
+var _ = Describe("Limiter in zones", func() {
+	It("asks the parts of its own zone first, the others when these have no place", func() {
+		fleet := newKeptFleet(3, time.Unix(1000, 0))
+		for number, each := range fleet.daemons {
+			each.process.Zone = []identity.Zone{"a", "b", "c"}[number]
+		}
+		fleet.pass(2 * length)
+		declared := tenant.Quota{PerSecond: 60, Burst: 60}
+		for _, each := range fleet.daemons {
+			ownParts := 0
+			for part := range quota.DefaultParts {
+				if keeper, _ := each.Keeper("quota\x00t", part); keeper.Process == each.process {
+					ownParts++
+				}
+			}
+			if ownParts == 0 {
+				continue
+			}
+			for range 5 {
+				taken, err := each.limiter.Take(context.Background(), quota.Request{Tenant: "t", Quota: declared, UnderWay: true})
+				Expect(err).NotTo(HaveOccurred())
+				Expect(taken.Keeper).To(Equal(string(each.process.Machine)))
+				Expect(taken.Asked).To(Equal(1))
+			}
+		}
+	})
+})
