Members: a zone that is cut off is noticed by a daemon once, not by each request

Cause: who gave no answer was known for each member, so that each request passed holders behind a cut one timeout at a time: up to three times 400 ms.

Change: when three members of another zone gave no answer in a row and none of that zone did in between, the zone is silent: Homes, Others, the limiter of quotas and the exchange of loads leave its members out until one answers. A prober asks for an answer where a zone was quiet for 0.3 s, three members once it is in doubt, and one at a time while it is silent. The first answer ends the silence and all suspicions from before; misses of calls from before it don't count for half a second. A request asks no second holder in a zone in which one gave no answer. Mechanism `silent-zones`; a gauge by zone; one log line when a zone falls silent, one when it is back.

Ruled out: a probe by a request that goes through (it waits for the others); probes only where requests found a miss (a daemon with few requests would not know for seconds).

--- a/internal/budget/shared.go
+++ b/internal/budget/shared.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"net/rpc"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/peer"
@@ -84,15 +86,23 @@
 // daemon's own ledger.
 func (s *Shared) reserveOnce(ctx context.Context, request ReserveRequest) (Settler, error) {
 	homes := s.list.Homes(request.Program)
+	var unanswered []identity.Zone // other zones in which a holder gave no answer
 	for order := range homes.Len() {
 		home := homes.At(order)
 		if s.Alone || home.Process == s.list.Self() {
 			break
 		}
+		zone := home.Process.Zone
+		if s.list.Silent(home) || slices.Contains(unanswered, zone) {
+			continue // the zone may be cut off: one wait is enough
+		}
 		settler, err := s.ask(ctx, home, request)
 		if settler != nil || errors.Is(err, ErrSpent) || errors.Is(err, errNoStore) || ctx.Err() != nil {
 			return settler, err
 		}
+		if zone != s.list.Self().Zone && !errors.Is(err, errStopping) {
+			unanswered = append(unanswered, zone)
+		}
 	}
 	reservation, err := s.ledger.Reserve(ctx, request.Program, request.Total, request.Most)
 	if err != nil {
@@ -148,6 +158,7 @@
 	granted := &remote{shared: s, home: home, place: place{request: request}}
 	if err != nil {
 		if ctx.Err() == nil {
+			s.list.Missed(home)
 			s.avoid(home, suspectWait, err.Error())
 		}
 		if !errors.Is(err, peer.ErrNotSent) {
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -80,8 +80,11 @@
 	return e.plan
 }
 
-// usable tells whether a candidate is not passed over.
+// usable tells whether a candidate is not passed over, by itself or with its zone.
 func (e *Exchange) usable(candidate members.Member) bool {
+	if e.List.Silent(candidate) {
+		return false
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	until, found := e.avoided[candidate.Process.Address]
@@ -93,6 +96,7 @@
 }
 
 func (e *Exchange) avoid(member members.Member, cause error) {
+	e.List.Missed(member)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.avoided == nil {
@@ -131,6 +135,7 @@
 	}
 	e.Fleet.Learn(all, own)
 	e.metrics.ended(resultLearned)
+	e.List.Answered(chosen)
 	e.noteAggregator(chosen)
 }
 
@@ -181,7 +186,9 @@
 	ctx, cancel := context.WithTimeout(parent, reportWait)
 	defer cancel()
 	var reply ShareReply
-	if err := e.Caller.Call(ctx, aggregator.Process.Address, peer.Control, methodShare, told, &reply); err != nil && parent.Err() == nil {
+	if err := e.Caller.Call(ctx, aggregator.Process.Address, peer.Control, methodShare, told, &reply); err == nil {
+		e.List.Answered(aggregator)
+	} else if parent.Err() == nil {
 		e.avoid(aggregator, err)
 	}
 }
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -28,13 +28,15 @@
 	ZoneCost       Name = "zone-cost"       // engines of other zones cost more
 	// WarmConnections: engines to which no connection is kept cost more.
 	WarmConnections Name = "warm-connections"
+	// SilentZones: a zone whose members don't answer is passed over whole.
+	SilentZones Name = "silent-zones"
 )
 
 // All lists the mechanisms.
 func All() []Name {
 	return []Name{
 		Lending, LoadBoard, Trails, SharedBudgets, StoreRelay, HedgedCalls, QualityClasses, Ejection, PrefixGuess, SharedParts, ZoneCost,
-		WarmConnections,
+		WarmConnections, SilentZones,
 	}
 }
 
--- a/internal/members/claims.go
+++ b/internal/members/claims.go
@@ -12,17 +12,18 @@
 // list: a lookup is one pass over numbers, without sorting or allocation.
 type picture struct {
 	view    *View
-	living  []*record    // all zones, by machine
-	dead    []*record    // whose claims still count for lending
-	regions [][]*record  // living, this daemon's region first
-	zones   [2][]*record // living others: of this daemon's zone, of other zones
-	own     *record      // this daemon
+	living  []*record                   // all zones, by machine
+	dead    []*record                   // whose claims still count for lending
+	regions [][]*record                 // living, this daemon's region first
+	zones   [2][]*record                // living others: of this daemon's zone, of other zones
+	away    map[identity.Zone][]*record // living, by zone, of other zones
+	own     *record                     // this daemon
 	keepers keeperSet
 	self    identity.Process // this daemon
 }
 
 func newPicture(view *View, records []*record, self identity.Process, own Standing, laid seenLayout) *picture {
-	made := &picture{view: view, self: self, regions: make([][]*record, 1), keepers: keeperSet{layout: laid, found: &sync.Map{}}}
+	made := &picture{view: view, self: self, regions: make([][]*record, 1), away: map[identity.Zone][]*record{}, keepers: keeperSet{layout: laid, found: &sync.Map{}}}
 	places := map[identity.Region]int{self.Region: 0}
 	for _, known := range records {
 		process := known.member.Process
@@ -54,6 +55,7 @@
 			made.zones[0] = append(made.zones[0], known)
 		default:
 			made.zones[1] = append(made.zones[1], known)
+			made.away[process.Zone] = append(made.away[process.Zone], known)
 		}
 	}
 	return made
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -23,7 +23,11 @@
 	log     *zap.Logger
 	current atomic.Pointer[picture]
 
+	// WatchZones lets a silent zone be passed over whole; set before the list is used.
+	WatchZones bool
+
 	mutex       sync.Mutex // of changes
+	reaches     map[identity.Zone]*reach
 	records     map[identity.Machine]*record
 	version     uint64
 	read        bool
@@ -39,8 +43,9 @@
 	row    state.Version // of the member's row; zero: not read yet
 	digest uint64        // of the machine's name, for claims
 	diedAt time.Time     // when it was first seen dead here
-	// avoidedUntil is when a suspicion ends, in nanoseconds since the epoch.
-	avoidedUntil *atomic.Int64
+	// suspicion lasts as long as the process.
+	suspicion *suspicion
+	reach     *reach // of the member's zone
 }
 
 // NewList makes a list that holds only this daemon.
@@ -48,15 +53,19 @@
 	self.State = StateAlive
 	made := &List{
 		self: self, now: now, log: log, seasoning: seasoning{started: now()},
-		records: map[identity.Machine]*record{self.Process.Machine: newRecord(self, 0)},
+		records: map[identity.Machine]*record{}, reaches: map[identity.Zone]*reach{},
 	}
+	made.records[self.Process.Machine] = made.newRecord(self, 0)
 	made.seasoning.standing.Store(uint32(StandingJoined)) // until it is registered
 	made.publish()
 	return made
 }
 
-func newRecord(member Member, row state.Version) *record {
-	return &record{member: member, row: row, digest: digestOf(string(member.Process.Machine)), avoidedUntil: &atomic.Int64{}}
+func (l *List) newRecord(member Member, row state.Version) *record {
+	return &record{
+		member: member, row: row, digest: digestOf(string(member.Process.Machine)),
+		suspicion: &suspicion{}, reach: l.reachOf(member.Process.Zone),
+	}
 }
 
 // Self is part of Directory.
@@ -143,9 +152,9 @@
 		l.log.Error("members: row cannot be read.", zap.String("member", row.Key.Name), zap.String("error", err.Error()))
 		return
 	}
-	next := newRecord(member, row.Version)
+	next := l.newRecord(member, row.Version)
 	if former, known := l.records[machine]; known && former.member.Process == member.Process {
-		next.avoidedUntil, next.diedAt = former.avoidedUntil, former.diedAt
+		next.suspicion, next.diedAt = former.suspicion, former.diedAt
 	}
 	if member.State == StateDead && next.diedAt.IsZero() {
 		next.diedAt = l.now()
@@ -227,15 +236,18 @@
 // Suspect avoids a member for so long.
 func (l *List) Suspect(member Member, wait time.Duration) {
 	if known := l.find(member.Process); known != nil {
-		known.avoidedUntil.Store(l.now().Add(wait).UnixNano())
+		now := l.now()
+		known.suspicion.from.Store(now.UnixNano())
+		known.suspicion.until.Store(now.Add(wait).UnixNano())
 	}
 }
 
 // Trust ends the suspicion of a member that answered.
 func (l *List) Trust(member Member) {
 	if known := l.find(member.Process); known != nil {
-		known.avoidedUntil.Store(0)
+		known.suspicion.until.Store(0)
 	}
+	l.Answered(member)
 }
 
 // find returns the living record of a process, or nil.
@@ -251,8 +263,10 @@
 }
 
 // avoided tells whether a member is under suspicion at a moment, in nanoseconds
-// since the epoch.
-func (r *record) avoided(now int64) bool { return now < r.avoidedUntil.Load() }
+// since the epoch, by itself or with its zone.
+func (r *record) avoided(now int64) bool {
+	return r.reach.silent.Load() || now < r.suspicion.until.Load() && r.suspicion.from.Load() > r.reach.backAt.Load()
+}
 
 // member returns what is known of a machine's latest process.
 func (l *List) member(machine identity.Machine) (Member, bool) {
--- a/internal/quota/alone.go
+++ b/internal/quota/alone.go
@@ -15,6 +15,15 @@
 // Keeper implements Directory.
 func (alone) Keeper(string, int) (members.Member, bool) { return members.Member{}, true }
 
+// Silent implements Directory.
+func (alone) Silent(members.Member) bool { return false }
+
+// Missed implements Directory.
+func (alone) Missed(members.Member) {}
+
+// Answered implements Directory.
+func (alone) Answered(members.Member) {}
+
 // Self implements Directory.
 func (alone) Self() identity.Process { return identity.Process{} }
 
--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -47,7 +47,7 @@
 		}
 		keeper, known := limiter.directory.Keeper(ownerOf(part.tenant), part.number)
 		switch {
-		case !known:
+		case !known, limiter.directory.Silent(keeper):
 			made.decision.Silent++
 		case limiter.isAvoided(keeper.Process.Machine):
 			last = append(last, candidate{part, keeper})
@@ -146,6 +146,7 @@
 		a.limiter.avoid(received.keeper, received.err.Error())
 		return nil
 	}
+	a.limiter.directory.Answered(received.keeper)
 	a.decision.Keeper, a.decision.Level = string(received.keeper.Process.Machine), received.reply.Level
 	switch received.reply.Verdict {
 	case VerdictTaken:
--- a/internal/quota/kept_test.go
+++ b/internal/quota/kept_test.go
@@ -48,8 +48,9 @@
 	limiter *quota.Limiter
 	silent  bool // it answers nobody and reaches nobody
 	// suspended: it may not keep for a while, though nobody else does.
-	suspended bool
-	loses     int // so many of its next answers are lost
+	suspended   bool
+	silentZones map[identity.Zone]bool
+	loses       int // so many of its next answers are lost
 }
 
 func newFleet(daemons int, start time.Time) fleet { return newKeptFleet(daemons, start) }
@@ -76,6 +77,15 @@
 	d.limiter = quota.NewLimiter(quota.Options{Settings: settings, Keeper: d.keeper, Directory: d, Caller: d, Now: now, Log: zap.NewNop()})
 }
 
+// Silent implements quota.Directory.
+func (d *keptDaemon) Silent(keeper members.Member) bool { return d.silentZones[keeper.Process.Zone] }
+
+// Missed implements quota.Directory.
+func (d *keptDaemon) Missed(members.Member) {}
+
+// Answered implements quota.Directory.
+func (d *keptDaemon) Answered(members.Member) {}
+
 // Self implements quota.Directory.
 func (d *keptDaemon) Self() identity.Process { return d.process }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -36,6 +36,10 @@
 // Directory tells who keeps what; *members.List implements it.
 type Directory interface {
 	Keeper(owner string, part int) (members.Member, bool)
+	// Silent tells whether a member's zone is silent; Missed and Answered tell how a call of it ended.
+	Silent(member members.Member) bool
+	Missed(member members.Member)
+	Answered(member members.Member)
 	Self() identity.Process
 }
 
@@ -161,6 +165,7 @@
 
 func (l *Limiter) avoid(keeper members.Member, cause string) {
 	machine := keeper.Process.Machine
+	l.directory.Missed(keeper)
 	l.mutex.Lock()
 	_, known := l.avoided[machine]
 	l.avoided[machine] = l.now().Add(avoidFor)
--- a/internal/quota/zones_test.go
+++ b/internal/quota/zones_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,4 +58,20 @@
 			}
 		}
 	})
+
+	It("does not ask the keepers of a silent zone, and says at once that none was reached where all are", func() {
+		fleet := newKeptFleet(2, time.Unix(1000, 0))
+		asking, far := fleet.daemons[0], fleet.daemons[1]
+		far.process.Zone = "cut off"
+		fleet.pass(2 * length)
+		fleet.keeping = far
+		_, err := asking.limiter.Take(context.Background(), request(true))
+		Expect(err).NotTo(HaveOccurred())
+		asking.silentZones = map[identity.Zone]bool{"cut off": true}
+		_, err = asking.limiter.Take(context.Background(), request(true))
+		var unreached *quota.UnreachedError
+		Expect(errors.As(err, &unreached)).To(BeTrue())
+		Expect(unreached.Asked).To(BeZero())
+		Expect(unreached.Silent).To(Equal(quota.DefaultParts))
+	})
 })
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -85,6 +85,7 @@
 		pool:   peer.NewPool(options),
 		log:    s.Log,
 	}
+	parts.list.WatchZones = !s.Settings.Disabled.Has(mechanism.SilentZones)
 	parts.availability = state.NewAvailability(time.Now, s.noteStore)
 	parts.availability.PaceTries(func() time.Duration { return triesApart(parts.list.Count()) })
 	off := s.Settings.Disabled
@@ -140,6 +141,9 @@
 	if err := listening.Register(quota.ServiceName, parts.keeper); err != nil {
 		return eris.Wrap(err, "serve quotas")
 	}
+	if err := listening.Register(members.ServiceName, members.Service{}); err != nil {
+		return eris.Wrap(err, "serve members")
+	}
 	relay := storerelay.NewService(s.Store, parts.client.DirectUsable)
 	return eris.Wrap(listening.Register(storerelay.ServiceName, relay), "serve the store's relay")
 }
@@ -160,6 +164,9 @@
 	keeping, c.stopLease = context.WithCancel(ctx)
 	go c.lease.Run(keeping)
 	go watch.Run(ctx, c.list.Watch(c.client, membersWait), c.list)
+	if c.list.WatchZones {
+		go (&members.Prober{List: c.list, Caller: c.pool}).Run(ctx)
+	}
 	go c.removal.Run(ctx)
 	if c.tellsLoads {
 		go c.loads.Run(ctx)
