Budget: the holders of each zone hold what turns that come through it spend

Cause: a program's holder was chosen among all daemons of the region, so that a zone that is cut off lost two thirds of its programs' grants, and each reservation was a hop to another zone.

Change: in zones of three or more members a turn asks the holders of its own zone. What these are granted comes from the same rows of the store, and one daemon of all lends, so the bound does not change. Where they have nothing left, or don't reach the store soon, the first holder of the region is asked, which is the one that may lend; before it says that the budget is spent it asks the holders of all zones to give back. Mechanism `near-budgets`.

Ruled out: a lender in each zone (what is withheld would have to be divided by the zones, or the sum be exceeded); holders of the region with a copy of the grant in each zone (a message a turn).

Also: specs of quotas and of silent zones that held on copies without their safeguard (own zone first, silent zones left out), as strict as they were meant.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -100,9 +100,20 @@
 // Reserve takes the most that a turn may generate from the program's budget.
 // It returns ErrSpent, or an error of the store or of the context.
 func (l *Ledger) Reserve(ctx context.Context, identifier string, total, most int64) (*Reservation, error) {
-	held := l.open(identifier, total)
+	return l.reserve(ctx, question{turnNeed: turnNeed{identifier, total, most}})
+}
+
+// question is what one turn asks for. soon: who asks has another holder to ask, so that the
+// store is not waited for.
+type question struct {
+	turnNeed
+	soon bool
+}
+
+func (l *Ledger) reserve(ctx context.Context, need question) (*Reservation, error) {
+	held := l.open(need.program, need.total)
 	for {
-		reservation, settled, err := l.tryReserve(ctx, held, turnNeed{identifier, total, most})
+		reservation, settled, err := l.tryReserve(ctx, held, need)
 		if reservation != nil || err != nil {
 			return reservation, err
 		}
@@ -122,7 +133,7 @@
 
 // tryReserve returns a channel to wait for when only turns under way stand
 // between the program and another turn.
-func (l *Ledger) tryReserve(ctx context.Context, held *program, need turnNeed) (*Reservation, <-chan struct{}, error) {
+func (l *Ledger) tryReserve(ctx context.Context, held *program, need question) (*Reservation, <-chan struct{}, error) {
 	held.mutex.Lock()
 	defer held.mutex.Unlock()
 	if held.available < need.most {
@@ -151,16 +162,16 @@
 
 // fill raises what is available to the need of a turn, or lends it: when the
 // store does not grant it soon, or has granted all that it may.
-func (l *Ledger) fill(ctx context.Context, held *program, need turnNeed) (*loan, error) {
-	err := l.fillSoon(ctx, held, need)
+func (l *Ledger) fill(ctx context.Context, held *program, need question) (*loan, error) {
+	err := l.fillSoon(ctx, held, need.turnNeed)
 	if state.NoVerdict(err) {
-		if lent := l.lender.lend(need, causeOutage); lent != nil {
-			return lent, nil
+		if lent := l.lender.lend(need.turnNeed, causeOutage); lent != nil || need.soon {
+			return lent, err
 		}
-		err = l.fillFromStore(ctx, held, need)
+		err = l.fillFromStore(ctx, held, need.turnNeed)
 	}
 	if errors.Is(err, ErrSpent) {
-		return l.lender.lend(need, causeSpent), err
+		return l.lender.lend(need.turnNeed, causeSpent), err
 	}
 	return nil, err
 }
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -25,6 +25,12 @@
 	Total       int64
 	Most        int64
 	Parts       []string // of the turn's prompt, in order
+	// Soon: another holder is asked where this one's store is away, so it is not waited for.
+	Soon bool
+}
+
+func (r *ReserveRequest) question() question {
+	return question{turnNeed: turnNeed{program: r.Program, total: r.Total, most: r.Most}, soon: r.Soon}
 }
 
 // Result is a holder's verdict.
@@ -107,7 +113,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), holderWait)
 	defer cancel()
-	reservation, err := h.ledger.Reserve(ctx, request.Program, request.Total, request.Most)
+	reservation, err := h.ledger.reserve(ctx, request.question())
 	var spent *SpentError
 	switch {
 	case err == nil && h.keep(request.Reservation, reservation):
--- a/internal/budget/shared.go
+++ b/internal/budget/shared.go
@@ -56,6 +56,11 @@
 	log    *zap.Logger
 	// Alone makes this daemon hold what it spends itself; for experiments.
 	Alone bool
+	// Near lets the holders of each zone hold what turns that come through it spend, so that a zone that is
+	// cut off goes on with the programs that entered there, and a reservation is a hop less far. What a program is
+	// granted comes from the same rows of the store, and one daemon of all lends, so that its budget bounds
+	// the zones together; each asks the others to give back before it says that the budget is spent.
+	Near bool
 }
 
 // NewShared makes the reserving side.
@@ -82,10 +87,53 @@
 	}
 }
 
-// reserveOnce asks the holders of the region in their order, down to this
-// daemon's own ledger.
+// reserveOnce asks the holders of the region, or those of this zone and then, if the program's
+// budget is spent there or their store is away, the one holder that may lend to it.
 func (s *Shared) reserveOnce(ctx context.Context, request ReserveRequest) (Settler, error) {
+	near, apart := s.list.HomesNear(request.Program)
+	if s.Alone || !s.Near || !apart {
+		return s.reserveAmong(ctx, s.list.Homes(request.Program), request)
+	}
+	return s.reserveNear(ctx, near, request)
+}
+
+// reserveNear asks the holders of this zone; and where these have nothing left, or can't know, the first of the region.
+func (s *Shared) reserveNear(ctx context.Context, near members.Homes, request ReserveRequest) (Settler, error) {
 	homes := s.list.Homes(request.Program)
+	first := homes.At(0) // this daemon lives at least
+	if first.Process == near.At(0).Process {
+		return s.reserveAmong(ctx, near, request)
+	}
+	soon := request
+	soon.Soon = true
+	settler, err := s.reserveAmong(ctx, near, soon)
+	spent := errors.Is(err, ErrSpent)
+	if settler != nil || ctx.Err() != nil || !spent && !errors.Is(err, errNoStore) && !state.NoVerdict(err) {
+		return settler, err
+	}
+	request.Reservation += "/region"
+	settler, elsewhere := s.reserveAt(ctx, first, request)
+	switch {
+	case elsewhere == nil, errors.Is(elsewhere, ErrSpent), errors.Is(elsewhere, errNoStore), ctx.Err() != nil:
+		return settler, elsewhere
+	case spent:
+		return nil, err
+	default: // it gave no answer: the store is waited for here
+		request.Reservation += "/near"
+		return s.reserveAmong(ctx, near, request)
+	}
+}
+
+// reserveAt asks one holder, or this daemon's own ledger.
+func (s *Shared) reserveAt(ctx context.Context, holder members.Member, request ReserveRequest) (Settler, error) {
+	if holder.Process == s.list.Self() {
+		return s.reserveHere(ctx, request)
+	}
+	return s.ask(ctx, holder, request)
+}
+
+// reserveAmong asks holders in their order, down to this daemon's own ledger.
+func (s *Shared) reserveAmong(ctx context.Context, homes members.Homes, request ReserveRequest) (Settler, error) {
 	var unanswered []identity.Zone // other zones in which a holder gave no answer
 	for order := range homes.Len() {
 		home := homes.At(order)
@@ -104,7 +152,11 @@
 			unanswered = append(unanswered, zone)
 		}
 	}
-	reservation, err := s.ledger.Reserve(ctx, request.Program, request.Total, request.Most)
+	return s.reserveHere(ctx, request)
+}
+
+func (s *Shared) reserveHere(ctx context.Context, request ReserveRequest) (Settler, error) {
+	reservation, err := s.ledger.reserve(ctx, request.question())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -30,13 +30,15 @@
 	WarmConnections Name = "warm-connections"
 	// SilentZones: a zone whose members don't answer is passed over whole.
 	SilentZones Name = "silent-zones"
+	// NearBudgets: the holders of a program's budget are of the zone that its turns come through.
+	NearBudgets Name = "near-budgets"
 )
 
 // All lists the mechanisms.
 func All() []Name {
 	return []Name{
 		Lending, LoadBoard, Trails, SharedBudgets, StoreRelay, HedgedCalls, QualityClasses, Ejection, PrefixGuess, SharedParts, ZoneCost,
-		WarmConnections, SilentZones,
+		WarmConnections, SilentZones, NearBudgets,
 	}
 }
 
--- a/internal/members/claims.go
+++ b/internal/members/claims.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,7 @@
 	dead    []*record                   // whose claims still count for lending
 	regions [][]*record                 // living, this daemon's region first
 	zones   [2][]*record                // living others: of this daemon's zone, of other zones
+	near    []*record                   // living, of this daemon's zone and region, this daemon among them
 	away    map[identity.Zone][]*record // living, by zone, of other zones
 	own     *record                     // this daemon
 	keepers keeperSet
@@ -49,6 +51,9 @@
 			made.regions = append(made.regions, nil)
 		}
 		made.regions[place] = append(made.regions[place], known)
+		if process.Region == self.Region && process.Zone == self.Zone {
+			made.near = append(made.near, known)
+		}
 		switch {
 		case process.Machine == self.Machine:
 		case process.Zone == self.Zone:
@@ -119,20 +124,42 @@
 	return homes
 }
 
-// LikelyHomes returns the other members of all regions that are likely to hold a key.
+// leastNear is how many living members a zone has at least to have homes of its own: as many as may hold a key one
+// after the other.
+const leastNear = mostHomes
+
+// HomesNear are the members of this daemon's zone with the first claims on a key among that zone's; false
+// if the zone is too small for homes of its own, or has the region to itself.
+func (l *List) HomesNear(key string) (Homes, bool) {
+	current := l.current.Load()
+	if len(current.near) < leastNear || len(current.near) == len(current.regions[0]) {
+		return Homes{}, false
+	}
+	return l.homesAmong(current, current.near, digestOf(key)), true
+}
+
+// LikelyHomes returns the other members that are likely to hold a key: its homes in all regions, and in each of their zones.
 func (l *List) LikelyHomes(key string) []Member {
 	current := l.current.Load()
 	digest := digestOf(key)
-	var likely []Member
-	for _, region := range current.regions {
-		homes := l.homesAmong(current, region, digest)
-		for order := range homes.Len() {
-			if homes.found[order] != current.own {
-				likely = append(likely, homes.At(order))
+	groups := append(slices.Clone(current.regions), current.near)
+	for _, zone := range current.away {
+		groups = append(groups, zone)
+	}
+	var likely []*record
+	for _, among := range groups {
+		homes := l.homesAmong(current, among, digest)
+		for _, found := range homes.found[:homes.count] {
+			if found != current.own && !slices.Contains(likely, found) {
+				likely = append(likely, found)
 			}
 		}
 	}
-	return likely
+	members := make([]Member, 0, len(likely))
+	for _, found := range likely {
+		members = append(members, found.member)
+	}
+	return members
 }
 
 // Sweeps tells whether this daemon has the first claim on a key among the
--- a/internal/members/keeper_set.go
+++ b/internal/members/keeper_set.go
@@ -58,14 +58,14 @@
 	return since
 }
 
-// sameMachines tells whether both sets hold the same machines, in the same zones; both are ordered by machine.
+// sameMachines tells whether both sets hold the same machines; both are ordered by machine. A machine's claims come to
+// another zone only joinedTime after they were released, so that a set in between was seen, or the list not believed.
 func (k keeperSet) sameMachines(other keeperSet) bool {
 	if len(k.records) != len(other.records) {
 		return false
 	}
 	for index, known := range k.records {
-		same := &other.records[index].member
-		if known.member.Process.Machine != same.Process.Machine || known.member.claimZone() != same.claimZone() {
+		if known.member.Process.Machine != other.records[index].member.Process.Machine {
 			return false
 		}
 	}
--- a/internal/members/keeper_test.go
+++ b/internal/members/keeper_test.go
@@ -144,7 +144,7 @@
 		again.read()
 		since, kept := again.list.Keeps(key, 0)
 		Expect(kept).To(BeTrue())
-		Expect(since).To(BeTemporally(">=", ended))
+		Expect(since).To(BeTemporally(">=", ended.Add(releaseEndedAfter)))
 	})
 
 	It("go on without having registered for a short while only", func() {
--- a/internal/members/silence_test.go
+++ b/internal/members/silence_test.go
@@ -136,6 +136,15 @@
 				list.Missed(member)
 			}
 		}
+		homesOf := func(key string) (zones []identity.Zone) {
+			homes := list.Homes(key)
+			for order := range homes.Len() {
+				zones = append(zones, homes.At(order).Process.Zone)
+			}
+			return zones
+		}
+		play.now = play.now.Add(2 * time.Hour) // each by itself would be asked again
+		Expect(homesOf("key")).To(HaveEach(identity.Zone("a")))
 		for number := range 50 {
 			for _, other := range list.Others(fmt.Sprint(number), math.MaxInt32) {
 				Expect(other.Process.Zone).To(Equal(identity.Zone("a")))
--- a/internal/quota/zones_test.go
+++ b/internal/quota/zones_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,29 +35,35 @@
 
 var _ = Describe("Limiter in zones", func() {
 	It("asks the parts of its own zone first, the others when these have no place", func() {
-		fleet := newKeptFleet(3, time.Unix(1000, 0))
+		fleet := newKeptFleet(4, time.Unix(1000, 0))
 		for number, each := range fleet.daemons {
-			each.process.Zone = []identity.Zone{"a", "b", "c"}[number]
+			each.process.Zone = []identity.Zone{"a", "b", "c", "d"}[number]
 		}
 		fleet.pass(2 * length)
 		declared := tenant.Quota{PerSecond: 60, Burst: 60}
-		for _, each := range fleet.daemons {
-			ownParts := 0
-			for part := range quota.DefaultParts {
-				if keeper, _ := each.Keeper("quota\x00t", part); keeper.Process == each.process {
-					ownParts++
+		mixed := 0
+		for number := range 20 {
+			name := identity.Tenant(fmt.Sprint("tenant ", number))
+			for _, each := range fleet.daemons {
+				own := 0
+				for part := range quota.DefaultParts {
+					if keeper, _ := each.Keeper("quota\x00"+string(name), part); keeper.Process == each.process {
+						own++
+					}
+				}
+				if own == 0 || own == quota.DefaultParts {
+					continue
+				}
+				mixed++
+				for range 5 {
+					taken, err := each.limiter.Take(context.Background(), quota.Request{Tenant: name, Quota: declared, UnderWay: true})
+					Expect(err).NotTo(HaveOccurred())
+					Expect(taken.Keeper).To(Equal(string(each.process.Machine)))
+					Expect(taken.Asked).To(Equal(1))
 				}
-			}
-			if ownParts == 0 {
-				continue
-			}
-			for range 5 {
-				taken, err := each.limiter.Take(context.Background(), quota.Request{Tenant: "t", Quota: declared, UnderWay: true})
-				Expect(err).NotTo(HaveOccurred())
-				Expect(taken.Keeper).To(Equal(string(each.process.Machine)))
-				Expect(taken.Asked).To(Equal(1))
 			}
 		}
+		Expect(mixed).To(BeNumerically(">", 0))
 	})
 
 	It("does not ask the keepers of a silent zone, and says at once that none was reached where all are", func() {
