--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -113,10 +113,20 @@
 // Reserve takes the most that a turn may generate from the program's budget.
 // It returns ErrSpent, or an error of the store or of the context.
 func (l *Ledger) Reserve(ctx context.Context, identifier string, total, most int64) (*Reservation, error) {
-	held := l.open(identifier, total)
-	need := turnNeed{identifier, total, most}
+	return l.reserve(ctx, question{turnNeed: turnNeed{identifier, total, most}})
+}
+
+// question is what one turn asks for. soon: who asks has another holder to ask, so that the
+// store is not waited for.
+type question struct {
+	turnNeed
+	soon bool
+}
+
+func (l *Ledger) reserve(ctx context.Context, need question) (*Reservation, error) {
+	held := l.open(need.program, need.total)
 	for {
-		reservation, asked, err := l.takeOrAsk(ctx, held, need)
+		reservation, asked, err := l.takeOrAsk(ctx, held, need.turnNeed)
 		if reservation != nil {
 			return reservation, nil
 		}
@@ -128,11 +138,11 @@
 		case lent != nil:
 			return held.onCredit(lent), nil
 		case errors.Is(err, ErrSpent) && (asked == nil || need.most >= asked.most):
-			reservation, err = l.whenSpent(ctx, held, need, err)
+			reservation, err = l.whenSpent(ctx, held, need.turnNeed, err)
 			if reservation != nil || err != nil {
 				return reservation, err
 			}
-		case err != nil && !errors.Is(err, ErrSpent) && (ctx.Err() != nil || !state.NoVerdict(err)):
+		case err != nil && !errors.Is(err, ErrSpent) && (need.soon || ctx.Err() != nil || !state.NoVerdict(err)):
 			return nil, err
 		}
 	}
--- a/internal/budget/granting.go
+++ b/internal/budget/granting.go
@@ -46,28 +46,27 @@
 }
 
 // await waits for a question's answer; a turn that waits for long is lent to, if it can be.
-func (l *Ledger) await(ctx context.Context, asked *granting, need turnNeed) (*loan, error) {
+func (l *Ledger) await(ctx context.Context, asked *granting, need question) (*loan, error) {
 	soon := time.NewTimer(l.patienceBeforeLoan())
 	defer soon.Stop()
 	select {
 	case <-asked.done:
 	case <-ctx.Done():
 	case <-soon.C:
-		if lent := l.lender.lend(need, causeOutage); lent != nil {
+		if lent := l.lender.lend(need.turnNeed, causeOutage); lent != nil {
 			return lent, nil
 		}
-		select {
-		case <-asked.done:
-		case <-ctx.Done():
+		if need.soon {
+			return nil, eris.Wrap(state.ErrNotDone, "the store did not grant soon")
 		}
 	}
 	select {
 	case <-asked.done:
-	default:
+	case <-ctx.Done():
 		return nil, eris.Wrapf(state.ErrNotDone, "wait for a grant: %v", ctx.Err())
 	}
 	if state.NoVerdict(asked.err) {
-		return l.lender.lend(need, causeOutage), asked.err
+		return l.lender.lend(need.turnNeed, causeOutage), asked.err
 	}
 	return nil, asked.err
 }
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -82,8 +82,11 @@
 	return e.plan
 }
 
-// usable tells whether a candidate is not passed over.
+// usable tells whether a candidate is not passed over, by itself or with its zone.
 func (e *Exchange) usable(candidate members.Member) bool {
+	if e.List.Silent(candidate) {
+		return false
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	until, found := e.avoided[candidate.Process.Address]
@@ -95,6 +98,7 @@
 }
 
 func (e *Exchange) avoid(member members.Member, cause error) {
+	e.List.Missed(member)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.avoided == nil {
@@ -134,6 +138,7 @@
 	e.Fleet.Learn(all, own)
 	e.noteOutside(picture.Outside)
 	e.metrics.ended(resultLearned)
+	e.List.Answered(chosen)
 	e.noteAggregator(chosen)
 }
 
@@ -198,7 +203,9 @@
 	defer cancel()
 	var reply ShareReply
 	err := e.Caller.Call(ctx, aggregator.Process.Address, peer.Control, methodShare, told, &reply)
-	if err != nil && parent.Err() == nil {
+	if err == nil {
+		e.List.Answered(aggregator)
+	} else if parent.Err() == nil {
 		e.avoid(aggregator, err)
 	}
 	return err == nil
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -22,10 +23,15 @@
 	log     *zap.Logger
 	current atomic.Pointer[picture]
 
+	// WatchZones lets a silent zone be passed over whole; set before the list is used.
+	WatchZones bool
+
 	mutex       sync.Mutex // of changes
+	reaches     map[identity.Zone]*reach
 	records     map[identity.Machine]*record
 	version     uint64
 	read        bool
+	layout      seenLayout
 	subscribers []chan struct{}
 
 	seasoning seasoning
@@ -37,8 +43,9 @@
 	row    state.Version // of the member's row; zero: not read yet
 	digest uint64        // of the machine's name, for claims
 	diedAt time.Time     // when it was first seen dead here
-	// avoidedUntil is when a suspicion ends, in nanoseconds since the epoch.
-	avoidedUntil *atomic.Int64
+	// suspicion lasts as long as the process.
+	suspicion *suspicion
+	reach     *reach // of the member's zone
 }
 
 // NewList makes a list that holds only this daemon.
@@ -46,15 +53,19 @@
 	self.State = StateAlive
 	made := &List{
 		self: self, now: now, log: log, seasoning: seasoning{started: now()},
-		records: map[identity.Machine]*record{self.Process.Machine: newRecord(self, 0)},
+		records: map[identity.Machine]*record{}, reaches: map[identity.Zone]*reach{},
 	}
+	made.records[self.Process.Machine] = made.newRecord(self, 0)
 	made.seasoning.standing.Store(uint32(StandingJoined)) // until it is registered
 	made.publish()
 	return made
 }
 
-func newRecord(member Member, row state.Version) *record {
-	return &record{member: member, row: row, digest: digestOf(string(member.Process.Machine)), avoidedUntil: &atomic.Int64{}}
+func (l *List) newRecord(member Member, row state.Version) *record {
+	return &record{
+		member: member, row: row, digest: digestOf(string(member.Process.Machine)),
+		suspicion: &suspicion{}, reach: l.reachOf(member.Process.Zone),
+	}
 }
 
 // Self is part of Directory.
@@ -78,7 +89,7 @@
 // Watch are the options to follow the list with.
 func (l *List) Watch(store state.Store, wait time.Duration) watch.Options {
 	return watch.Options{
-		Store: store, Table: Table, Partition: partition, Wait: wait, Due: l.untilFounded, Pause: changesTogether, Log: l.log, OnHeard: l.Heard,
+		Store: store, Table: Table, Partition: partition, Wait: wait, Pause: changesTogether, Log: l.log, OnHeard: l.Heard,
 	}
 }
 
@@ -87,7 +98,7 @@
 const changesTogether = 200 * time.Millisecond
 
 // Replace implements watch.Follower.
-func (l *List) Replace(rows []state.Row, _ state.Version) {
+func (l *List) Replace(rows []state.Row, version state.Version) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	listed := make(map[identity.Machine]bool, len(rows))
@@ -101,6 +112,7 @@
 	}
 	l.read = true
 	l.take(rows)
+	l.noteFounded(rows, version)
 }
 
 // Change implements watch.Follower.
@@ -108,6 +120,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.take(rows)
+	l.noteFounded(rows, math.MaxUint64) // a feed tells each change after all that came before it
 }
 
 // take takes rows in; the lock is held.
@@ -121,6 +134,10 @@
 }
 
 func (l *List) takeRow(row state.Row) {
+	if row.Key.Name == foundedKey.Name {
+		l.takeLayout(row)
+		return
+	}
 	machine := identity.Machine(row.Key.Name)
 	if machine == l.self.Process.Machine {
 		l.takeOwnRow(row)
@@ -135,9 +152,9 @@
 		l.log.Error("members: row cannot be read.", zap.String("member", row.Key.Name), zap.String("error", err.Error()))
 		return
 	}
-	next := newRecord(member, row.Version)
+	next := l.newRecord(member, row.Version)
 	if former, known := l.records[machine]; known && former.member.Process == member.Process {
-		next.avoidedUntil, next.diedAt = former.avoidedUntil, former.diedAt
+		next.suspicion, next.diedAt = former.suspicion, former.diedAt
 	}
 	if member.State == StateDead && next.diedAt.IsZero() {
 		next.diedAt = l.now()
@@ -145,6 +162,16 @@
 	l.records[machine] = next
 }
 
+func (l *List) takeLayout(row state.Row) {
+	laid, err := decodeLayout(row.Value)
+	if err != nil {
+		l.log.Error("members: layout cannot be read; nothing is kept.", zap.Uint64("version", uint64(row.Version)), zap.String("error", err.Error()))
+	}
+	if row.Version != l.layout.version {
+		l.layout = seenLayout{layout: laid, version: row.Version, since: l.now(), unreadable: err != nil}
+	}
+}
+
 // takeOwnRow takes in what the store says of this daemon: that it was marked
 // dead ends its standing as a lender, and its lease registers it again.
 func (l *List) takeOwnRow(row state.Row) {
@@ -192,9 +219,9 @@
 	for _, known := range records {
 		view.Members = append(view.Members, known.member)
 	}
-	next := newPicture(view, records, l.self.Process, l.standing())
+	next := newPicture(view, records, l.self.Process, l.standing(), l.layout)
 	next.keepers.since = l.setSince()
-	if former := l.current.Load(); former != nil {
+	if former := l.current.Load(); former != nil && former.view.Read { // before, it knew of itself alone
 		next.keepers = next.keepers.follows(former.keepers, next.keepers.since)
 	}
 	l.current.Store(next)
@@ -209,15 +236,18 @@
 // Suspect avoids a member for so long.
 func (l *List) Suspect(member Member, wait time.Duration) {
 	if known := l.find(member.Process); known != nil {
-		known.avoidedUntil.Store(l.now().Add(wait).UnixNano())
+		now := l.now()
+		known.suspicion.from.Store(now.UnixNano())
+		known.suspicion.until.Store(now.Add(wait).UnixNano())
 	}
 }
 
 // Trust ends the suspicion of a member that answered.
 func (l *List) Trust(member Member) {
 	if known := l.find(member.Process); known != nil {
-		known.avoidedUntil.Store(0)
+		known.suspicion.until.Store(0)
 	}
+	l.Answered(member)
 }
 
 // find returns the living record of a process, or nil.
@@ -233,8 +263,10 @@
 }
 
 // avoided tells whether a member is under suspicion at a moment, in nanoseconds
-// since the epoch.
-func (r *record) avoided(now int64) bool { return now < r.avoidedUntil.Load() }
+// since the epoch, by itself or with its zone.
+func (r *record) avoided(now int64) bool {
+	return r.reach.silent.Load() || now < r.suspicion.until.Load() && r.suspicion.from.Load() > r.reach.backAt.Load()
+}
 
 // member returns what is known of a machine's latest process.
 func (l *List) member(machine identity.Machine) (Member, bool) {
--- a/internal/quota/alone.go
+++ b/internal/quota/alone.go
@@ -13,13 +13,22 @@
 type alone struct{ since time.Time }
 
 // Keeper implements Directory.
-func (alone) Keeper(string) (members.Member, bool) { return members.Member{}, true }
+func (alone) Keeper(string, int) (members.Member, bool) { return members.Member{}, true }
+
+// Silent implements Directory.
+func (alone) Silent(members.Member) bool { return false }
+
+// Missed implements Directory.
+func (alone) Missed(members.Member) {}
+
+// Answered implements Directory.
+func (alone) Answered(members.Member) {}
 
 // Self implements Directory.
 func (alone) Self() identity.Process { return identity.Process{} }
 
 // Keeps implements Standing.
-func (a alone) Keeps(string) (time.Time, bool) { return a.since, true }
+func (a alone) Keeps(string, int) (time.Time, bool) { return a.since, true }
 
 // longAgo fills up any quota that has a place a year or more.
 const longAgo = 10 * 365 * 24 * time.Hour
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -86,6 +86,7 @@
 		pool:   peer.NewPool(options),
 		log:    s.Log,
 	}
+	parts.list.WatchZones = !s.Settings.Disabled.Has(mechanism.SilentZones)
 	parts.availability = state.NewAvailability(time.Now, s.noteStore)
 	parts.availability.PaceTries(func() time.Duration { return triesApart(parts.list.Count()) })
 	off := s.Settings.Disabled
@@ -106,6 +107,7 @@
 		parts.ledger.LendWith(budget.NewLender(parts.list.MayLend, time.Now, s.Log))
 	}
 	parts.budgets = budget.NewShared(parts.ledger, parts.list, parts.pool, parts.availability, s.Log)
+	parts.budgets.Near = !off.Has(mechanism.NearBudgets)
 	parts.budgets.Alone = off.Has(mechanism.SharedBudgets)
 	parts.turns = turn.NewRecords(turn.Options{
 		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
@@ -142,6 +144,9 @@
 	if err := listening.Register(quota.ServiceName, parts.keeper); err != nil {
 		return eris.Wrap(err, "serve quotas")
 	}
+	if err := listening.Register(members.ServiceName, members.Service{}); err != nil {
+		return eris.Wrap(err, "serve members")
+	}
 	relay := storerelay.NewService(s.Store, parts.client.DirectUsable)
 	return eris.Wrap(listening.Register(storerelay.ServiceName, relay), "serve the store's relay")
 }
@@ -162,6 +167,9 @@
 	keeping, c.stopLease = context.WithCancel(ctx)
 	go c.lease.Run(keeping)
 	go watch.Run(ctx, c.list.Watch(c.client, membersWait), c.list)
+	if c.list.WatchZones {
+		go (&members.Prober{List: c.list, Caller: c.pool}).Run(ctx)
+	}
 	go c.removal.Run(ctx)
 	if c.tellsLoads {
 		go c.loads.Run(ctx)
