Store: the calls of all daemons together stay under its rate, by classes

Cause: a call refused for the rate was tried again after 30 to 250 ms by each caller and hedged, and nothing told what matters from what can wait.

Further tries take only slots that nobody waits for. After the store was away each daemon begins at its floor. Settings store.writes_per_second and reads_per_second; metrics; log lines.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -185,6 +185,7 @@
 		return 0, eris.Wrap(err, "encode budget")
 	}
 	commit := state.Commit{
+		Class:      state.ClassReservation,
 		Conditions: []state.Condition{{Key: from.key, Version: from.version}},
 		Puts:       []state.Put{{Key: from.key, Value: value}},
 	}
--- a/internal/configuration/stored/change.go
+++ b/internal/configuration/stored/change.go
@@ -84,7 +84,7 @@
 
 // check proves that the head is still the newest.
 func (s *Service) check(ctx context.Context, row state.Row) error {
-	_, err := s.options.Store.Commit(ctx, state.Commit{Conditions: []state.Condition{{Key: headKey, Version: row.Version}}})
+	_, err := s.options.Store.Commit(ctx, state.Commit{Class: state.ClassLease, Conditions: []state.Condition{{Key: headKey, Version: row.Version}}})
 	return eris.Wrap(err, "check the head of the configuration")
 }
 
--- a/internal/members/lease.go
+++ b/internal/members/lease.go
@@ -177,6 +177,7 @@
 	}
 	key := keyOf(LeaseTable, l.List.self.Process.Machine)
 	commit := state.Commit{
+		Class:      state.ClassLease,
 		Conditions: []state.Condition{{Key: key, Version: l.version}},
 		Puts:       []state.Put{{Key: key, Value: value}},
 	}
@@ -282,6 +283,7 @@
 		return err
 	}
 	machine := member.Process.Machine
+	commit.Class = state.ClassLease
 	commit.Conditions = []state.Condition{{Key: keyOf(LeaseTable, machine), Version: l.version}}
 	commit.Puts = []state.Put{{Key: keyOf(Table, machine), Value: value}}
 	_, err = l.Store.Commit(ctx, commit)
--- a/internal/members/registration.go
+++ b/internal/members/registration.go
@@ -58,6 +58,7 @@
 	}
 	leased := keyOf(LeaseTable, r.lease.List.self.Process.Machine)
 	commit := state.Commit{
+		Class:      state.ClassLease,
 		Conditions: []state.Condition{{Key: r.row, Version: r.seen}},
 		Puts:       []state.Put{{Key: r.row, Value: value}, {Key: leased, Value: lease}},
 	}
--- a/internal/members/release.go
+++ b/internal/members/release.go
@@ -38,6 +38,7 @@
 	}
 	key := keyOf(Table, released.Process.Machine)
 	_, err = l.Store.Commit(ctx, state.Commit{
+		Class:      state.ClassLease,
 		Conditions: []state.Condition{{Key: key, Version: known.row}},
 		Puts:       []state.Put{{Key: key, Value: value}},
 	})
--- a/internal/members/watching.go
+++ b/internal/members/watching.go
@@ -75,7 +75,7 @@
 // it read stand still.
 func (l *Lease) watchSuccessors(ctx context.Context, now time.Time) error {
 	own := string(l.List.self.Process.Machine)
-	selected := state.Range{Table: LeaseTable, Partition: partition, From: own + "\x00", Limit: successorsWatched}
+	selected := state.Range{Class: state.ClassFollow, Table: LeaseTable, Partition: partition, From: own + "\x00", Limit: successorsWatched}
 	wrapped := false
 	before := l.watched.seen
 	l.watched.seen = map[string]watchedLease{}
@@ -127,6 +127,7 @@
 	ctx, cancel := context.WithTimeout(parent, commitWait)
 	defer cancel()
 	commit := state.Commit{
+		Class:      state.ClassLease,
 		Conditions: []state.Condition{{Key: row.Key, Version: row.Version}},
 		Removals:   []state.Key{row.Key},
 	}
@@ -165,6 +166,7 @@
 		ctx, cancel := context.WithTimeout(parent, commitWait)
 		key := keyOf(Table, known.member.Process.Machine)
 		_, err := l.Store.Commit(ctx, state.Commit{
+			Class:      state.ClassSweep,
 			Conditions: []state.Condition{{Key: key, Version: known.row}},
 			Puts:       []state.Put{{Key: removedKey, Value: []byte{}}},
 			Removals:   []state.Key{key},
@@ -181,7 +183,7 @@
 // Revisions reads which configuration each member last said to be in force.
 func (l *Lease) Revisions(ctx context.Context) (map[identity.Machine]uint64, error) {
 	revisions := map[identity.Machine]uint64{}
-	selected := state.Range{Table: LeaseTable, Partition: partition}
+	selected := state.Range{Class: state.ClassFollow, Table: LeaseTable, Partition: partition}
 	for {
 		page, err := l.Store.Read(ctx, selected)
 		if err != nil {
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -91,7 +91,8 @@
 	storeOptions := state.ClientOptions{
 		Store: s.Store, Availability: parts.availability, NotHedged: off.Has(mechanism.HedgedCalls),
 		Probe: state.Single(s.Rows.ConfigurationKey()), OnFailure: s.noteCall,
-		Room: state.NewRoom(state.RoomOptions{OnChange: s.noteRoom, OnRefused: func() { parts.removal.Hurry() }}),
+		Limiter: state.NewLimiter(state.LimiterOptions{Rates: s.Settings.Store.rates(), Members: parts.list.Count, OnLowered: s.noteRate}),
+		Room:    state.NewRoom(state.RoomOptions{OnChange: s.noteRoom, OnRefused: func() { parts.removal.Hurry() }}),
 	}
 	if !off.Has(mechanism.StoreRelay) {
 		storeOptions.Alternative = storerelay.NewRelay(parts.list, parts.pool, s.Settings.Seeds)
@@ -117,7 +118,7 @@
 	parts.quotas = quota.NewLimiter(quota.Options{
 		Settings: s.Settings.quota(), Keeper: parts.keeper, Directory: parts.list, Caller: parts.pool, Now: time.Now, Log: s.Log,
 	})
-	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry)); err != nil {
+	if err := errors.Join(parts.client.Measure(s.Registry), parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry)); err != nil {
 		return nil, err
 	}
 	if err := s.register(parts); err != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/gateway"
@@ -51,6 +52,7 @@
 	fleetRead          atomic.Bool
 	underWay           atomic.Int64
 	graceNow           atomic.Int64 // nanoseconds
+	rateLines          rate.Sometimes
 	configurationHeard moment
 	instancesHeard     moment
 }
@@ -82,6 +84,8 @@
 		routes:  &routetable.Holder{},
 		fleet:   backend.NewFleet(time.Now),
 		metrics: gateway.NewMetrics(options.Registry),
+
+		rateLines: rate.Sometimes{Interval: rateLinesApart},
 	}
 	made.Reload(options.Settings)
 	return made
@@ -161,30 +165,6 @@
 	return s.Settings.drain() / margin
 }
 
-func (s *Server) noteStore(available bool, lasted time.Duration) {
-	if available {
-		s.Log.Info("store: answers again.", zap.Duration("after", lasted))
-		return
-	}
-	s.Log.Warn("store: does not answer.")
-}
-
-// noteRoom tells when the store becomes full and when it has room again.
-func (s *Server) noteRoom(full bool, lasted time.Duration) {
-	if full {
-		s.Log.Warn("store: full.")
-		return
-	}
-	s.Log.Info("store: has room again.", zap.Duration("after", lasted))
-}
-
-// noteCall tells of a call of the store without a verdict.
-func (s *Server) noteCall(failure state.Failure) {
-	s.Log.Warn("store: call failed.", zap.String("call", failure.Call), zap.String("table", failure.Key.Table),
-		zap.String("partition", failure.Key.Partition), zap.String("key", failure.Key.Name),
-		zap.Duration("took", failure.Took), zap.String("cause", failure.Err.Error()))
-}
-
 // follow keeps configuration and instances up to date.
 func (s *Server) follow(ctx context.Context, parts *collaboration) {
 	configuration := &configurationFollower{
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/quota"
+	"github.com/thymeloft/thymeloft/internal/state"
 )
 
 // Settings are what one process is told by its file.
@@ -63,6 +64,14 @@
 type Store struct {
 	Address  string `yaml:"address"`
 	RowBytes int    `yaml:"row_bytes"`
+	// WritesPerSecond and ReadsPerSecond are what it takes of all daemons together. Left
+	// out, they are 0: unknown, and each daemon goes by what is refused alone.
+	WritesPerSecond float64 `yaml:"writes_per_second"`
+	ReadsPerSecond  float64 `yaml:"reads_per_second"`
+}
+
+func (s Store) rates() state.Rates {
+	return state.Rates{Writes: s.WritesPerSecond, Reads: s.ReadsPerSecond}
 }
 
 // Quota is how tenants' quotas are meant.
@@ -110,6 +119,8 @@
 	demand(s.Listen.Peers != "", "listen.peers: missing, expected IP:PORT")
 	demand(s.Store.Address != "", "store.address: missing, expected IP:PORT")
 	demand(s.Store.RowBytes > 0, "store.row_bytes: expected a number above 0")
+	demand(s.Store.WritesPerSecond >= 0, "store.writes_per_second: expected a number, 0 or above")
+	demand(s.Store.ReadsPerSecond >= 0, "store.reads_per_second: expected a number, 0 or above")
 	demand(s.GraceSeconds > 0, "grace_seconds: expected a number above 0")
 	demand(s.DrainMillis > 0, "drain_millis: expected a number above 0")
 	demand(s.ContactMillis >= 0, "contact_millis: expected a number, 0 or above")
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/thymeloft/thymeloft/internal/mechanism"
+	"github.com/thymeloft/thymeloft/internal/state"
 )
 
 func TestServer(t *testing.T) {
@@ -67,6 +68,20 @@
 			ContainSubstring("listen.callers: missing, expected IP:PORT"), ContainSubstring("memory_mb: expected a number, 0 or above"))))
 	})
 
+	It("takes the store's rates, which may be left out and not be below zero", func() {
+		settings, err := Load(written(validSettings))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.Store.rates()).To(Equal(state.Rates{}))
+		declared := strings.Replace(validSettings, "  row_bytes: 65536\n", "  row_bytes: 65536\n  writes_per_second: 800\n  reads_per_second: 2000\n", 1)
+		settings, err = Load(written(declared))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.Store.rates()).To(Equal(state.Rates{Writes: 800, Reads: 2000}))
+		_, err = Load(written(strings.Replace(declared, "2000", "-1", 1)))
+		Expect(err).To(MatchError(ContainSubstring("store.reads_per_second: expected a number, 0 or above")))
+		_, err = Load(written(strings.Replace(declared, "800", "-1", 1)))
+		Expect(err).To(MatchError(ContainSubstring("store.writes_per_second: expected a number, 0 or above")))
+	})
+
 	It("knows the mechanisms that an experiment may go without", func() {
 		settings, err := Load(written(validSettings + "disabled: [trails, zone-cost]\n"))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/shards/snapshot.go
+++ b/internal/shards/snapshot.go
@@ -72,7 +72,7 @@
 	keys := superseded(rows, current)
 	for len(keys) > 0 {
 		together := keys[:min(len(keys), mostBatchRows)]
-		if _, err := n.options.Store.Commit(ctx, state.Commit{Removals: together}); err != nil {
+		if _, err := n.options.Store.Commit(ctx, state.Commit{Class: state.ClassSweep, Removals: together}); err != nil {
 			return
 		}
 		keys = keys[len(together):]
--- a/internal/shards/swap.go
+++ b/internal/shards/swap.go
@@ -15,7 +15,7 @@
 
 // swap commits the next head on condition of the former one.
 func (n *Node) swap(ctx context.Context, shard identity.Shard, version state.Version, former, next head, puts []state.Put) (state.Version, error) {
-	commit := state.Commit{Conditions: []state.Condition{{Key: headKey(shard), Version: version}}, Puts: puts}
+	commit := state.Commit{Class: state.ClassTurn, Conditions: []state.Condition{{Key: headKey(shard), Version: version}}, Puts: puts}
 	onlyChecks := former == next && len(puts) == 0
 	if !onlyChecks {
 		next.Nonce = rand.Uint64()
--- a/internal/state/availability.go
+++ b/internal/state/availability.go
@@ -11,6 +11,8 @@
 type Availability struct {
 	now      func() time.Time
 	onChange func(available bool, lasted time.Duration)
+	// onRestored is told before those who wait for the store go on.
+	onRestored func()
 
 	mutex     sync.Mutex
 	failing   map[string]bool // partitions that failed since the last answered call
@@ -31,7 +33,7 @@
 // NewAvailability starts with an available store. onChange hears each change
 // with how long the former state lasted, if that was an outage.
 func NewAvailability(now func() time.Time, onChange func(available bool, lasted time.Duration)) *Availability {
-	return &Availability{now: now, onChange: onChange, failing: map[string]bool{}, gates: newGates(now)}
+	return &Availability{now: now, onChange: onChange, onRestored: func() {}, failing: map[string]bool{}, gates: newGates(now)}
 }
 
 // Succeeded notes an answered call.
@@ -43,6 +45,7 @@
 	if a.restored == nil {
 		return
 	}
+	a.onRestored()
 	close(a.restored)
 	a.restored = nil
 	a.gates.restored()
--- a/internal/state/class.go
+++ b/internal/state/class.go
@@ -18,6 +18,28 @@
 	ClassSweep                    // removing what is over
 )
 
+// String names the class in metrics.
+func (c Class) String() string {
+	switch c {
+	case ClassLease:
+		return "lease"
+	case ClassTurn:
+		return "turn"
+	case ClassReservation:
+		return "reservation"
+	case ClassRead:
+		return "read"
+	case ClassFollow:
+		return "follow"
+	case ClassSettlement:
+		return "settlement"
+	case ClassSweep:
+		return "sweep"
+	default:
+		return "other"
+	}
+}
+
 // Refusals of a store that is there.
 var (
 	// ErrFull says that the store has no room: nothing was written, and nothing can be
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -21,6 +21,8 @@
 	directHealth wayHealth
 	availability *Availability
 	room         *Room
+	limiter      *Limiter
+	metrics      *clientMetrics
 	hedger       hedger
 	probe        Range
 	onFailure    func(Failure)
@@ -42,6 +44,8 @@
 	Availability *Availability
 	// Room is what is believed of the store's room; nil: the client's own.
 	Room *Room
+	// Limiter keeps the calls under the store's rate; nil: one that goes by refusals alone.
+	Limiter *Limiter
 	// Probe is read while the store is down.
 	Probe Range
 	// OnFailure, if given, hears each call without a verdict.
@@ -57,6 +61,8 @@
 		alternative:  options.Alternative,
 		availability: options.Availability,
 		room:         options.Room,
+		limiter:      options.Limiter,
+		metrics:      newClientMetrics(),
 		probe:        options.Probe,
 		onFailure:    options.OnFailure,
 	}
@@ -64,6 +70,12 @@
 	if made.room == nil {
 		made.room = NewRoom(RoomOptions{})
 	}
+	if made.limiter == nil {
+		made.limiter = NewLimiter(LimiterOptions{})
+	}
+	if made.availability != nil {
+		made.availability.onRestored = made.limiter.restart
+	}
 	if made.onFailure == nil {
 		made.onFailure = func(Failure) {}
 	}
@@ -80,6 +92,12 @@
 // Commit implements Store. While the store is full, a commit of ClassTurn waits for room
 // until its context ends, and is sent at least once; one of a less important class is refused.
 func (c *Client) Commit(ctx context.Context, commit Commit) (Version, error) {
+	version, err := c.commitWhenRoom(ctx, commit)
+	c.metrics.ended(commit.Class, err)
+	return version, err
+}
+
+func (c *Client) commitWhenRoom(ctx context.Context, commit Commit) (Version, error) {
 	if ctx.Err() != nil {
 		return 0, eris.Wrapf(ErrNotDone, "commit not begun: %v", ctx.Err())
 	}
@@ -101,9 +119,12 @@
 	if err := c.availability.Enter(ctx, commit.firstKey().Partition); err != nil {
 		return 0, err
 	}
+	if err := c.enter(ctx, CallCommit, commit.Class); err != nil {
+		return 0, err
+	}
 	start := time.Now()
-	version, err := hedge(ctx, &c.hedger, c.directDoubtful, func(ctx context.Context, try int) (Version, error) {
-		way, done := c.way(try)
+	version, err := hedge(ctx, &c.hedger, c.further(CallCommit), func(ctx context.Context, try int) (Version, error) {
+		way, done := c.way(try, CallCommit)
 		version, err := way.Commit(ctx, commit)
 		done(ctx, err)
 		return version, err
@@ -112,17 +133,39 @@
 	return version, err
 }
 
+// enter waits for a slot within the store's rate.
+func (c *Client) enter(ctx context.Context, kind CallKind, class Class) error {
+	start := time.Now()
+	err := c.limiter.enter(ctx, kind, class)
+	c.metrics.waited(class, time.Since(start))
+	return err
+}
+
+// further tells when a call may be tried again beside its first try.
+func (c *Client) further(kind CallKind) furtherTries {
+	return furtherTries{atOnce: c.directDoubtful, spare: func() bool { return c.limiter.spare(kind) }}
+}
+
 // Read implements Store.
 func (c *Client) Read(ctx context.Context, selected Range) (Page, error) {
+	page, err := c.read(ctx, selected)
+	c.metrics.ended(selected.Class, err)
+	return page, err
+}
+
+func (c *Client) read(ctx context.Context, selected Range) (Page, error) {
 	if ctx.Err() != nil {
 		return Page{}, eris.Wrapf(ErrNotDone, "read not begun: %v", ctx.Err())
 	}
 	if err := c.availability.Enter(ctx, selected.Partition); err != nil {
 		return Page{}, err
 	}
+	if err := c.enter(ctx, CallRead, selected.Class); err != nil {
+		return Page{}, err
+	}
 	start := time.Now()
-	page, err := hedge(ctx, &c.hedger, c.directDoubtful, func(ctx context.Context, try int) (Page, error) {
-		way, done := c.way(try)
+	page, err := hedge(ctx, &c.hedger, c.further(CallRead), func(ctx context.Context, try int) (Page, error) {
+		way, done := c.way(try, CallRead)
 		page, err := way.Read(ctx, selected)
 		done(ctx, err)
 		return page, err
@@ -134,10 +177,15 @@
 
 // Feed implements Store; it is not hedged, since it waits for changes.
 func (c *Client) Feed(ctx context.Context, table string, after Version, wait time.Duration) (Change, error) {
+	if err := c.enter(ctx, CallFeed, ClassFollow); err != nil {
+		c.metrics.ended(ClassFollow, err)
+		return Change{}, err
+	}
 	start := time.Now()
-	way, done := c.way(0)
+	way, done := c.way(0, CallFeed)
 	change, err := way.Feed(ctx, table, after, wait)
 	done(ctx, err)
+	c.metrics.ended(ClassFollow, err)
 	c.note(ctx, Failure{Call: "feed", Key: Key{Table: table}, Took: time.Since(start), Err: err})
 	return change, err
 }
@@ -185,7 +233,7 @@
 func (c *Client) probeUntilAnswered() {
 	for try := 0; !c.availability.Available(); try++ {
 		ctx, cancel := context.WithTimeout(context.Background(), probeWait)
-		way, done := c.way(try)
+		way, done := c.way(try, CallRead)
 		_, err := way.Read(ctx, c.probe)
 		done(ctx, err)
 		cancel()
--- a/internal/state/hedge.go
+++ b/internal/state/hedge.go
@@ -51,9 +51,15 @@
 	took   time.Duration
 }
 
+// furtherTries tells when a further try of a call may be made.
+type furtherTries struct {
+	atOnce func() bool // after a failed one
+	spare  func() bool // the store's rate has a slot that nobody waits for
+}
+
 // hedge returns the first verdict of up to three tries, or the error of the
-// last one to end. A try after a failed one is made at once if again says so.
-func hedge[T any](ctx context.Context, h *hedger, again func() bool, call func(ctx context.Context, try int) (T, error)) (T, error) {
+// last one to end.
+func hedge[T any](ctx context.Context, h *hedger, further furtherTries, call func(ctx context.Context, try int) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan outcome[T], mostHedgedTries)
@@ -81,7 +87,7 @@
 				h.observe(ended.took)
 				return ended.result, ended.err
 			}
-			if launched < mostHedgedTries && ctx.Err() == nil && again() && h.budget.take() {
+			if launched < mostHedgedTries && ctx.Err() == nil && further.atOnce() && h.budget.take() && further.spare() {
 				launch()
 			}
 			if pending == 0 {
@@ -91,7 +97,7 @@
 			if launched == mostHedgedTries {
 				continue
 			}
-			if h.budget.take() {
+			if h.budget.take() && further.spare() {
 				launch()
 			}
 			delay *= 2
--- /dev/null
+++ b/internal/state/limiter_test.go
@@ -0,0 +1,81 @@
+package state_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/state"
+)
+
+var _ = Describe("a client whose calls the store refuses for its rate", func() {
+	var memory *memorystore.Store
+	var availability *state.Availability
+	var client *state.Client
+	var lowered chan state.CallKind
+
+	commit := func(ctx context.Context, class state.Class) error {
+		wanted := putIn("p")
+		wanted.Class = class
+		_, err := client.Commit(ctx, wanted)
+		return err
+	}
+
+	BeforeEach(func() {
+		now := time.Unix(1000, 0) // time stands still
+		memory = memorystore.New()
+		lowered = make(chan state.CallKind, 64)
+		availability = state.NewAvailability(time.Now, func(bool, time.Duration) {})
+		client = state.NewClient(state.ClientOptions{
+			Store: memory, Availability: availability, NotHedged: true,
+			Limiter: state.NewLimiter(state.LimiterOptions{
+				Rates: state.Rates{Writes: 100, Reads: 100}, Members: func() int { return 10 },
+				Now: func() time.Time { return now }, OnLowered: func(kind state.CallKind, _ float64) { lowered <- kind },
+			}),
+		})
+	})
+
+	It("lowers its rate, blames no partition, and refuses at once what has no slot in time", func(ctx SpecContext) {
+		memory.Misbehave(always(memorystore.Throttled))
+		Expect(commit(ctx, state.ClassTurn)).To(MatchError(state.ErrThrottled))
+		Expect(lowered).To(Receive(Equal(state.CallCommit)))
+		Expect(client.Prefer([]string{"p", "q"})).To(Equal([]string{"p", "q"}))
+		Expect(client.DirectUsable()).To(BeTrue())
+		short, cancel := context.WithTimeout(ctx, time.Hour)
+		defer cancel()
+		before := memory.Calls("commit")
+		// At nine calls a second, of which time lets none go, nine are in time.
+		waiting, leave := context.WithCancel(ctx)
+		ended := make(chan error, 12)
+		for range 12 {
+			go func() { ended <- commit(waiting, state.ClassTurn) }()
+		}
+		Eventually(func() error {
+			soon, cancel := context.WithTimeout(short, time.Second)
+			defer cancel()
+			return commit(soon, state.ClassSweep)
+		}).Should(MatchError(ContainSubstring("no slot in time")))
+		Expect(memory.Calls("commit")).To(Equal(before))
+		leave()
+		for range 12 {
+			Eventually(ended).Should(Receive(MatchError(state.ErrNotDone)))
+		}
+	})
+
+	It("reads on while its writing calls are refused", func(ctx SpecContext) {
+		memory.Misbehave(func(call memorystore.Call) memorystore.Fault {
+			if call.Name == "commit" {
+				return memorystore.Throttled
+			}
+			return memorystore.None
+		})
+		Expect(commit(ctx, state.ClassTurn)).To(MatchError(state.ErrThrottled))
+		_, err := client.Read(ctx, state.Single(keyIn("p")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lowered).To(Receive())
+		Expect(lowered).NotTo(Receive())
+	})
+})
--- a/internal/state/way.go
+++ b/internal/state/way.go
@@ -90,16 +90,18 @@
 func (c *Client) directDoubtful() bool { return c.alternative != nil && c.directHealth.doubtful() }
 
 // way chooses the way of a try, and what notes its end: the own one and the
-// other in turn, the own one first unless it is bad.
-func (c *Client) way(try int) (Store, func(ctx context.Context, err error)) {
+// other in turn, the own one first unless it is bad. Calls that others relay count against
+// this process's rate, since it is the one that can send fewer.
+func (c *Client) way(try int, kind CallKind) (Store, func(ctx context.Context, err error)) {
 	avoided := c.directHealth.bad
 	if try == 0 {
 		avoided = c.directHealth.avoid
 	}
 	if c.alternative != nil && (try%2 == 1) != avoided() {
-		return c.alternative, func(context.Context, error) {}
+		return c.alternative, func(_ context.Context, err error) { c.limiter.ended(kind, err) }
 	}
 	return c.direct, func(ctx context.Context, err error) {
+		c.limiter.ended(kind, err)
 		if NoVerdict(err) && ctx.Err() == context.Canceled {
 			return // given up by us, since another try had a verdict
 		}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -117,7 +117,7 @@
 	oldest := state.Version(0)
 	from := ""
 	for {
-		page, err := w.Store.Read(ctx, state.Range{Table: w.Table, Partition: w.Partition, From: from})
+		page, err := w.Store.Read(ctx, state.Range{Class: state.ClassFollow, Table: w.Table, Partition: w.Partition, From: from})
 		if err != nil {
 			return err
 		}
