--- a/internal/state/limits_model_test.go
+++ b/internal/state/limits_model_test.go
@@ -8,9 +8,8 @@
 )
 
 // The model: daemons with the limits of this package, or without them, call one store in
-// simulated time. It is the load of a large site: 1,500 writing and 6,000 reading calls a
-// second are taken of all daemons together, and in calm three fifths of the writing and
-// three tenths of the reading ones are offered.
+// simulated time. It is the load of a large site: of all daemons 1,500 writing and 6,000
+// reading calls a second are taken; in calm three fifths and three tenths are offered.
 
 const (
 	modelTick    = 5 * time.Millisecond
