--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,9 @@
 	Quotas       *quota.Limiter
 	Availability *state.Availability
 	// Reach tells whether this daemon is cut off; nil: it never is.
-	Reach   *reach.Monitor
+	Reach *reach.Monitor
+	// Room tells whether the store is full.
+	Room    *state.Room
 	Log     *zap.Logger
 	Metrics *Metrics
 	// InstanceGrace is how long an instance whose entry is gone may still be used.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/gateway"
@@ -53,6 +54,7 @@
 	fleetRead          atomic.Bool
 	underWay           atomic.Int64
 	graceNow           atomic.Int64 // nanoseconds
+	rateLines          rate.Sometimes
 	configurationHeard moment
 	instancesHeard     moment
 }
@@ -89,6 +91,8 @@
 		fleet:   backend.NewFleet(time.Now),
 		metrics: gateway.NewMetrics(options.Registry),
 		life:    process.NewLife("server", options.Log),
+
+		rateLines: rate.Sometimes{Interval: rateLinesApart},
 	}
 	made.Reload(options.Settings)
 	return made
@@ -148,6 +152,7 @@
 		Quotas:        parts.quotas,
 		Availability:  parts.availability,
 		Reach:         s.reach,
+		Room:          parts.client.Room(),
 		Log:           s.Log,
 		Metrics:       s.metrics,
 		InstanceGrace: s.instanceGrace(),
@@ -170,21 +175,6 @@
 	return s.Settings.drain() / margin
 }
 
-func (s *Server) noteStore(available bool, lasted time.Duration) {
-	if available {
-		s.Log.Info("store: answers again.", zap.Duration("after", lasted))
-		return
-	}
-	s.Log.Warn("store: does not answer.")
-}
-
-// noteCall tells of a call of the store without a verdict.
-func (s *Server) noteCall(failure state.Failure) {
-	s.Log.Warn("store: call failed.", zap.String("call", failure.Call), zap.String("table", failure.Key.Table),
-		zap.String("partition", failure.Key.Partition), zap.String("key", failure.Key.Name),
-		zap.Duration("took", failure.Took), zap.String("cause", failure.Err.Error()))
-}
-
 // follow keeps configuration and instances up to date.
 func (s *Server) follow(ctx context.Context, parts *collaboration) {
 	configuration := &configurationFollower{
