Engines of uneven speed: learnt by all daemons, used for what they are worth

Cause: a daemon judged an engine by what it saw itself in three seconds, with 84 daemons before 45 engines less than one answer; the cost of a placement counted a token alike everywhere.

Change: each daemon tells with its load what its engines made in what time (Told.Speeds, some ten bytes an engine, sums that decay and add up); a ratio of sums gives each engine's speed, the same at all daemons, and with the first picture at one that starts. Costs are milliseconds. A part of the programs, as many as fast engines have room for at half of their slots, takes fast engines first; the others go by load, that is by capacity. An engine with another `born` is a new one. Rows that name no engine are refused with a reason. The class of slow engines stays only for first bytes of four times the mean where there was room.

--- a/internal/backend/choose.go
+++ b/internal/backend/choose.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 )
 
@@ -32,23 +30,25 @@
 // Choose picks an instance, or nil if none is fit. It is a pure function of
 // the request and what is known of the instances.
 //
-// Order: instances that are healthy and stay; then those that were slow, then
-// those that failed often lately, then ejected ones (better a try than a
+// Order: instances that are healthy and stay; then those that begin their answers too
+// late for any use; then those that failed often lately, then ejected ones (better a try than a
 // refusal); then those that left a moment ago. Within an order the lowest
-// cost wins.
+// cost wins. A slow instance has no order of its own: it is used for what it is worth.
 func Choose(instances []*Instance, request *Request) *Instance {
-	var all reference
+	var firstByte decayedMean
 	for _, instance := range instances {
-		all.add(instance.quality.measure(request.Now))
+		firstByte = firstByte.plus(instance.quality.measure(request.Now).firstByte)
 	}
+	usual := referenceOf(instances, request)
+	inHaste := hasty(request, usual)
 	var best *Instance
 	bestClass, bestCost := classUnfit, math.Inf(1)
 	for _, instance := range instances {
-		class := classOf(instance, request, all)
+		class := classOf(instance, request, firstByte)
 		if class == classUnfit || class > bestClass {
 			continue
 		}
-		cost := costOf(instance, request)
+		cost := costOf(instance, request, usual, inHaste)
 		if class < bestClass || cost < bestCost {
 			best, bestClass, bestCost = instance, class, cost
 		}
@@ -61,14 +61,14 @@
 
 const (
 	classReady class = iota
-	classSlow
+	classLate
 	classFailing
 	classEjected
 	classLeft
 	classUnfit
 )
 
-func classOf(instance *Instance, request *Request, all reference) class {
+func classOf(instance *Instance, request *Request, firstByte decayedMean) class {
 	for _, excluded := range request.Excluded {
 		if instance.ID == excluded {
 			return classUnfit
@@ -88,84 +88,11 @@
 	}
 	shown := instance.quality.measure(request.Now)
 	switch {
-	case shown.failing():
+	case shown.failing:
 		return classFailing
-	case shown.slow(all):
-		return classSlow
+	case shown.firstByte.late(firstByte):
+		return classLate
 	default:
 		return classReady
 	}
 }
-
-// The weights of the cost, in tokens of time: what an engine reads meanwhile.
-const (
-	// tokenCost is of one token that would have to be read. It takes its time, and it
-	// takes the place of one that the engine keeps and that is then read again in turn:
-	// where memory is short, contexts that move from engine to engine push each other
-	// out (docs/design/shifted-work.md, round 3; 3 and 4 do as well, 1 does not).
-	tokenCost      = 2.0
-	fullEngineCost = 1300.0 // an engine whose slots are all taken
-	affinityCost   = 256.0  // spread of the affinity's order of preference
-	otherZoneCost  = 48.0
-	// newConnectionCost is for an instance to which no connection is kept: opening one
-	// takes an exchange of packets and a millisecond at the instance (4 ms between the
-	// users' zones), in which their engines read some 260 tokens.
-	newConnectionCost = 200.0
-	defaultSlots      = 4
-)
-
-// costOf adds what must be read anew, the load, and the preference
-// that all processes share without a message: a hash of affinity and instance.
-func costOf(instance *Instance, request *Request) float64 {
-	cost := tokenCost * float64(Missing(instance, request))
-	cost += loadCost(instance, request)
-	cost += affinityCost * preference(instance, request)
-	if !instance.pool.warm(request.Now) && !request.Off.Has(mechanism.WarmConnections) {
-		cost += newConnectionCost
-	}
-	if instance.Zone != request.Zone && !request.Off.Has(mechanism.ZoneCost) {
-		cost += otherZoneCost
-	}
-	return cost
-}
-
-// Missing is how many tokens of the prompt the instance would have to read, as far
-// as this process knows.
-func Missing(instance *Instance, request *Request) int {
-	if request.Off.Has(mechanism.PrefixGuess) {
-		return 0
-	}
-	everywhere := request.Everywhere
-	if request.Off.Has(mechanism.SharedParts) {
-		everywhere = 0
-	}
-	return instance.prefixes.missing(request.Prefix, everywhere)
-}
-
-func loadCost(instance *Instance, request *Request) float64 {
-	slots := instance.Slots
-	if slots == 0 {
-		slots = request.Slots
-	}
-	if slots == 0 {
-		slots = defaultSlots
-	}
-	load := float64(instance.Load(request.Now))
-	share := load / float64(slots)
-	return fullEngineCost * share * share
-}
-
-// preference is a number from 0 to 1, the same at every process for requests
-// with an affinity, and the process's own order for others.
-func preference(instance *Instance, request *Request) float64 {
-	text := request.Affinity
-	seed := uint64(0)
-	if text == "" {
-		seed = request.Order
-	}
-	digest := xxhash.NewWithSeed(seed)
-	_, _ = digest.WriteString(text)
-	_, _ = digest.WriteString(instance.ID)
-	const bits = 53
-	return float64(digest.Sum64()>>(64-bits)) / (1 << bits)
-}
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -4,8 +4,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/thymeloft/thymeloft/internal/load"
 )
 
 // Fleet is the picture of all instances. Readers take it without a lock.
@@ -37,7 +35,8 @@
 	EventMoved    Event = "address taken by another"
 )
 
-// Apply takes a declaration in, unless it is older than what is known.
+// Apply takes a declaration in, unless it is older than what is known. An instance that
+// started anew under the same ID is a new one: nothing of before holds for it.
 func (f *Fleet) Apply(declared Declaration) Event {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -50,6 +49,9 @@
 		return f.leave(instance, declared.Version, EventGone)
 	case declared.Gone:
 		return EventNone
+	case known && declared.Born != instance.Born:
+		instance.pool.closeAll()
+		delete(f.known, declared.ID)
 	case known && declared.Draining:
 		return f.leave(instance, declared.Version, EventDraining)
 	case known && instance.Address == declared.Address && instance.Service == declared.Service:
@@ -75,7 +77,7 @@
 		}
 	}
 	return &Instance{
-		Declaration: declared, digest: load.KeyOf(declared.ID), pool: newPool(declared.Address), prefixes: newPrefixes(),
+		Declaration: declared, digest: digestOf(declared), pool: newPool(declared.Address), prefixes: newPrefixes(),
 	}
 }
 
--- a/internal/backend/instance.go
+++ b/internal/backend/instance.go
@@ -4,6 +4,7 @@
 package backend
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,10 @@
 	Slots    int
 	Draining bool
 	Gone     bool
-	Version  uint64 // of the entry
+	// Born is when the instance started, in unix milliseconds; 0: not declared. The
+	// same ID with another Born is another instance.
+	Born    int64
+	Version uint64 // of the entry
 }
 
 // Instance is one start of an engine or service.
@@ -29,6 +33,7 @@
 	pool     *pool
 	inFlight atomic.Int64
 	quality  quality
+	speed    speedometer
 	health   health
 	prefixes *prefixes
 	digest   load.Key     // by which daemons name it to each other
@@ -37,6 +42,15 @@
 	leftAt   atomic.Int64 // unix nanoseconds since when it is draining or gone; 0: it is not
 }
 
+// digestOf names one start of an instance: what was told of a former start under the
+// same ID does not hold for it.
+func digestOf(declared Declaration) load.Key {
+	if declared.Born == 0 {
+		return load.KeyOf(declared.ID)
+	}
+	return load.KeyOf(declared.ID + "\x00" + strconv.FormatInt(declared.Born, 10))
+}
+
 // InFlight is how many requests of this process the instance works on.
 func (i *Instance) InFlight() int { return int(i.inFlight.Load()) }
 
@@ -54,7 +68,10 @@
 }
 
 // Observe notes what a request showed of the instance.
-func (i *Instance) Observe(outcome Outcome, now time.Time) { i.quality.observe(outcome, now) }
+func (i *Instance) Observe(outcome Outcome, now time.Time) {
+	i.quality.observe(outcome, now)
+	i.speed.observe(outcome, now)
+}
 
 // Succeeded notes that the instance answered.
 func (i *Instance) Succeeded() { i.health.succeeded() }
--- a/internal/backend/quality.go
+++ b/internal/backend/quality.go
@@ -13,39 +13,62 @@
 	Failed    bool
 	FirstByte time.Duration // until the answer began; 0: it did not
 	PerEvent  time.Duration // between events of a stream; 0: too few to tell
+	Further   int           // events after the first
+	Load      int           // requests that the instance was believed to have when it was chosen
+	Slots     int           // of the instance; 0: not declared
 }
 
-// quality is what an instance showed lately. What is old counts less and less,
+// share is the part of the slots that was believed to be taken.
+func (o Outcome) share() float64 {
+	slots := o.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return float64(o.Load) / float64(slots)
+}
+
+// quality is how often an instance failed lately, and how late its answers began. What is old counts less and less,
 // so that an instance that was avoided is tried again.
 type quality struct {
 	mutex     sync.Mutex
 	at        time.Time // until when the sums are decayed
 	attempts  float64
 	failures  float64
-	firstByte decayedMean
-	perEvent  decayedMean
+	firstByte decayedMean // of answers that found room
 }
 
 // halfLife is after how long an observation counts half.
 const halfLife = 3 * time.Second
 
+// Bounds of what is told apart.
+const (
+	// enough is the weight of observations from which an instance is judged.
+	enough = 3.0
+	// failingShare is the share of failures from which an instance is avoided.
+	failingShare = 0.25
+	// lateRatio is how many times the service's mean an instance takes for its first
+	// byte, though it has room, when it is avoided: noise makes it two or three
+	// times as slow for moments, and more is a fault.
+	lateRatio = 4.0
+)
+
 // decayedMean is a mean whose values lose weight with time.
 type decayedMean struct {
 	sum    float64 // seconds
 	weight float64
 }
 
-func (m *decayedMean) add(value time.Duration) {
-	if value <= 0 {
-		return
-	}
-	m.sum += value.Seconds()
-	m.weight++
+// plus adds up two means, each by its weight.
+func (m decayedMean) plus(other decayedMean) decayedMean {
+	return decayedMean{sum: m.sum + other.sum, weight: m.weight + other.weight}
 }
 
-func (m *decayedMean) decay(factor float64) {
-	m.sum *= factor
-	m.weight *= factor
+// late tells whether the mean is beyond any use beside that of the others.
+func (m decayedMean) late(all decayedMean) bool {
+	if m.weight < enough || all.weight <= m.weight {
+		return false
+	}
+	return m.sum/m.weight > lateRatio*(all.sum-m.sum)/(all.weight-m.weight)
 }
 
 func (q *quality) observe(outcome Outcome, now time.Time) {
@@ -56,8 +79,9 @@
 	if outcome.Failed {
 		q.failures++
 	}
-	q.firstByte.add(outcome.FirstByte)
-	q.perEvent.add(outcome.PerEvent)
+	if outcome.FirstByte > 0 && outcome.share() < 1 {
+		q.firstByte = q.firstByte.plus(decayedMean{sum: outcome.FirstByte.Seconds(), weight: 1})
+	}
 }
 
 func (q *quality) decay(now time.Time) {
@@ -65,60 +89,26 @@
 		factor := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
 		q.attempts *= factor
 		q.failures *= factor
-		q.firstByte.decay(factor)
-		q.perEvent.decay(factor)
+		q.firstByte.sum *= factor
+		q.firstByte.weight *= factor
 	}
 	q.at = now
 }
 
 // measured is a quality at a moment.
 type measured struct {
-	attempts, failures  float64
-	firstByte, perEvent decayedMean
+	failing   bool
+	firstByte decayedMean
 }
 
+// measure tells whether the instance failed so often that it is avoided, and how
+// late its answers began.
 func (q *quality) measure(now time.Time) measured {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.decay(now)
-	return measured{q.attempts, q.failures, q.firstByte, q.perEvent}
-}
-
-// Bounds of what is told apart.
-const (
-	// enough is the weight of observations from which an instance is judged.
-	enough = 3.0
-	// failingShare is the share of failures from which an instance is avoided.
-	failingShare = 0.25
-	// slowRatio is how many times the service's mean an instance takes when
-	// it is avoided.
-	slowRatio = 2.0
-)
-
-// reference is the mean of all instances of a service.
-type reference struct {
-	firstByte, perEvent decayedMean
-}
-
-func (r *reference) add(one measured) {
-	r.firstByte.sum += one.firstByte.sum
-	r.firstByte.weight += one.firstByte.weight
-	r.perEvent.sum += one.perEvent.sum
-	r.perEvent.weight += one.perEvent.weight
-}
-
-func (m measured) failing() bool {
-	return m.attempts >= enough && m.failures >= failingShare*m.attempts
-}
-
-func (m measured) slow(of reference) bool {
-	return muchLarger(m.firstByte, of.firstByte) || muchLarger(m.perEvent, of.perEvent)
-}
-
-func muchLarger(one, all decayedMean) bool {
-	if one.weight < enough || all.weight <= one.weight {
-		return false
+	if q.attempts > 0 {
+		q.decay(now)
 	}
-	others := decayedMean{sum: all.sum - one.sum, weight: all.weight - one.weight}
-	return one.sum/one.weight > slowRatio*others.sum/others.weight
+	failing := q.attempts >= enough && q.failures >= failingShare*q.attempts
+	return measured{failing: failing, firstByte: q.firstByte}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,6 +87,7 @@
 type placement struct {
 	load    int // requests under way there, of all daemons
 	missing int // tokens of the prompt that it had to read
+	slots   int // requests that it works on at a time
 }
 
 // place chooses an instance; it waits while there is none at all.
@@ -110,7 +111,7 @@
 		}
 		request.Now = time.Now()
 		if chosen := backend.Choose(e.gateway.Fleet.Of(e.service.Name), request); chosen != nil {
-			e.believed = placement{load: chosen.Load(request.Now), missing: backend.Missing(chosen, request)}
+			e.believed = placement{load: chosen.Load(request.Now), missing: backend.Missing(chosen, request), slots: backend.Slots(chosen, request)}
 			return chosen, nil
 		}
 		if last != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,7 +23,7 @@
 	if err := e.passBody(ctx, reply); err != nil {
 		return err
 	}
-	e.instance.Observe(backend.Outcome{FirstByte: e.firstByte, PerEvent: e.perEvent()}, time.Now())
+	e.instance.Observe(e.outcome(reply), time.Now())
 	if !e.isStream(reply) {
 		return nil
 	}
@@ -43,6 +43,17 @@
 	return e.passRest(ctx, reply)
 }
 
+// outcome is what the answer showed of the instance. An answer that is an error shows
+// nothing of its speed: it comes without the work.
+func (e *execution) outcome(reply *ready) backend.Outcome {
+	if reply.Status/100 != http.StatusOK/100 {
+		return backend.Outcome{}
+	}
+	return backend.Outcome{
+		FirstByte: e.firstByte, PerEvent: e.perEvent(), Further: max(e.events.count-1, 0), Load: e.believed.load, Slots: e.believed.slots,
+	}
+}
+
 // perEvent is the mean time between events; zero when there were too few.
 func (e *execution) perEvent() time.Duration {
 	const fewest = 3
--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -65,7 +65,7 @@
 
 // makeSum adds up all that is fresh; the lock is held.
 func (b *Board) makeSum(now time.Time) {
-	all := Counts{}
+	all := newSum()
 	b.summed = make(map[string]Told, len(b.reports))
 	b.addReports(all, now)
 	for aggregator, share := range b.shares {
@@ -73,22 +73,22 @@
 			delete(b.shares, aggregator)
 			continue
 		}
-		_ = all.add(share.told.UnderWay) // was read whole when it came
+		_ = all.add(share.told) // was read whole when it came
 	}
 	for member, report := range b.reports {
 		b.summed[member] = report.told
 	}
-	b.sum, b.sumAt = Told{UnderWay: all.encode()}, now
+	b.sum, b.sumAt = all.told(), now
 }
 
 // addReports adds the fresh reports; the lock is held.
-func (b *Board) addReports(all Counts, now time.Time) {
+func (b *Board) addReports(all *sum, now time.Time) {
 	for member, report := range b.reports {
 		if now.Sub(report.at) > reportKept {
 			delete(b.reports, member)
 			continue
 		}
-		_ = all.add(report.told.UnderWay) // was read whole when it came
+		_ = all.add(report.told) // was read whole when it came
 	}
 }
 
@@ -104,7 +104,7 @@
 func (b *Board) share() (told Told, reporters int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	all := Counts{}
+	all := newSum()
 	b.addReports(all, b.now())
-	return Told{UnderWay: all.encode()}, len(b.reports)
+	return all.told(), len(b.reports)
 }
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -22,6 +22,10 @@
 	UnderWay() Counts
 	// Learn takes in what the other daemons have under way: all less own.
 	Learn(all, own Counts)
+	// Speeds is what this daemon saw of its engines' work.
+	Speeds() Speeds
+	// LearnSpeeds takes in what the other daemons saw: all less own.
+	LearnSpeeds(all, own Speeds)
 }
 
 // Exchange keeps one daemon's picture up to date, and aggregates for others if
@@ -115,7 +119,7 @@
 	place := xxhash.Sum64String(string(e.List.Self().Machine)) % uint64(len(aggregators))
 	chosen := aggregators[place]
 	var picture Picture
-	report := Sample{Member: string(e.List.Self().Machine), Told: Told{UnderWay: e.Fleet.UnderWay().encode()}}
+	report := Sample{Member: string(e.List.Self().Machine), Told: e.told()}
 	if err := e.reportTo(ctx, chosen, report, &picture); err != nil {
 		if ctx.Err() == nil {
 			e.metrics.ended(resultNoAnswer)
@@ -123,17 +127,24 @@
 		}
 		return
 	}
-	all, own := Counts{}, Counts{}
-	if err := errors.Join(all.add(picture.All.UnderWay), own.add(picture.Own.UnderWay)); err != nil {
+	all, own := newSum(), newSum()
+	if err := errors.Join(all.add(picture.All), own.add(picture.Own)); err != nil {
 		e.metrics.ended(resultUnreadable)
 		e.avoid(chosen, eris.Wrapf(err, "picture of %s", chosen.Process.Machine))
 		return
 	}
-	e.Fleet.Learn(all, own)
+	e.Fleet.Learn(all.underWay, own.underWay)
+	e.Fleet.LearnSpeeds(all.speeds, own.speeds)
 	e.metrics.ended(resultLearned)
 	e.noteAggregator(chosen)
 }
 
+// told is what this daemon tells of its work.
+func (e *Exchange) told() Told {
+	own := sum{underWay: e.Fleet.UnderWay(), speeds: e.Fleet.Speeds()}
+	return own.told()
+}
+
 func (e *Exchange) reportTo(parent context.Context, aggregator members.Member, report Sample, picture *Picture) error {
 	if aggregator.Process == e.List.Self() {
 		return e.Board.Report(report, picture)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -62,6 +62,7 @@
 // Told is what daemons tell of their work.
 type Told struct {
 	UnderWay []byte // Counts by engine, encoded
+	Speeds   []byte // Speeds by engine, encoded
 }
 
 // Sample is what one daemon tells.
@@ -121,4 +122,4 @@
 const mostCounted = 1 << 20
 
 // check tells whether what was told can be read.
-func check(told Told) error { return Counts{}.add(told.UnderWay) }
+func check(told Told) error { return newSum().add(told) }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -198,6 +198,7 @@
 type engines struct {
 	own     Counts
 	learned chan Counts
+	toldSpeeds
 }
 
 func (e *engines) UnderWay() Counts { return e.own }
