--- a/internal/backend/speed_test.go
+++ b/internal/backend/speed_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 	"pgregory.net/rapid"
 
 	"github.com/thymeloft/thymeloft/internal/load"
@@ -190,6 +191,24 @@
 		Expect(slowChosen(4)).To(BeNumerically(">", 30))
 	})
 
+	It("are shown to operators", func() {
+		fleet, _ := fleetOf("a", "b", "c", "d")
+		instanceOf(fleet, "a").speed.learn(told(50, 40*time.Millisecond), start)
+		instanceOf(fleet, "b").speed.learn(told(50, 400*time.Millisecond), start)
+		instanceOf(fleet, "c").speed.learn(told(1, 400*time.Millisecond), start)
+		registry := prometheus.NewRegistry()
+		Expect(registry.Register(fleet.Collector())).To(Succeed())
+		families, err := registry.Gather()
+		Expect(err).NotTo(HaveOccurred())
+		values := map[string]float64{}
+		for _, family := range families {
+			values[family.GetName()] = family.GetMetric()[0].GetGauge().GetValue()
+		}
+		Expect(values).To(Equal(map[string]float64{
+			"thymeloft_engine_speeds_known": 2, "thymeloft_engine_speeds_slow": 1, "thymeloft_engine_speeds_hasty": 1,
+		}))
+	})
+
 	It("hold an instance that nobody knows for one of the mean speed", func() {
 		fleet, _ := fleetOf("a", "b", "c")
 		instanceOf(fleet, "a").speed.learn(told(50, 40*time.Millisecond), start)
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -116,7 +116,7 @@
 	parts.quotas = quota.NewLimiter(quota.Options{
 		Settings: s.Settings.quota(), Keeper: parts.keeper, Directory: parts.list, Caller: parts.pool, Now: time.Now, Log: s.Log,
 	})
-	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry)); err != nil {
+	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry), s.Registry.Register(s.fleet.Collector())); err != nil {
 		return nil, err
 	}
 	if err := s.register(parts); err != nil {
