--- a/internal/server/followers_test.go
+++ b/internal/server/followers_test.go
@@ -51,6 +51,7 @@
 	DescribeTable("leave the others in use, with a line in the log", func(read func()) {
 		read()
 		Expect(known()).To(ConsistOf("a", "c"))
+		Expect(follower.fleet.Size()).To(Equal(2))
 		Expect(logged.FilterMessage("engine: entry cannot be read.").FilterField(zap.String("engine", "b")).Len()).To(Equal(1))
 	},
 		Entry("in a whole reading", func() { follower.Replace(rows, 3) }),
