--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -31,14 +31,15 @@
 	// SilentZones: a zone whose members don't answer is passed over whole.
 	SilentZones Name = "silent-zones"
 	// NearBudgets: the holders of a program's budget are of the zone that its turns come through.
-	NearBudgets Name = "near-budgets"
+	NearBudgets  Name = "near-budgets"
+	EngineSpeeds Name = "engine-speeds" // slow engines get less, by what all daemons saw
 )
 
 // All lists the mechanisms.
 func All() []Name {
 	return []Name{
 		Lending, LoadBoard, Trails, SharedBudgets, StoreRelay, HedgedCalls, QualityClasses, Ejection, PrefixGuess, SharedParts, ZoneCost,
-		WarmConnections, SilentZones, NearBudgets,
+		WarmConnections, SilentZones, NearBudgets, EngineSpeeds,
 	}
 }
 
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -122,7 +122,11 @@
 	parts.quotas = quota.NewLimiter(quota.Options{
 		Settings: s.Settings.quota(), Keeper: parts.keeper, Directory: parts.list, Caller: parts.pool, Now: time.Now, Log: s.Log,
 	})
-	if err := errors.Join(parts.client.Measure(s.Registry), parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry), parts.turns.Measure(s.Registry)); err != nil {
+	measured := []error{
+		parts.client.Measure(s.Registry), parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry),
+		parts.quotas.Measure(s.Registry), parts.turns.Measure(s.Registry), s.Registry.Register(s.fleet.Collector()),
+	}
+	if err := errors.Join(measured...); err != nil {
 		return nil, err
 	}
 	if err := s.register(parts); err != nil {
