--- a/internal/backend/reference.go
+++ b/internal/backend/reference.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"math"
 	"time"
 
 	"github.com/thymeloft/thymeloft/internal/mechanism"
@@ -33,17 +32,16 @@
 	// mean speed, so that one late answer changes little, and an instance that nobody
 	// used for a while is tried again.
 	priorAnswers = 8.0
-	// indistinct is the difference, as a logarithm, under which instances count as alike:
-	// two fifths less, or two thirds more. Engines that are slower for moments differ by
-	// a third over some seconds, and all daemons would go after that at once: on a fleet that is
+	// alikeFrom is the speed, to that of fast instances, from which an instance counts
+	// as one of them. Engines that are slower for moments differ by a
+	// third over some seconds, and all daemons would go after that at once: on a fleet that is
 	// alike but for moments, and over half full, the 99th percentile of a turn was
-	// 1.02 s without speeds, 1.00 s with 0.5 and 1.11 s with 0.4 (simulation, five seeds).
-	indistinct = 0.5
-	// distinct is the difference, as a logarithm, from which a speed is taken as it is.
-	distinct = 2 * indistinct
-	// Speeds are believed between these: beyond, something else than speed is wrong.
+	// 1.02 s without speeds, 1.00 s with 0.61 and 1.11 s with 0.67 (simulation, five seeds).
+	alikeFrom = 0.6
+	// distinctFrom is the speed below which it is taken as it is.
+	distinctFrom = 0.35
+	// slowestBelieved bounds what is believed: below, something else than speed is wrong.
 	slowestBelieved = 1.0 / 32
-	fastestBelieved = 4.0
 	// millisecondsEach is milliseconds a second.
 	millisecondsEach = 1000
 )
@@ -131,31 +129,25 @@
 	return part * min(left, 1)
 }
 
-// speedOf is the instance's speed to that of fast ones; 1 if nothing is known.
+// speedOf is the instance's speed to that of fast ones, at most 1; 1 if nothing is known.
 func (r reference) speedOf(instance *Instance, now time.Time) float64 {
 	if r.fastest == 0 {
 		return 1
 	}
 	done := instance.speed.known(now)
 	speed := (done.pieces + r.prior) / (done.seconds + r.prior/r.mean) / r.fastest
-	return distinctSpeed(min(max(speed, slowestBelieved), fastestBelieved))
+	return distinctSpeed(max(speed, slowestBelieved))
 }
 
 // distinctSpeed makes 1 of speeds that are nearly 1, and leaves those alone that are far
 // from it, without a step between.
 func distinctSpeed(speed float64) float64 {
-	if speed > 1/(1+indistinct) && speed < 1+indistinct {
-		return 1 // the usual case, without a logarithm
-	}
-	difference := math.Log(speed)
-	size := math.Abs(difference)
 	switch {
-	case size <= indistinct:
+	case speed >= alikeFrom:
 		return 1
-	case size >= distinct:
+	case speed <= distinctFrom:
 		return speed
 	default:
-		ramp := distinct / (distinct - indistinct)
-		return math.Exp(math.Copysign(ramp*(size-indistinct), difference))
+		return distinctFrom + (speed-distinctFrom)*(1-distinctFrom)/(alikeFrom-distinctFrom)
 	}
 }
--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -34,7 +34,7 @@
 	speedBelieved = 12 * time.Second
 	// batchSlowdown is by how much a piece takes longer in a full batch: measured
 	// engines of language models take 3 to 30 % longer. An error of it shifts the
-	// speed of a fuller instance by as much, which is within indistinct.
+	// speed of a fuller instance by as much, which is within what counts as alike (alikeFrom).
 	batchSlowdown = 0.15
 	hundredth     = 100
 )
@@ -89,7 +89,7 @@
 // shownWork is the sum as placement reads it without a lock.
 type shownWork struct {
 	work
-	until time.Time // when it is no longer believed
+	until int64 // unix nanoseconds when it is no longer believed
 }
 
 func (s *speedometer) observe(outcome Outcome, now time.Time) {
@@ -144,13 +144,13 @@
 	if age := now.Sub(s.heardAt); !s.heardAt.IsZero() && age < speedBelieved {
 		sum = sum.plus(s.others.decayed(age))
 	}
-	s.shown.Store(&shownWork{work: sum, until: now.Add(speedBelieved)})
+	s.shown.Store(&shownWork{work: sum, until: now.Add(speedBelieved).UnixNano()})
 }
 
 // known is the work of all processes at the instance, as far as this one knows.
 func (s *speedometer) known(now time.Time) work {
 	shown := s.shown.Load()
-	if shown == nil || !now.Before(shown.until) {
+	if shown == nil || now.UnixNano() >= shown.until {
 		return work{}
 	}
 	return shown.work
