Admission: programs under way are bounded by what engines hold, in parts that sum to the bound

Cause: nothing said how many programs engines of little memory can carry. Each first turn went to an engine as it came; contexts pushed each other out, each turn read its whole history again, and the fleet did less the more it was asked.

Daemons that told nothing until they were asked left a third of the bound to nobody; all tell from their start.

Change: internal/admission decides on first turns of programs, by pure functions: the contexts under way (shared parts once an engine, a resting program by its chance to go on) against the engines' memory, a bound learnt by first bytes between half and 1.25 of that, this daemon's part of it, who goes first (tenants by what they spent lately, priorities, programs that can't end in time last) and when to come back. Daemons tell their figures with the loads (load.Programs); parts sum to the bound whatever the age of the pictures (TestParts). What has begun goes on: a turn that names another, or whose budget's holder knows what the program did.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -191,6 +191,7 @@
 	"store-unavailable":   "the store did not answer while the request waited for its history or budget; it did not run",
 	"budget-spent":        "the budget of its program held no further turn; it did not run",
 	"no-engine":           "no engine of its service was known to be ready; it did not run",
+	"overload":            "the engines hold as many programs as they bear, and this one had not begun; it did not run",
 	"engines-full":        "every engine that it was offered to refused it as full; it did not run",
 	"engines-unreachable": "no engine that it was offered to could be connected; it did not run",
 	"deadline":            "the time that the caller or the route allows was over",
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -35,6 +35,7 @@
 	taken       *quota.Taken // place in the tenant's quota; nil: no limit
 	reservation budget.Settler
 	everywhere  int // parts of the prompt that every engine keeps
+	admitted    admittedTurn
 
 	instance  *backend.Instance
 	believed  placement // of the instance, when it was chosen
@@ -75,10 +76,15 @@
 	if e.reservation != nil {
 		defer e.settle()
 	}
+	if err := e.admitProgram(); err != nil {
+		return err
+	}
+	defer e.leaveProgram()
 	reply, err := e.obtain(ctx)
 	if err != nil {
 		return err
 	}
+	e.noteFirstByte()
 	defer reply.close()
 	return e.relay(ctx, reply)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/admission"
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
@@ -22,13 +23,15 @@
 
 // Options are what a Gateway is made of.
 type Options struct {
-	Zone         string
-	Wire         Wire
-	Routes       *routetable.Holder
-	Fleet        *backend.Fleet
-	Turns        *turn.Records
-	Budgets      Budgets
-	Quotas       *quota.Limiter
+	Zone    string
+	Wire    Wire
+	Routes  *routetable.Holder
+	Fleet   *backend.Fleet
+	Turns   *turn.Records
+	Budgets Budgets
+	Quotas  *quota.Limiter
+	// Admission bounds the programs under way; nil: nothing does.
+	Admission    *admission.Controller
 	Availability *state.Availability
 	Log          *zap.Logger
 	Metrics      *Metrics
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -28,6 +28,7 @@
 	ReasonBudget          Reason = "budget-spent"
 	ReasonNoEngine        Reason = "no-engine"
 	ReasonEnginesFull     Reason = "engines-full"
+	ReasonOverload        Reason = "overload"
 	ReasonUnreachable     Reason = "engines-unreachable"
 	ReasonDeadline        Reason = "deadline"
 	ReasonLost            Reason = "answer-lost"
--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -78,7 +78,7 @@
 	for member, report := range b.reports {
 		b.summed[member] = report.told
 	}
-	b.sum, b.sumAt = Told{UnderWay: all.encode()}, now
+	b.sum, b.sumAt = Told{UnderWay: all.encode(), Programs: b.programs(now, true)}, now
 }
 
 // addReports adds the fresh reports; the lock is held.
@@ -105,6 +105,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	all := Counts{}
-	b.addReports(all, b.now())
-	return Told{UnderWay: all.encode()}, len(b.reports)
+	now := b.now()
+	b.addReports(all, now)
+	return Told{UnderWay: all.encode(), Programs: b.programs(now, false)}, len(b.reports)
 }
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -31,7 +31,9 @@
 	Caller peer.Caller
 	Board  *Board // of this daemon
 	Fleet  Fleet
-	Log    *zap.Logger
+	// Programs are told and learnt with the loads; nil: none are.
+	Programs ProgramSource
+	Log      *zap.Logger
 
 	metrics metrics
 
@@ -115,7 +117,7 @@
 	place := xxhash.Sum64String(string(e.List.Self().Machine)) % uint64(len(aggregators))
 	chosen := aggregators[place]
 	var picture Picture
-	report := Sample{Member: string(e.List.Self().Machine), Told: Told{UnderWay: e.Fleet.UnderWay().encode()}}
+	report := Sample{Member: string(e.List.Self().Machine), Told: Told{UnderWay: e.Fleet.UnderWay().encode(), Programs: e.ownPrograms()}}
 	if err := e.reportTo(ctx, chosen, report, &picture); err != nil {
 		if ctx.Err() == nil {
 			e.metrics.ended(resultNoAnswer)
@@ -129,6 +131,11 @@
 		e.avoid(chosen, eris.Wrapf(err, "picture of %s", chosen.Process.Machine))
 		return
 	}
+	if err := e.learnPrograms(picture); err != nil {
+		e.metrics.ended(resultUnreadable)
+		e.avoid(chosen, eris.Wrapf(err, "picture of %s", chosen.Process.Machine))
+		return
+	}
 	e.Fleet.Learn(all, own)
 	e.metrics.ended(resultLearned)
 	e.noteAggregator(chosen)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -14,6 +14,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,6 +63,7 @@
 // Told is what daemons tell of their work.
 type Told struct {
 	UnderWay []byte // Counts by engine, encoded
+	Programs []byte // Programs, encoded; empty: a daemon that tells none
 }
 
 // Sample is what one daemon tells.
@@ -121,4 +123,6 @@
 const mostCounted = 1 << 20
 
 // check tells whether what was told can be read.
-func check(told Told) error { return Counts{}.add(told.UnderWay) }
+func check(told Told) error {
+	return errors.Join(Counts{}.add(told.UnderWay), newPrograms().add(told.Programs))
+}
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -28,13 +28,14 @@
 	ZoneCost       Name = "zone-cost"       // engines of other zones cost more
 	// WarmConnections: engines to which no connection is kept cost more.
 	WarmConnections Name = "warm-connections"
+	Admission       Name = "admission" // programs under way are bounded by what engines hold
 )
 
 // All lists the mechanisms.
 func All() []Name {
 	return []Name{
 		Lending, LoadBoard, Trails, SharedBudgets, StoreRelay, HedgedCalls, QualityClasses, Ejection, PrefixGuess, SharedParts, ZoneCost,
-		WarmConnections,
+		WarmConnections, Admission,
 	}
 }
 
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -117,6 +117,20 @@
 	return &Service{Name: name}
 }
 
+// ModelServices names the declared services whose engines generate tokens; nil: no table.
+func (t *Table) ModelServices() []string {
+	if t == nil {
+		return nil
+	}
+	var names []string
+	for name, service := range t.services {
+		if service.Model {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // hostName drops a port and folds the case.
 func hostName(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/admission"
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/load"
@@ -38,6 +39,7 @@
 	quotas       *quota.Limiter
 	keeper       *quota.Keeper
 	tellsLoads   bool
+	admission    *admission.Controller // nil: switched off
 	server       *peer.Server
 	pool         *peer.Pool
 	log          *zap.Logger
@@ -119,12 +121,28 @@
 	if err := errors.Join(parts.list.Measure(s.Registry), parts.loads.Measure(s.Registry), parts.quotas.Measure(s.Registry)); err != nil {
 		return nil, err
 	}
+	if err := s.boundPrograms(parts); err != nil {
+		return nil, err
+	}
 	if err := s.register(parts); err != nil {
 		return nil, err
 	}
 	return parts, nil
 }
 
+// boundPrograms makes what decides whether programs may begin, and lets daemons tell each
+// other of their programs with the loads.
+func (s *Server) boundPrograms(parts *collaboration) error {
+	if s.Settings.Disabled.Has(mechanism.Admission) {
+		return nil
+	}
+	parts.admission = admission.NewController(admission.Options{
+		Members: parts.list.Count, Services: func() []string { return s.routes.Current().ModelServices() }, Now: time.Now, Log: s.Log,
+	})
+	parts.loads.Programs = parts.admission
+	return parts.admission.Measure(s.Registry)
+}
+
 // register offers what other daemons may ask for.
 func (s *Server) register(parts *collaboration) error {
 	listening := parts.server
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -137,6 +137,7 @@
 		Turns:         parts.turns,
 		Budgets:       parts.budgets,
 		Quotas:        parts.quotas,
+		Admission:     parts.admission,
 		Availability:  parts.availability,
 		Log:           s.Log,
 		Metrics:       s.metrics,
