Admission: a fleet that starts anew begins programs from its first daemons on; refused programs by the given time

Cause: by reading. The even share of the free room was divided by all members while the bound was cut to the daemons in the picture, so that the first three of 84 that start again had a thousandth of a program's context each. Refused programs were remembered by the machine's clock, in a cache with a goroutine of its own. A daemon that heard nothing and met a service's engines for the first time took an equal part that it had not claimed. A program refused here counted as work under way for its tenant's quota.

Change: the even share is divided by the daemons in the picture, which keeps the sum (TestParts draws daemons that join); refused programs are remembered with the time that is given; claims begin anew when engines are first known; a refused program is forgotten by the quota's list of begun ones. Comments without figures of a deployment.

Conclusion: the sum holds at starts and cuts as well, in the model.

--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -108,8 +108,8 @@
 
 // ratio takes in the fleet's mean first byte over so many turns.
 func (i *idle) ratio(turns, firstByte float64, elapsed time.Duration) float64 {
-	// fewestTurns is from how many turns a mean is believed: of 84 daemons that see 5 turns
-	// a second each, a twentieth.
+	// fewestTurns is from how many turns within shownFor a mean is believed: its error is some
+	// fifth of the spread of single first bytes.
 	const fewestTurns = 20
 	if turns < fewestTurns {
 		return 0
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -45,7 +45,7 @@
 	idle      idle
 	ratio     float64 // of the first byte, as last heard
 	claims    claims
-	usualHeld mean
+	usualHeld mean // of the contexts here; claimed, since it swings less than they do
 	picture   Picture
 	part      float64 // when the picture came, for the whole bound
 	// firstTold, steppedAt and loggedAt are when the figures were first told, the bound last
@@ -67,6 +67,15 @@
 	return known
 }
 
+// see takes in the engines as they are now. Before it knew any, a daemon could not claim a part
+// of what they hold: its claims begin anew.
+func (s *service) see(room Room, now time.Time) {
+	if s.room.Engines == 0 && !s.firstTold.IsZero() {
+		s.firstTold = now
+	}
+	s.room = room
+}
+
 // Begin decides whether a program may begin, and counts it in with its first turn; a program
 // that is under way here goes on. Leave or Drop is to be called when the turn is over.
 // Without an engine nothing is refused: that is placement's to tell.
@@ -75,7 +84,7 @@
 	defer c.mutex.Unlock()
 	now := c.options.Now()
 	service := c.service(request.Service)
-	service.room = request.Room
+	service.see(request.Room, now)
 	if _, underWay := service.programs.underWay[request.Program]; underWay {
 		service.programs.enter(request, now)
 		return nil
@@ -84,7 +93,7 @@
 	asked := service.programs.expected(request)
 	service.asked.add(float64(asked), now, askedFor)
 	if refused := c.decide(service, request, asked, now); refused != nil {
-		service.programs.refuse(request)
+		service.programs.refuse(request, now)
 		c.metrics.refused(refused.Cause, request.Priority)
 		return refused
 	}
@@ -99,7 +108,7 @@
 	defer c.mutex.Unlock()
 	now := c.options.Now()
 	service := c.service(request.Service)
-	service.room = request.Room
+	service.see(request.Room, now)
 	if _, underWay := service.programs.underWay[request.Program]; !underWay {
 		service.programs.begin(request, now)
 	}
@@ -111,7 +120,7 @@
 	if request.Room.Engines == 0 {
 		return nil
 	}
-	claimant := Claimant{Priority: request.Priority, Share: c.fleet.of(request.Tenant), Late: service.programs.late(request)}
+	claimant := Claimant{Priority: request.Priority, Share: c.fleet.of(request.Tenant), Late: service.programs.late(request, now)}
 	bound := service.bound.Tokens(request.Room)
 	reach, cause := Reach(claimant, service.fill(bound, now))
 	part := service.partOf(bound*reach, c.options.Members(), now)
--- a/internal/admission/decision_test.go
+++ b/internal/admission/decision_test.go
@@ -201,6 +201,16 @@
 		Expect(told.Held).To(BeEquivalentTo(100))
 	})
 
+	It("takes no equal part at once that it could not claim before it knew engines", func() {
+		controller.Programs()
+		now = now.Add(time.Minute)
+		Expect(controller.Programs().Services[load.KeyOf("llm")].Claimed).To(BeZero())
+		Expect(refusal(turn("a", 100))).NotTo(BeNil())
+		Expect(controller.Programs().Services[load.KeyOf("llm")].Claimed).To(Equal(bound))
+		now = now.Add(claimWindow)
+		Expect(refusal(turn("a", 100))).To(BeNil())
+	})
+
 	It("knows a tenant's share from what all daemons told, and forgets what was spent long ago", func() {
 		spent := turn("a", 100)
 		spent.Tenant = "greedy"
--- a/internal/admission/exchange.go
+++ b/internal/admission/exchange.go
@@ -10,7 +10,7 @@
 	"github.com/thymeloft/thymeloft/internal/load"
 )
 
-// least spent that is told: below it a tenant's share is nothing.
+// leastSpent is the least that is told, in tokens: below it a tenant's share is nothing.
 const leastSpent = 1
 
 // Programs implements load.ProgramSource: what this daemon tells of itself.
--- a/internal/admission/part.go
+++ b/internal/admission/part.go
@@ -15,9 +15,9 @@
 )
 
 // evenShare of the free room is divided alike, so that a daemon that was asked little has
-// room for a first program; the rest goes by what each is asked. At a quarter, 84 daemons
-// before 44 engines of 43,874 tokens each have room for three programs of the usual length;
-// a half would leave more of the bound to daemons that nobody asks.
+// room for a first program; the rest goes by what each is asked. With twice as many daemons as
+// engines, which keep some ten programs each, a quarter is room for one program. A half would
+// leave more of the bound to daemons that nobody asks.
 const evenShare = 0.25
 
 // Claim is what a daemon told of itself at a moment, in tokens.
@@ -78,11 +78,11 @@
 	if held >= whole {
 		return kept * whole / max(held, 1)
 	}
-	asked := 1 / members
+	asked := 1 / float64(picture.Daemons)
 	if picture.Asked > 0 {
 		asked = min(float64(share.Least.Asked)/float64(picture.Asked), 1)
 	}
-	return kept + (evenShare/members+(1-evenShare)*asked)*(whole-held)
+	return kept + (evenShare/float64(picture.Daemons)+(1-evenShare)*asked)*(whole-held)
 }
 
 // silent tells whether no picture is believed any more.
--- a/internal/admission/part_test.go
+++ b/internal/admission/part_test.go
@@ -19,14 +19,16 @@
 
 const toldEach = 100 * time.Millisecond
 
-// drawTold lets daemons tell figures that stand still for a while and then jump.
+// drawTold lets daemons tell figures that stand still for a while and then jump; some join
+// late.
 func drawTold(t *rapid.T, daemons, times int) toldFleet {
 	var fleet toldFleet
 	for range daemons {
 		var told []Claim
 		claim := Claim{}
-		for number := range times {
-			if number == 0 || rapid.IntRange(0, times).Draw(t, "jumps") == 0 {
+		joins := rapid.SampledFrom([]int{0, 0, 0, times / 2, times - 4, times - 1}).Draw(t, "joins")
+		for number := joins; number < times; number++ {
+			if number == joins || rapid.IntRange(0, times).Draw(t, "jumps") == 0 {
 				claim.Held = rapid.Int64Range(0, 60000).Draw(t, "held")
 				claim.Asked = rapid.Int64Range(0, 5000).Draw(t, "asked")
 			}
@@ -38,15 +40,14 @@
 	return fleet
 }
 
-// at gives what a daemon had told last by a moment.
-func (f toldFleet) at(daemon int, moment time.Time) Claim {
-	last := f.claims[daemon][0]
+// at gives what a daemon had told last by a moment, if it had told anything.
+func (f toldFleet) at(daemon int, moment time.Time) (last Claim, told bool) {
 	for _, claim := range f.claims[daemon] {
 		if !claim.At.After(moment) {
-			last = claim
+			last, told = claim, true
 		}
 	}
-	return last
+	return last, told
 }
 
 // sumOfParts gives each daemon of a side a picture of its own side, each entry of another age
@@ -60,7 +61,10 @@
 			if sideOf[other] != sideOf[daemon] {
 				continue
 			}
-			told := fleet.at(other, came.Add(-time.Duration(rapid.Int64Range(0, int64(load.OldestPrograms)).Draw(t, "age"))))
+			told, joined := fleet.at(other, came.Add(-time.Duration(rapid.Int64Range(0, int64(load.OldestPrograms)).Draw(t, "age"))))
+			if !joined {
+				continue
+			}
 			picture.Daemons++
 			picture.Claimed += told.Held
 			picture.Asked += told.Asked
@@ -72,7 +76,8 @@
 			}
 		}
 		sum += Part(Share{
-			Bound: bound, Members: len(fleet.claims), Picture: picture, Least: kept.least(now), FirstTold: start, Now: now,
+			Bound: bound, Members: len(fleet.claims), Picture: picture, Least: kept.least(now),
+			FirstTold: kept.told[0].At, Last: float64(kept.told[0].Held), Now: now,
 		})
 	}
 	return sum
@@ -123,6 +128,11 @@
 		Expect(Part(share)).To(BeEquivalentTo(100))
 	})
 
+	It("lets the first daemons of a fleet that starts anew begin programs", func() {
+		share := Share{Bound: 84 * 1000, Members: 84, Picture: Picture{At: start, Daemons: 3, Asked: 10}, FirstTold: start, Now: start}
+		Expect(Part(share)).To(BeNumerically("~", evenShare*1000, 1))
+	})
+
 	It("ends with the picture that it was worked out from", func() {
 		share := Share{Bound: 1000, Members: 2, Picture: Picture{At: start, Daemons: 2, Claimed: 100}, Least: Claim{Held: 50}, Last: 3, FirstTold: start}
 		share.Now = start.Add(partEnds)
--- a/internal/admission/programs.go
+++ b/internal/admission/programs.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/expirable"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Bounds of when a program is taken to be over: nobody tells its last turn.
@@ -96,14 +96,15 @@
 	underWay map[string]*program
 	inOrder  []*program // the same, in an order that does not differ from run to run
 	routes   map[string]*routeUsual
-	refused  *expirable.LRU[string, time.Duration] // the time that a refused program had when it first came
+	refused  *simplelru.LRU[string, refusedProgram] // when they first came
 }
 
 func newPrograms() programs {
-	return programs{
-		underWay: map[string]*program{}, routes: map[string]*routeUsual{},
-		refused: expirable.NewLRU[string, time.Duration](refusedKept, nil, refusedKeptFor),
+	refused, err := simplelru.NewLRU[string, refusedProgram](refusedKept, nil)
+	if err != nil {
+		panic(err) // only for a size below one
 	}
+	return programs{underWay: map[string]*program{}, routes: map[string]*routeUsual{}, refused: refused}
 }
 
 func (p *programs) usual(route string) *routeUsual {
@@ -145,20 +146,32 @@
 	refusedKeptFor = 2 * latestBack
 )
 
+// refusedProgram is what a program that was refused had when it first came.
+type refusedProgram struct {
+	at       time.Time
+	timeLeft time.Duration
+}
+
+// refusedBefore finds a program that was refused lately.
+func (p *programs) refusedBefore(name string, now time.Time) (refusedProgram, bool) {
+	known, found := p.refused.Get(name)
+	return known, found && now.Sub(known.at) <= refusedKeptFor
+}
+
 // late tells whether a program that was refused before has less time left than such programs
 // take. Programs differ in length; what they need of the time that they are given does not.
-func (p *programs) late(request *Request) bool {
-	had, refused := p.refused.Get(request.Program)
+func (p *programs) late(request *Request, now time.Time) bool {
+	before, refused := p.refusedBefore(request.Program, now)
 	if !refused || request.TimeLeft <= 0 {
 		return false
 	}
-	return request.TimeLeft.Seconds() < p.usual(request.Route).timeUsed.or(0)*had.Seconds()
+	return request.TimeLeft.Seconds() < p.usual(request.Route).timeUsed.or(0)*before.timeLeft.Seconds()
 }
 
 // refuse remembers how much time the program had when it first came.
-func (p *programs) refuse(request *Request) {
-	if _, again := p.refused.Get(request.Program); !again {
-		p.refused.Add(request.Program, request.TimeLeft)
+func (p *programs) refuse(request *Request, now time.Time) {
+	if _, again := p.refusedBefore(request.Program, now); !again {
+		p.refused.Add(request.Program, refusedProgram{at: now, timeLeft: request.TimeLeft})
 	}
 }
 
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -31,6 +31,7 @@
 	err := e.gateway.Admission.Begin(turn.request)
 	var refused *admission.RefusedError
 	if errors.As(err, &refused) {
+		e.gateway.begun.forget(e.scoped(e.call.Program)) // its quota's place is given back
 		return notRun(ReasonOverload, refused.After, err)
 	}
 	e.admitted = turn
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -36,7 +36,7 @@
 			Members: func() int { return 1 }, Services: func() []string { return []string{"llm"} }, Now: time.Now, Log: zap.NewNop(),
 		})
 		current = &execution{
-			gateway: &Gateway{Options: Options{Fleet: fleet, Admission: controller}},
+			gateway: &Gateway{Options: Options{Fleet: fleet, Admission: controller}, begun: newBegunPrograms()},
 			service: &routetable.Service{Name: "llm", Model: true, MemoryTokens: 1000},
 			route:   &routetable.Route{Name: "chat", Priority: 1},
 			call:    Call{Program: "p", Prefix: []backend.PromptPart{{Name: "all", Tokens: 5000}}},
@@ -45,11 +45,13 @@
 
 	It("refuses a first turn for which there is no room, with when to come back", func() {
 		var refusal *Refusal
+		current.gateway.begun.note("p")
 		Expect(errors.As(current.admitProgram(), &refusal)).To(BeTrue())
 		Expect(refusal.Reason).To(Equal(ReasonOverload))
 		Expect(refusal.Status).To(Equal(503))
 		Expect(refusal.After).To(BeNumerically(">", 0))
 		Expect(current.leaveProgram).NotTo(Panic())
+		Expect(current.gateway.begun.has("p")).To(BeFalse())
 	})
 
 	DescribeTable("lets go on what has begun, also through other daemons", func(begun func()) {
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -103,4 +103,5 @@
 }
 
 func (b *begunPrograms) note(program string)     { b.seen.Add(program, struct{}{}) }
+func (b *begunPrograms) forget(program string)   { b.seen.Remove(program) }
 func (b *begunPrograms) has(program string) bool { return b.seen.Contains(program) }
