--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -113,7 +113,7 @@
 	for member, report := range b.reports {
 		b.summed[member] = report.told
 	}
-	b.sum, b.sumAt = all.told(), now
+	b.sum, b.sumAt = all.told(b.programs(now, true)), now
 }
 
 // addReports adds the fresh reports; the lock is held.
@@ -140,6 +140,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	all := newSum()
-	b.addReports(all, b.now())
-	return all.told(), len(b.reports)
+	now := b.now()
+	b.addReports(all, now)
+	return all.told(b.programs(now, false)), len(b.reports)
 }
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -36,7 +36,9 @@
 	Caller peer.Caller
 	Board  *Board // of this daemon
 	Fleet  Fleet
-	Log    *zap.Logger
+	// Programs are told and learnt with the loads; nil: none are.
+	Programs ProgramSource
+	Log      *zap.Logger
 
 	metrics metrics
 	outside atomic.Pointer[heardOutside] // as the last picture told
@@ -139,6 +141,11 @@
 		e.avoid(chosen, eris.Wrapf(err, "picture of %s", chosen.Process.Machine))
 		return
 	}
+	if err := e.learnPrograms(picture); err != nil {
+		e.metrics.ended(resultUnreadable)
+		e.avoid(chosen, eris.Wrapf(err, "picture of %s", chosen.Process.Machine))
+		return
+	}
 	e.Fleet.Learn(all.underWay, own.underWay)
 	e.Fleet.LearnSpeeds(all.speeds, own.speeds)
 	e.noteOutside(picture.Outside)
@@ -150,7 +157,7 @@
 // told is what this daemon tells of its work.
 func (e *Exchange) told() Told {
 	own := sum{underWay: e.Fleet.UnderWay(), speeds: e.Fleet.Speeds()}
-	return own.told()
+	return own.told(e.ownPrograms())
 }
 
 func (e *Exchange) reportTo(parent context.Context, aggregator members.Member, report Sample, picture *Picture) error {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -14,6 +14,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,6 +64,7 @@
 type Told struct {
 	UnderWay []byte // Counts by engine, encoded
 	Speeds   []byte // Speeds by engine, encoded
+	Programs []byte // Programs, encoded; empty: a daemon that tells none
 }
 
 // Sample is what one daemon tells.
@@ -131,4 +133,6 @@
 const mostCounted = 1 << 20
 
 // check tells whether what was told can be read.
-func check(told Told) error { return newSum().add(told) }
+func check(told Told) error {
+	return errors.Join(newSum().add(told), newPrograms().add(told.Programs))
+}
--- a/internal/load/sum.go
+++ b/internal/load/sum.go
@@ -15,7 +15,7 @@
 	return errors.Join(s.underWay.add(told.UnderWay), s.speeds.add(told.Speeds))
 }
 
-// told is the sum as it is told on.
-func (s *sum) told() Told {
-	return Told{UnderWay: s.underWay.encode(), Speeds: s.speeds.encode()}
+// told is the sum as it is told on, with the programs' own sum.
+func (s *sum) told(programs []byte) Told {
+	return Told{UnderWay: s.underWay.encode(), Speeds: s.speeds.encode(), Programs: programs}
 }
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -33,13 +33,14 @@
 	// NearBudgets: the holders of a program's budget are of the zone that its turns come through.
 	NearBudgets  Name = "near-budgets"
 	EngineSpeeds Name = "engine-speeds" // slow engines get less, by what all daemons saw
+	Admission    Name = "admission"     // programs under way are bounded by what engines hold
 )
 
 // All lists the mechanisms.
 func All() []Name {
 	return []Name{
 		Lending, LoadBoard, Trails, SharedBudgets, StoreRelay, HedgedCalls, QualityClasses, Ejection, PrefixGuess, SharedParts, ZoneCost,
-		WarmConnections, SilentZones, NearBudgets, EngineSpeeds,
+		WarmConnections, SilentZones, NearBudgets, EngineSpeeds, Admission,
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -150,6 +150,7 @@
 		Turns:         parts.turns,
 		Budgets:       parts.budgets,
 		Quotas:        parts.quotas,
+		Admission:     parts.admission,
 		Availability:  parts.availability,
 		Reach:         s.reach,
 		Room:          parts.client.Room(),
