--- a/internal/gateway/execution_test.go
+++ b/internal/gateway/execution_test.go
@@ -54,7 +54,8 @@
 		for _, partition := range state.Partitions(3) {
 			availability.Failed(partition)
 		}
-		return &Gateway{Options: Options{Reach: monitor, Availability: availability}}
+		room := state.NewClient(state.ClientOptions{Availability: availability}).Room()
+		return &Gateway{Options: Options{Reach: monitor, Availability: availability, Room: room}}
 	}
 
 	It("is refused at once where its turn would have to be kept, with a time to come back", func(ctx SpecContext) {
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -143,7 +143,7 @@
 // boundPrograms makes what decides whether programs may begin, and lets daemons tell each
 // other of their programs with the loads.
 func (s *Server) boundPrograms(parts *collaboration) error {
-	if s.Settings.Disabled.Has(mechanism.Admission) {
+	if !s.Settings.BoundPrograms || s.Settings.Disabled.Has(mechanism.Admission) {
 		return nil
 	}
 	parts.admission = admission.NewController(admission.Options{
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -44,6 +44,9 @@
 	// Quota is how tenants' quotas are meant. Left out, they hold in windows of 5 s
 	// and without tolerance.
 	Quota Quota `yaml:"quota"`
+	// BoundPrograms refuses programs at their first turn while the engines hold as many as they
+	// bear. It is for fleets whose engines' memory is short; left out, it is false.
+	BoundPrograms bool `yaml:"bound_programs"`
 	// Disabled are mechanisms that an experiment goes without; empty in service.
 	Disabled mechanism.Off `yaml:"disabled"`
 	// LogSuccessesPerSecond bounds the lines about requests that went well; 0: no bound.
