--- a/internal/budget/zones_test.go
+++ b/internal/budget/zones_test.go
@@ -28,6 +28,7 @@
 	byPlace  map[string]*zoneDaemon
 	cut      identity.Zone // reaches no other zone and no store; empty: none
 	program  string
+	refused  int           // questions over the cut
 	settling chan struct{} // gets a value for each settlement that came, or that is lost
 }
 
@@ -103,6 +104,7 @@
 	switch method {
 	case methodReserve:
 		if over {
+			d.fleet.refused++
 			return errCut
 		}
 		return asked.holder.Reserve(arguments.(ReserveRequest), reply.(*ReserveReply))
@@ -193,14 +195,44 @@
 		Expect(err).NotTo(HaveOccurred())
 		made.settle(70)
 		fleet.cut = fleet.daemons[0].zone()
+		limited, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
 		for number := 1; number < 10; number++ {
-			made, err := fleet.reserve(ctx, 3*(number%3), number, 13000, 288)
+			made, err := fleet.reserve(limited, 3*(number%3), number, 13000, 288)
 			Expect(err).NotTo(HaveOccurred(), "turn %d", number)
 			made.settle(70)
 		}
 	})
 })
 
+var _ = Describe("A turn's way to the holders", func() {
+	It("asks one holder of a zone that gives no answer, not the next one in it", func(ctx SpecContext) {
+		asked := 0
+		for number := range 20 {
+			fleet, err := newZonesFleet(memorystore.New())
+			Expect(err).NotTo(HaveOccurred())
+			fleet.program, fleet.cut = fmt.Sprint("p", number), fleet.daemons[0].zone()
+			fleet.daemons[1].shared.Near = false
+			made, err := fleet.reserve(ctx, 1, number, 13000, 288)
+			Expect(err).NotTo(HaveOccurred())
+			made.settle(70)
+			Expect(fleet.refused).To(BeNumerically("<=", 1))
+			asked += fleet.refused
+		}
+		Expect(asked).To(BeNumerically(">", 0))
+	})
+
+	It("does not wait at a holder whose store is away while another one can be asked", func(ctx SpecContext) {
+		store := memorystore.New()
+		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
+		limited, cancel := context.WithTimeout(ctx, 5*time.Second)
+		defer cancel()
+		_, err := newLedger(store).reserve(limited, question{turnNeed{"p", 13000, 288}, true})
+		Expect(state.NoVerdict(err)).To(BeTrue(), "%v", err)
+		Expect(limited.Err()).NotTo(HaveOccurred())
+	})
+})
+
 // TestNeverExceededInZones plays a program whose turns come through daemons of all zones, while one zone after the other is cut off
 // and daemons die and start again, on a store that refuses and loses answers. Whatever they generated stays
 // within the budget and the most of one turn.
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -25,6 +25,9 @@
 
 	// WatchZones lets a silent zone be passed over whole; set before the list is used.
 	WatchZones bool
+	// OnZoneBack, if given, is told the addresses of a zone's members when it answers again, and for how long it was
+	// silent; set before the list is used. It must not wait.
+	OnZoneBack func(addresses []string, silent time.Duration)
 
 	mutex       sync.Mutex // of changes
 	reaches     map[identity.Zone]*reach
--- a/internal/members/silence.go
+++ b/internal/members/silence.go
@@ -125,9 +125,21 @@
 	}
 	if lasted, back := known.reach.answer(l.now().UnixNano()); back {
 		l.log.Info("members: zone answers again.", zap.String("zone", string(member.Process.Zone)), zap.Duration("silent", lasted))
+		l.tellBack(member.Process.Zone, lasted)
 	}
 }
 
+func (l *List) tellBack(zone identity.Zone, lasted time.Duration) {
+	if l.OnZoneBack == nil {
+		return
+	}
+	var addresses []string
+	for _, living := range l.current.Load().away[zone] {
+		addresses = append(addresses, living.member.Process.Address)
+	}
+	l.OnZoneBack(addresses, lasted)
+}
+
 // Silent tells whether a member's zone is silent, so that no request is to wait for it.
 func (l *List) Silent(member Member) bool {
 	known := l.away(member)
--- a/internal/members/silence_test.go
+++ b/internal/members/silence_test.go
@@ -152,7 +152,13 @@
 			}
 		}
 		play.now = play.now.Add(time.Second)
+		told := 0
+		list.OnZoneBack = func(addresses []string, silent time.Duration) {
+			told += len(addresses)
+			Expect(silent).To(Equal(2*time.Hour + time.Second))
+		}
 		list.Answered(play.lists[1].self)
+		Expect(told).To(Equal(28), "those of the zone that answered")
 		Expect(list.Silent(play.lists[4].self)).To(BeFalse())
 		Expect(list.Silent(play.lists[2].self)).To(BeTrue())
 		Expect(len(list.Others("key", math.MaxInt32))).To(Equal(27 + 28))
--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -86,6 +86,11 @@
 		log:    s.Log,
 	}
 	parts.list.WatchZones = !s.Settings.Disabled.Has(mechanism.SilentZones)
+	parts.list.OnZoneBack = func(addresses []string, silent time.Duration) {
+		for _, address := range addresses {
+			parts.pool.RetireUnanswered(address, silent)
+		}
+	}
 	parts.availability = state.NewAvailability(time.Now, s.noteStore)
 	parts.availability.PaceTries(func() time.Duration { return triesApart(parts.list.Count()) })
 	off := s.Settings.Disabled
