Memory: what is held for callers is counted and bounded; bodies are read so

Cause: a body, a history and a turn that is being saved were held whole and without a sum; 72 machines have 112 to 536 MB, and a caller that sends slowly held its request for ever. The runtime's soft limit was a flat 0.7 of the machine. Ruled out: a fixed part for each owner (four of them take all, and one alone gets no more though the rest is free); the caller's address as the owner (a balancer makes it one for all). The gateway counts each request, its body (in steps, never more than twice what has come), its history and what saving will take before the turn runs: 503 `memory` at once where there is no room, unread where the length tells. A body that does not come within the request's time is 408 `body-slow`. The soft limit leaves the kernel's buffers a fifth.

--- a/cmd/thymeloft-gateway/main.go
+++ b/cmd/thymeloft-gateway/main.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/server"
 	"github.com/thymeloft/thymeloft/internal/telemetry"
 	"github.com/thymeloft/thymeloft/platform"
@@ -49,9 +50,8 @@
 }
 
 func run(path string, settings server.Settings) error {
-	if settings.MemoryMB > 0 {
-		const share = 0.7
-		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * share * (1 << 20)))
+	if limit := memory.Divide(settings.MemoryMB).Runtime; limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	registry := prometheus.NewRegistry()
 	log, closeLog := telemetry.NewBounded(os.Stdout, settings.LogSuccessesPerSecond, registry)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -72,3 +72,6 @@
 	}
 	return e.count
 }
+
+// size is how many bytes it keeps.
+func (e *eventReader) size() int64 { return int64(len(e.line) + len(e.data) + len(e.output)) }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/tenant"
@@ -31,6 +31,8 @@
 	tenant      *tenant.Tenant // nil: nobody's, where no key is needed
 	call        Call
 	input       []byte
+	holding     *memory.Holding // of what is held for this request
+	outputHeld  int64           // bytes of output that are counted, with the copies that saving makes
 	history     turn.Record
 	taken       *quota.Taken // place in the tenant's quota; nil: no limit
 	reservation budget.Settler
@@ -67,6 +69,7 @@
 // serve runs the steps; each returns *Refusal or *CutError when it fails.
 func (e *execution) serve() error {
 	defer e.giveBack()
+	defer e.letGo()
 	if err := e.admit(); err != nil {
 		return err
 	}
@@ -105,6 +108,9 @@
 	if err != nil {
 		return &Refusal{Status: http.StatusBadRequest, Reason: ReasonMalformed, Err: err}
 	}
+	if err := e.hold(); err != nil {
+		return err
+	}
 	e.service = e.table.Service(route.NextService())
 	e.everywhere = e.gateway.Fleet.Sharing.Note(e.scoped(e.call.Program), e.call.Prefix, e.service.MemoryTokens)
 	e.events.collect = route.Recorded
@@ -114,27 +120,6 @@
 	return e.readInput()
 }
 
-// readInput reads the whole body: it is sent on only when it is complete.
-func (e *execution) readInput() error {
-	body := e.request.Body
-	if limit := int64(e.table.Limits.BodyBytes); limit > 0 {
-		if e.request.ContentLength > limit {
-			return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: eris.New("body over the limit")}
-		}
-		body = http.MaxBytesReader(e.writer, body, limit)
-	}
-	input, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: err}
-	}
-	if err != nil {
-		return &CutError{Reason: ReasonCallerLeft, Err: eris.Wrap(err, "read request")}
-	}
-	e.input = input
-	return nil
-}
-
 // allowed is how long the request may take from its arrival.
 func (e *execution) allowed() time.Duration {
 	allowed := e.route.Timeout
@@ -178,7 +163,7 @@
 	if err := e.reserve(wait); err != nil {
 		return e.unprepared(ctx, err)
 	}
-	return nil
+	return e.holdTurn()
 }
 
 // storePatience is how long a request may wait for the store before it runs:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/reach"
 	"github.com/thymeloft/thymeloft/internal/routetable"
@@ -31,6 +32,8 @@
 	Budgets      Budgets
 	Quotas       *quota.Limiter
 	Availability *state.Availability
+	// Memory counts what is held for callers; nil: nothing is counted or bounded.
+	Memory *memory.Account
 	// Reach tells whether this daemon is cut off; nil: it never is.
 	Reach   *reach.Monitor
 	Log     *zap.Logger
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -85,6 +85,9 @@
 		return nil
 	}
 	if e.route.Streaming {
+		if err := e.holdOutput(e.events.size() + int64(len(chunk))); err != nil {
+			return &CutError{Reason: ReasonMemory, Err: err}
+		}
 		e.events.write(chunk)
 	}
 	if _, err := e.writer.Write(chunk); err != nil {
--- /dev/null
+++ b/internal/memory/account_test.go
@@ -0,0 +1,158 @@
+package memory
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestMemory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "memory")
+}
+
+// The property: however holdings of a few owners grow, shrink and end, the account is the
+// sum of what they hold, never exceeds its limit, leaves each owner at most half of it, and
+// ends empty.
+func TestAccountKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(1, 1000).Draw(t, "limit")
+		account := NewAccount(limit)
+		var open []*Holding
+		expected := map[*Holding]int64{}
+		steps := rapid.IntRange(1, 120).Draw(t, "steps")
+		for range steps {
+			switch action := rapid.IntRange(0, 3).Draw(t, "action"); {
+			case action == 0 || len(open) == 0:
+				owner := Owner(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "owner")))
+				open = append(open, account.Open(owner))
+			case action == 1:
+				holding := rapid.SampledFrom(open).Draw(t, "grown")
+				bytes := rapid.Int64Range(0, limit).Draw(t, "bytes")
+				fits := holding.Fits(bytes)
+				err := holding.Grow(Kind(rapid.IntRange(0, int(kindCount)-1).Draw(t, "kind")), bytes)
+				if fits != (err == nil) && bytes > 0 {
+					t.Fatalf("fits: %v, grown: %v", fits, err)
+				}
+				if err == nil {
+					expected[holding] += bytes
+				}
+			case action == 2:
+				holding := rapid.SampledFrom(open).Draw(t, "shrunk")
+				kind := Kind(rapid.IntRange(0, int(kindCount)-1).Draw(t, "kind"))
+				bytes := rapid.Int64Range(0, 2*limit).Draw(t, "bytes")
+				expected[holding] -= min(bytes, holding.bytes[kind])
+				holding.Shrink(kind, bytes)
+			default:
+				index := rapid.IntRange(0, len(open)-1).Draw(t, "ended")
+				open[index].Close()
+				open[index].Close()
+				delete(expected, open[index])
+				open = append(open[:index], open[index+1:]...)
+			}
+			checkSums(t, account, expected)
+		}
+		for _, holding := range open {
+			holding.Close()
+		}
+		if account.Held() != 0 || len(account.owners) != 0 {
+			t.Fatalf("held at the end: %d by %d owners", account.Held(), len(account.owners))
+		}
+	})
+}
+
+func checkSums(t *rapid.T, account *Account, expected map[*Holding]int64) {
+	sum, byOwner := int64(0), map[Owner]int64{}
+	for holding, bytes := range expected {
+		sum += bytes
+		byOwner[holding.owner] += bytes
+	}
+	if account.Held() != sum || sum > account.Limit() {
+		t.Fatalf("held %d, expected %d, limit %d", account.Held(), sum, account.Limit())
+	}
+	for owner, bytes := range byOwner {
+		if bytes > account.Limit()/2 {
+			t.Fatalf("%s holds %d of %d", owner, bytes, account.Limit())
+		}
+	}
+}
+
+var _ = Describe("an account", func() {
+	It("keeps its bounds while many ask at once", func() {
+		const limit, callers, rounds = 1 << 20, 32, 400
+		account := NewAccount(limit)
+		var all sync.WaitGroup
+		over := make(chan int64, callers*rounds)
+		for caller := range callers {
+			all.Go(func() {
+				for round := range rounds {
+					holding := account.Open(Owner(fmt.Sprint(caller % 4)))
+					_ = holding.Grow(Request, int64(1+(caller*round)%(limit/8)))
+					_ = holding.Grow(Answer, int64(1+(caller+round)%(limit/16)))
+					if held := account.Held(); held > limit {
+						over <- held
+					}
+					if own := holding.share.held.Load(); own > limit/2 {
+						over <- own
+					}
+					holding.Close()
+				}
+			})
+		}
+		all.Wait()
+		Expect(over).To(BeEmpty())
+		Expect(account.Held()).To(BeZero())
+		Expect(account.owners).To(BeEmpty())
+	})
+
+	It("leaves room for an owner that comes after a greedy one", func() {
+		account := NewAccount(100)
+		greedy := account.Open("greedy")
+		for greedy.Grow(Request, 1) == nil {
+		}
+		Expect(account.Held()).To(BeEquivalentTo(50))
+		Expect(account.Open("late").Grow(Request, 25)).To(Succeed())
+		var exceeded *ExceededError
+		Expect(errors.As(greedy.Grow(Request, 1), &exceeded)).To(BeTrue())
+		Expect(exceeded.OwnersBound).To(BeTrue())
+	})
+
+	It("bounds nothing without a limit, and counts", func() {
+		account := NewAccount(0)
+		holding := account.Open("one")
+		Expect(holding.Grow(History, 1<<40)).To(Succeed())
+		Expect(holding.Fits(1 << 50)).To(BeTrue())
+		Expect(account.Held()).To(BeEquivalentTo(1 << 40))
+		holding.Close()
+		Expect(holding.Grow(History, 1)).NotTo(Succeed())
+		Expect(account.Held()).To(BeZero())
+	})
+
+	It("is nobody's where there is none", func() {
+		var account *Account
+		holding := account.Open("one")
+		Expect(holding.Grow(Request, 1)).To(Succeed())
+		holding.Shrink(Request, 1)
+		holding.Close()
+	})
+})
+
+var _ = DescribeTable("Divide leaves room for the kernel's buffers, the process and the collector",
+	func(machineMB int) {
+		divided := Divide(machineMB)
+		machine := int64(machineMB) * megabyte
+		Expect(divided.Runtime + outside + machine/kernelPart).To(BeNumerically("<=", machine))
+		Expect(collected*divided.Held + own).To(BeNumerically("<=", divided.Runtime))
+		Expect(divided.Held).To(BeNumerically(">=", leastHeld))
+	},
+	Entry("the smallest machines", 112), Entry("middle ones", 254), Entry("the largest", 536), Entry("others", 4096),
+)
+
+var _ = It("Divide bounds nothing where no memory is told", func() {
+	Expect(Divide(0)).To(Equal(Division{}))
+})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/gateway"
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/reach"
 	"github.com/thymeloft/thymeloft/internal/routetable"
@@ -48,6 +49,7 @@
 	fleet              *backend.Fleet
 	front              *front
 	reach              *reach.Monitor
+	memory             *memory.Account
 	metrics            *gateway.Metrics
 	stopping           atomic.Bool
 	fleetRead          atomic.Bool
@@ -84,6 +86,7 @@
 		routes:  &routetable.Holder{},
 		fleet:   backend.NewFleet(time.Now),
 		metrics: gateway.NewMetrics(options.Registry),
+		memory:  memory.NewAccount(memory.Divide(options.Settings.MemoryMB).Held),
 	}
 	made.Reload(options.Settings)
 	return made
@@ -106,7 +109,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	if err := s.watchReach(parts); err != nil {
+	if err := errors.Join(s.watchReach(parts), s.memory.Measure(s.Registry)); err != nil {
 		return err
 	}
 	s.front = newFront(callers, s.handler(parts), zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
@@ -145,6 +148,7 @@
 		Quotas:        parts.quotas,
 		Availability:  parts.availability,
 		Reach:         s.reach,
+		Memory:        s.memory,
 		Log:           s.Log,
 		Metrics:       s.metrics,
 		InstanceGrace: s.instanceGrace(),
@@ -294,17 +298,3 @@
 	}
 	return s.underWay.Load() == 0 || stoppingFor > s.grace()/2
 }
-
-// moment is when something was last heard.
-type moment struct{ at atomic.Int64 }
-
-func (m *moment) now() { m.at.Store(time.Now().UnixNano()) }
-
-// age is zero before the first time.
-func (m *moment) age() time.Duration {
-	at := m.at.Load()
-	if at == 0 {
-		return 0
-	}
-	return time.Since(time.Unix(0, at))
-}
