Answers are kept for callers that read slowly, within the account; a request that an engine does not read ends

Cause: the relay read from the engine and wrote to the caller in one loop, so that a caller that does not read held up an engine, for ever if it stayed; a request was written to an engine without a time-out of its own. Change: internal/writebehind wraps a caller's connection: one call of the kernel that does not wait, and only what it does not take is kept in blocks of 4 KB, counted, and written by a goroutine that lives as long as something is kept. Where there is no room the writer waits, 1.5 s at most; who takes nothing for 2.5 s, or leaves no room, is reset with `caller-slow`. A planned stop waits for what is kept. Answers kept are at most half of what may be held, so that requests always find the rest. Without `memory_mb` connections are as before. Plain answers are counted while they are examined; where there is no room less of them is read ahead. Requests to engines are given up when nothing of a piece is taken for 1.2 s: unknown, with its cause. An event reader that does not collect keeps no lines.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -84,6 +85,7 @@
 	stop       func() bool
 	reusable   bool
 	finished   bool
+	answered   atomic.Bool // the head of the answer was read
 }
 
 // longestInlineWrite is what fits a connection's window: larger requests are
@@ -92,21 +94,21 @@
 
 func (e *exchange) run(outgoing *Outgoing) (*Reply, error) {
 	request, size := encode(outgoing)
-	write := func() { e.written <- request.Write(e.connection.Conn) }
 	if size <= longestInlineWrite {
-		write()
+		e.write(request)
 	} else {
-		go write()
+		go e.write(request)
 	}
 	reply, err := e.readAnswer(request, outgoing)
 	if err != nil {
-		return nil, &LostError{Peer: e.instance.Address, Step: "read answer", Err: err}
+		return nil, &LostError{Peer: e.instance.Address, Step: "read answer", Err: e.cause(err)}
 	}
 	return reply, nil
 }
 
 // take makes the reply of an answer whose head was read.
 func (e *exchange) take(response *http.Response) *Reply {
+	e.answered.Store(true)
 	e.reusable = !response.Close && response.ProtoAtLeast(1, 1)
 	e.connection.idleLimit = idleLimit(response.Header)
 	return &Reply{
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -223,6 +224,51 @@
 		Expect(instance.pool.pop()).To(BeNil())
 	})
 
+	It("gives an instance up that does not read the request, and promises nothing", func(ctx SpecContext) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			if connection, err := listener.Accept(); err == nil {
+				accepted <- connection
+			}
+		}()
+		instance := (&rawServer{listener: listener}).instance()
+		_, err = instance.Exchange(ctx, &Outgoing{
+			Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte(strings.Repeat("x", 64<<20))},
+			Belongs: func(http.Header) bool { return true },
+		})
+		var lost *LostError
+		Expect(errors.As(err, &lost)).To(BeTrue())
+		Expect(err).To(MatchError(ErrUnread))
+		Expect(instance.pool.pop()).To(BeNil())
+		Eventually(accepted).Should(Receive())
+	})
+
+	It("goes on sending to an instance that reads slowly", func() {
+		near, far := net.Pipe()
+		defer near.Close()
+		const patience, pieces = 200 * time.Millisecond, 8
+		received := make(chan int, 1)
+		go func() {
+			sum := 0
+			for range pieces {
+				count, _ := far.Read(make([]byte, 1000))
+				sum += count
+			}
+			received <- sum
+		}()
+		writer := &patientWriter{connection: near, patience: patience}
+		count, err := writer.Write(make([]byte, pieces*1000))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(count).To(Equal(pieces * 1000))
+		Expect(<-received).To(Equal(pieces * 1000))
+		count, err = writer.Write(make([]byte, 10))
+		Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+		Expect(count).To(BeZero())
+	})
+
 	It("closes the connection when the caller leaves", func(ctx SpecContext) {
 		closed := make(chan struct{})
 		server := newRawServer(func(_ int64, _ string, connection net.Conn) bool {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -20,15 +20,24 @@
 	for len(chunk) > 0 {
 		end := bytes.IndexByte(chunk, '\n')
 		if end < 0 {
-			e.line = append(e.line, chunk...)
+			e.take(chunk)
 			return
 		}
-		e.line = append(e.line, chunk[:end]...)
+		e.take(chunk[:end])
 		e.endLine()
 		chunk = chunk[end+1:]
 	}
 }
 
+// take adds to the line; where no data is collected, only what tells its kind.
+func (e *eventReader) take(piece []byte) {
+	const kind = 8 // more than the name of a field of data, and than the end of an empty line
+	if !e.collect {
+		piece = piece[:min(len(piece), max(kind-len(e.line), 0))]
+	}
+	e.line = append(e.line, piece...)
+}
+
 func (e *eventReader) endLine() {
 	line := bytes.TrimSuffix(e.line, []byte("\r"))
 	e.line = e.line[:0]
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -29,6 +30,18 @@
 		}
 	})
 
+	It("counts events without keeping them, however long their lines are", func() {
+		reader := eventReader{}
+		long := strings.Repeat("x", 1<<16)
+		for range 3 {
+			reader.write([]byte("data: " + long))
+			reader.write([]byte(long + "\r\n\r\n"))
+			Expect(reader.size()).To(BeNumerically("<", 16))
+		}
+		Expect(reader.count).To(Equal(3))
+		Expect(reader.partial()).To(BeFalse())
+	})
+
 	It("counts an event that was begun", func() {
 		reader := eventReader{}
 		reader.write([]byte("id: 1\ndata: one\n\nid: 2\nda"))
--- a/internal/gateway/examine.go
+++ b/internal/gateway/examine.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 )
 
@@ -36,7 +37,7 @@
 	if e.route.Streaming && reply.Status == http.StatusOK {
 		return readFirst(instance, reply)
 	}
-	return readWhole(instance, reply)
+	return e.readWhole(instance, reply)
 }
 
 // refuseToPass tells why an answer must not reach the caller, or nil.
@@ -77,11 +78,20 @@
 	return &ready{Reply: reply, first: buffer[:count], whole: err == io.EOF}, nil
 }
 
-// readWhole reads a plain answer up to a bound.
-func readWhole(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
-	content, err := io.ReadAll(io.LimitReader(reply.Body, mostBuffered))
+// readWhole reads a plain answer up to a bound. Where there is no room for it, less is read: the
+// answer is passed on all the same, and is only not repeated if it breaks off.
+func (e *execution) readWhole(instance *backend.Instance, reply *backend.Reply) (*ready, error) {
+	const end = 1 // read beyond the length, so that the end is seen
+	bound := int64(mostBuffered)
+	if reply.Length >= 0 {
+		bound = min(bound, reply.Length+end)
+	}
+	if e.holding.Grow(memory.Answer, bound) != nil {
+		bound = min(bound, firstRead)
+	}
+	content, err := io.ReadAll(io.LimitReader(reply.Body, bound))
 	if err != nil {
 		return nil, &backend.LostError{Peer: instance.Address, Step: "read answer", Err: err}
 	}
-	return &ready{Reply: reply, first: content, whole: len(content) < mostBuffered}, nil
+	return &ready{Reply: reply, first: content, whole: int64(len(content)) < bound}, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,5 +112,5 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return ReasonDeadline
 	}
-	return ReasonCallerLeft
+	return callerEnded(ctx)
 }
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
+
 	"github.com/thymeloft/thymeloft/internal/memory"
+	"github.com/thymeloft/thymeloft/internal/writebehind"
 )
 
 // What a request takes beside its body, in bytes.
@@ -24,6 +27,7 @@
 		owner = memory.Owner(e.tenant.Name)
 	}
 	e.holding = e.gateway.Memory.Open(owner)
+	writebehind.From(e.request.Context()).Own(owner)
 	if err := e.holding.Grow(memory.Request, perRequest); err != nil {
 		return noRoom(err)
 	}
@@ -67,3 +71,11 @@
 
 // noRoom refuses a request for which nothing was sent.
 func noRoom(err error) *Refusal { return notRun(ReasonMemory, comeBackSoon, err) }
+
+// callerEnded says why nothing more can be written to the caller.
+func callerEnded(ctx context.Context) Reason {
+	if writebehind.From(ctx).Slow() {
+		return ReasonCallerSlow
+	}
+	return ReasonCallerLeft
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -91,13 +91,13 @@
 		e.events.write(chunk)
 	}
 	if _, err := e.writer.Write(chunk); err != nil {
-		return &CutError{Reason: ReasonCallerLeft, Err: eris.Wrap(err, "write to caller")}
+		return &CutError{Reason: callerEnded(e.request.Context()), Err: eris.Wrap(err, "write to caller")}
 	}
 	if !e.route.Streaming {
 		return nil
 	}
 	if err := http.NewResponseController(e.writer).Flush(); err != nil {
-		return &CutError{Reason: ReasonCallerLeft, Err: eris.Wrap(err, "flush to caller")}
+		return &CutError{Reason: callerEnded(e.request.Context()), Err: eris.Wrap(err, "flush to caller")}
 	}
 	return nil
 }
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -2,8 +2,9 @@
 // requests, histories, answers that callers have not read, turns that are not
 // saved. It bounds them in all and for each owner.
 //
-// Guarantee: what is held never exceeds the limit, and no owner holds more than
-// half of it, at any moment and however many ask at once.
+// Guarantee: what is held never exceeds the limit, and neither one owner nor the answers
+// that callers have not taken hold more than half of it, at any moment and however many ask at
+// once.
 package memory
 
 import (
@@ -118,26 +119,40 @@
 // alone gets half of the limit, each of two a third, so that room is left for an owner
 // that comes later without a part set aside for owners that may never come.
 func (a *Account) take(owned *share, kind Kind, bytes int64) error {
-	if !a.takeFromAll(bytes) {
+	if !raise(&a.byKind[kind], bytes, a.limitOf(kind)) {
+		return a.refuse(owned, kind, bytes, false)
+	}
+	if !raise(&a.held, bytes, a.limit) {
+		a.byKind[kind].Add(-bytes)
 		return a.refuse(owned, kind, bytes, false)
 	}
 	// The sum is raised before the share and lowered after it, so that it is never
 	// below the sum of shares: what is free is never overrated.
 	if !a.takeFromShare(owned, bytes) {
 		a.held.Add(-bytes)
+		a.byKind[kind].Add(-bytes)
 		return a.refuse(owned, kind, bytes, true)
 	}
-	a.byKind[kind].Add(bytes)
 	return nil
 }
 
-func (a *Account) takeFromAll(bytes int64) bool {
+// limitOf is the most that is held of a kind. Answers that callers do not take leave half to
+// requests: many callers that do not read never keep others from being served.
+func (a *Account) limitOf(kind Kind) int64 {
+	if kind == Answer {
+		return a.limit / 2
+	}
+	return a.limit
+}
+
+// raise adds to a sum within a limit; 0: none.
+func raise(sum *atomic.Int64, bytes, limit int64) bool {
 	for {
-		held := a.held.Load()
-		if a.limit > 0 && held+bytes > a.limit {
+		held := sum.Load()
+		if limit > 0 && held+bytes > limit {
 			return false
 		}
-		if a.held.CompareAndSwap(held, held+bytes) {
+		if sum.CompareAndSwap(held, held+bytes) {
 			return true
 		}
 	}
@@ -163,12 +178,12 @@
 }
 
 func (a *Account) give(owned *share, kind Kind, bytes int64) {
-	a.byKind[kind].Add(-bytes)
 	owned.held.Add(-bytes)
 	a.held.Add(-bytes)
+	a.byKind[kind].Add(-bytes)
 }
 
-// Fits tells whether so many bytes more would find room for the holding's owner now.
+// Fits tells whether so many bytes more of a request would find room for the holding's owner now.
 func (h *Holding) Fits(bytes int64) bool {
 	if h == nil || h.account.limit == 0 {
 		return true
--- a/internal/server/front.go
+++ b/internal/server/front.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/thymeloft/thymeloft/internal/routetable"
+	"github.com/thymeloft/thymeloft/internal/writebehind"
 )
 
 // front serves callers on one listener. Connections are bound by the limits
@@ -19,6 +20,7 @@
 	listener    net.Listener
 	errors      *log.Logger
 	connections *callerConnections
+	answers     *writebehind.Group // nil: answers are kept for no caller
 
 	mutex    sync.Mutex
 	limits   routetable.Limits
@@ -36,8 +38,8 @@
 	IdleTimeout:   15 * time.Second,
 }
 
-func newFront(listener net.Listener, handler http.Handler, errorLog *log.Logger) *front {
-	made := &front{listener: listener, errors: errorLog, connections: newCallerConnections()}
+func newFront(listener net.Listener, handler http.Handler, answers *writebehind.Group, errorLog *log.Logger) *front {
+	made := &front{listener: listener, errors: errorLog, connections: newCallerConnections(), answers: answers}
 	made.handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		handler.ServeHTTP(&answerWriter{ResponseWriter: writer, connections: made.connections}, request)
 	})
@@ -64,6 +66,7 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ErrorLog:          f.errors,
 		ConnState:         f.connections.note,
+		ConnContext:       withAnswers,
 	}
 	f.feed = newFeed(f.listener.Addr())
 	go func(server *http.Server, connections *feed) {
@@ -73,6 +76,16 @@
 	}(f.server, f.feed)
 }
 
+// withAnswers lets who serves a request know the connection that keeps its answer.
+func withAnswers(ctx context.Context, accepted net.Conn) context.Context {
+	if caller, is := accepted.(*callerConnection); is {
+		if keeping, keeps := caller.Conn.(*writebehind.Conn); keeps {
+			return writebehind.WithConn(ctx, keeping)
+		}
+	}
+	return ctx
+}
+
 // endsAsPlanned tells whether a server's end was asked for: it always ends with an error.
 func endsAsPlanned(err error) bool {
 	return errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed)
@@ -93,7 +106,7 @@
 		f.mutex.Lock()
 		current := f.feed
 		f.mutex.Unlock()
-		current.give(&callerConnection{Conn: accepted})
+		current.give(&callerConnection{Conn: f.answers.Wrap(accepted)})
 	}
 }
 
@@ -109,7 +122,8 @@
 // callers open new ones, which may lead elsewhere; or lets them stay again.
 func (f *front) Divert(diverts bool) { f.connections.divert(diverts) }
 
-// Stop accepts nothing more and waits until all requests are answered.
+// Stop accepts nothing more and waits until all requests are answered, and callers have taken
+// the answers that are kept for them.
 func (f *front) Stop(ctx context.Context) error {
 	_ = f.listener.Close()
 	f.mutex.Lock()
@@ -119,6 +133,7 @@
 	for _, server := range servers {
 		failures = append(failures, server.Shutdown(ctx))
 	}
+	f.answers.Flush(ctx)
 	return errors.Join(failures...)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -109,10 +109,14 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	if err := errors.Join(s.watchReach(parts), s.memory.Measure(s.Registry)); err != nil {
+	if err := s.watchReach(parts); err != nil {
 		return err
 	}
-	s.front = newFront(callers, s.handler(parts), zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
+	answers, err := s.keepAnswers()
+	if err != nil {
+		return err
+	}
+	s.front = newFront(callers, s.handler(parts), answers, zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.follow(background, parts)
