--- a/internal/server/front_test.go
+++ b/internal/server/front_test.go
@@ -13,7 +13,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/routetable"
+	"github.com/thymeloft/thymeloft/internal/writebehind"
 )
 
 var _ = Describe("front", func() {
@@ -95,6 +97,33 @@
 		Expect(ask(dial(), 10).Close).To(BeFalse())
 	})
 
+	It("ends no sooner than callers have taken the answers that are kept for them", func(ctx SpecContext) {
+		const answerBytes = 16 << 20 // more than the kernel's buffers hold
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(make([]byte, answerBytes)) })
+		account := memory.NewAccount(4 * answerBytes)
+		answers := writebehind.NewGroup(writebehind.Options{Account: account, Silence: time.Hour, Pause: time.Hour})
+		keeping := newFront(listener, handler, answers, log.New(io.Discard, "", 0))
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer caller.Close()
+		_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(account.Held).Should(BeNumerically(">", answerBytes/2))
+		stopped := make(chan error, 1)
+		go func() { stopped <- keeping.Stop(ctx) }()
+		Consistently(stopped).ShouldNot(Receive())
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		Expect(err).NotTo(HaveOccurred())
+		content, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(content).To(HaveLen(answerBytes))
+		Expect(response.Body.Close()).To(Succeed())
+		Eventually(stopped).Should(Receive(BeNil()))
+		Expect(account.Held()).To(BeZero())
+	})
+
 	It("passes nothing on that arrives on a connection that it closed", func() {
 		near, far := net.Pipe()
 		connection := &callerConnection{Conn: near}
