Merge memory: bytes held for others counted and bounded, slow callers, the runtime's limit

Saving a turn copies what it adds, no longer the whole history: what is counted for it follows, and a turn that finds no room gives its reservation back.

--- a/cmd/thymeloft-gateway/main.go
+++ b/cmd/thymeloft-gateway/main.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/server"
 	"github.com/thymeloft/thymeloft/internal/telemetry"
 	"github.com/thymeloft/thymeloft/platform"
@@ -50,8 +51,9 @@
 
 func run(path string, settings server.Settings) error {
 	if settings.MemoryMB > 0 {
-		const share = 0.7
-		debug.SetMemoryLimit(int64(float64(settings.MemoryMB) * share * (1 << 20)))
+		divided := memory.Divide(settings.MemoryMB)
+		debug.SetMemoryLimit(divided.Runtime)
+		debug.SetGCPercent(divided.Growth)
 	}
 	registry := prometheus.NewRegistry()
 	log, closeLog := telemetry.NewBounded(os.Stdout, settings.LogSuccessesPerSecond, registry)
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
@@ -32,8 +32,10 @@
 	tenant      *tenant.Tenant // nil: nobody's, where no key is needed
 	call        Call
 	input       []byte
-	history     *turn.Turn   // that the request goes on from; nil: none
-	taken       *quota.Taken // place in the tenant's quota; nil: no limit
+	history     *turn.Turn      // that the request goes on from; nil: none
+	holding     *memory.Holding // of what is held for this request
+	outputHeld  int64           // bytes of output that are counted, with the copies that saving makes
+	taken       *quota.Taken    // place in the tenant's quota; nil: no limit
 	reservation budget.Settler
 	everywhere  int // parts of the prompt that every engine keeps
 	admitted    admittedTurn
@@ -69,6 +71,7 @@
 // serve runs the steps; each returns *Refusal or *CutError when it fails.
 func (e *execution) serve() error {
 	defer e.giveBack()
+	defer e.letGo()
 	if err := e.admit(); err != nil {
 		return err
 	}
@@ -112,6 +115,9 @@
 	if err != nil {
 		return &Refusal{Status: http.StatusBadRequest, Reason: ReasonMalformed, Err: err}
 	}
+	if err := e.hold(); err != nil {
+		return err
+	}
 	e.service = e.table.Service(route.NextService())
 	e.everywhere = e.gateway.Fleet.Sharing.Note(e.scoped(e.call.Program), e.call.Prefix, e.service.MemoryTokens)
 	e.events.collect = route.Recorded
@@ -121,27 +127,6 @@
 	return e.readInput()
 }
 
-// readInput reads the whole body: it is sent on only when it is complete.
-func (e *execution) readInput() error {
-	body := e.request.Body
-	if limit := int64(e.table.Limits.BodyBytes); limit > 0 {
-		if e.request.ContentLength > limit {
-			return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: eris.New("body over the limit")}
-		}
-		body = http.MaxBytesReader(e.writer, body, limit)
-	}
-	input, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonTooLarge, Err: err}
-	}
-	if err != nil {
-		return &CutError{Reason: ReasonCallerLeft, Err: eris.Wrap(err, "read request")}
-	}
-	e.input = input
-	return nil
-}
-
 // allowed is how long the request may take from its arrival.
 func (e *execution) allowed() time.Duration {
 	allowed := e.route.Timeout
@@ -187,14 +172,23 @@
 		return e.unprepared(ctx, err)
 	}
 	if err := e.loadHistory(wait); err != nil {
-		if e.reservation != nil {
-			e.reservation.Settle(0)
-		}
+		e.returnReservation()
 		return e.unprepared(ctx, err)
 	}
+	if err := e.holdTurn(); err != nil {
+		e.returnReservation()
+		return err
+	}
 	return nil
 }
 
+// returnReservation gives back what was reserved for a turn that does not run.
+func (e *execution) returnReservation() {
+	if e.reservation != nil {
+		e.reservation.Settle(0)
+	}
+}
+
 // storePatience is how long a request may wait for the store before it runs:
 // less than half of its time, so that a caller that is refused has time to
 // come back.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/reach"
 	"github.com/thymeloft/thymeloft/internal/routetable"
@@ -34,6 +35,8 @@
 	// Admission bounds the programs under way; nil: nothing does.
 	Admission    *admission.Controller
 	Availability *state.Availability
+	// Memory counts what is held for callers; nil: nothing is counted or bounded.
+	Memory *memory.Account
 	// Reach tells whether this daemon is cut off; nil: it never is.
 	Reach *reach.Monitor
 	// Room tells whether the store is full.
@@ -114,5 +117,5 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return ReasonDeadline
 	}
-	return ReasonCallerLeft
+	return callerEnded(ctx)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -96,16 +96,19 @@
 		return nil
 	}
 	if e.route.Streaming {
+		if err := e.holdOutput(e.events.size() + int64(len(chunk))); err != nil {
+			return &CutError{Reason: ReasonMemory, Err: err}
+		}
 		e.events.write(chunk)
 	}
 	if _, err := e.writer.Write(chunk); err != nil {
-		return &CutError{Reason: ReasonCallerLeft, Err: eris.Wrap(err, "write to caller")}
+		return &CutError{Reason: callerEnded(e.request.Context()), Err: eris.Wrap(err, "write to caller")}
 	}
 	if !e.route.Streaming {
 		return nil
 	}
 	if err := http.NewResponseController(e.writer).Flush(); err != nil {
-		return &CutError{Reason: ReasonCallerLeft, Err: eris.Wrap(err, "flush to caller")}
+		return &CutError{Reason: callerEnded(e.request.Context()), Err: eris.Wrap(err, "flush to caller")}
 	}
 	return nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/gateway"
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/process"
 	"github.com/thymeloft/thymeloft/internal/reach"
@@ -49,6 +50,7 @@
 	fleet              *backend.Fleet
 	front              *front
 	reach              *reach.Monitor
+	memory             *memory.Account
 	metrics            *gateway.Metrics
 	life               *process.Life
 	fleetRead          atomic.Bool
@@ -93,6 +95,7 @@
 		life:    process.NewLife("server", options.Log),
 
 		rateLines: rate.Sometimes{Interval: rateLinesApart},
+		memory:    memory.NewAccount(memory.Divide(options.Settings.MemoryMB).Held),
 	}
 	made.Reload(options.Settings)
 	return made
@@ -118,7 +121,11 @@
 	if err := s.watchReach(parts); err != nil {
 		return err
 	}
-	s.front = newFront(callers, s.handler(parts), zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
+	answers, err := s.keepAnswers()
+	if err != nil {
+		return err
+	}
+	s.front = newFront(callers, s.handler(parts), answers, zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.follow(background, parts)
@@ -154,6 +161,7 @@
 		Availability:  parts.availability,
 		Reach:         s.reach,
 		Room:          parts.client.Room(),
+		Memory:        s.memory,
 		Log:           s.Log,
 		Metrics:       s.metrics,
 		InstanceGrace: s.instanceGrace(),
@@ -249,17 +257,3 @@
 	}
 	return s.underWay.Load() == 0 || stoppingFor > s.grace()/2
 }
-
-// moment is when something was last heard.
-type moment struct{ at atomic.Int64 }
-
-func (m *moment) now() { m.at.Store(time.Now().UnixNano()) }
-
-// age is zero before the first time.
-func (m *moment) age() time.Duration {
-	at := m.at.Load()
-	if at == 0 {
-		return 0
-	}
-	return time.Since(time.Unix(0, at))
-}
