Reach: a silence goes on when the aggregator of loads is replaced in it

Ruled out: the store's limits and the memory's bounds (no line of theirs in those seconds). Change: an aggregator tells only what it heard since it aggregates; a daemon whose aggregator knows nothing goes on with what it knew, and knows from its own list whether there are other zones.

--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -23,7 +23,7 @@
 	summed  map[string]Told  // the reports in it
 	sumAt   time.Time
 	// outsideHeard is when an aggregator of another group last answered this one; zero:
-	// there are none, or this daemon does not aggregate.
+	// none did since this daemon aggregates.
 	outsideHeard time.Time
 }
 
@@ -61,7 +61,7 @@
 	if b.outsideHeard.IsZero() {
 		return Silence{}
 	}
-	return Silence{Known: true, Lasted: now.Sub(b.outsideHeard)}
+	return Silence{Heard: true, Lasted: now.Sub(b.outsideHeard)}
 }
 
 // heardOutside notes that an aggregator of another group answered.
@@ -71,16 +71,7 @@
 	b.outsideHeard = b.now()
 }
 
-// beginOutside counts the silence of the other groups from now on, unless it is counted.
-func (b *Board) beginOutside() {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.outsideHeard.IsZero() {
-		b.outsideHeard = b.now()
-	}
-}
-
-// forgetOutside is called while this daemon reaches for no other group.
+// forgetOutside is called while this daemon does not aggregate.
 func (b *Board) forgetOutside() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -185,13 +185,11 @@
 func (e *Exchange) share(ctx context.Context) bool {
 	shared, reporters := e.Board.share()
 	e.noteAggregating(reporters)
-	current := e.current()
-	if reporters == 0 || len(current.others) == 0 {
-		e.Board.forgetOutside()
-	}
 	if reporters == 0 {
+		e.Board.forgetOutside()
 		return false
 	}
+	current := e.current()
 	told := Share{Aggregator: string(e.List.Self().Machine), Told: shared}
 	var telling sync.WaitGroup
 	defer telling.Wait()
@@ -200,9 +198,6 @@
 			telling.Go(func() { e.tell(ctx, aggregator, told) })
 		}
 	}
-	if len(current.others) > 0 {
-		e.Board.beginOutside()
-	}
 	for _, other := range current.others {
 		for _, aggregator := range other.choose(e.usable) {
 			telling.Go(func() {
@@ -240,22 +235,31 @@
 
 // heardOutside is when other groups were last heard, by a picture that came at a moment.
 type heardOutside struct {
-	known bool
-	heard time.Time
+	heard time.Time // zero: never, as far as is known
 	told  time.Time
 }
 
+// noteOutside takes in what an aggregator heard. One that knows nothing leaves it at what was
+// known: a silence goes on when an aggregator is replaced in it, also by a process that was
+// started again and has not read who the others are.
 func (e *Exchange) noteOutside(silence Silence) {
 	now := time.Now()
-	e.outside.Store(&heardOutside{known: silence.Known, heard: now.Add(-silence.Lasted), told: now})
+	next := heardOutside{told: now}
+	if former := e.outside.Load(); former != nil {
+		next.heard = former.heard
+	}
+	if silence.Heard {
+		next.heard = now.Add(-silence.Lasted)
+	}
+	e.outside.Store(&next)
 }
 
 // Outside tells when daemons of other groups were last heard by this daemon's group; false
-// if there are none, or no picture came for reportKept.
+// if there are none, none was heard yet, or no picture came for reportKept.
 func (e *Exchange) Outside() (heard time.Time, known bool) {
 	last := e.outside.Load()
-	if last == nil || time.Since(last.told) > reportKept {
+	if last == nil || last.heard.IsZero() || time.Since(last.told) > reportKept || len(e.current().others) == 0 {
 		return time.Time{}, false
 	}
-	return last.heard, last.known
+	return last.heard, true
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -85,8 +85,9 @@
 
 // Silence is how long nothing was heard of the daemons of other groups.
 type Silence struct {
-	// Known tells that there are such daemons, and that the aggregator tried to reach them.
-	Known  bool
+	// Heard tells that the aggregator heard one of them since it aggregates; one that began
+	// lately, or whose list is not read yet, knows nothing.
+	Heard  bool
 	Lasted time.Duration
 }
 
