--- a/internal/admission/bound.go
+++ b/internal/admission/bound.go
@@ -22,9 +22,9 @@
 	// first bytes.
 	slowRatio = 1.6
 	calmRatio = 1.5
-	// decrease is the part of the bound that goes in a second of slow first bytes, and
-	// increase the part that comes back in a second of quick ones: an overload is left
-	// within two seconds and the former bound tried again within ten.
+	// decrease is the part of the bound that goes in a second of slow first bytes; increase is
+	// what comes back in a second of quick ones, as a part of the least bound. An overload is
+	// left within two seconds.
 	decrease = 0.4
 	increase = 0.1
 	// servedFollow is how fast what was served without trouble is believed: it has to
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -67,8 +67,8 @@
 	return known
 }
 
-// see takes in the engines as they are now. Before it knew any, a daemon could not claim a part
-// of what they hold: its claims begin anew.
+// see takes in the engines as they are now. A daemon that told of itself before it knew any
+// counts as having first told now: what it claimed before was no part of what they hold.
 func (s *service) see(room Room, now time.Time) {
 	if s.room.Engines == 0 && !s.firstTold.IsZero() {
 		s.firstTold = now
--- a/internal/backend/sending.go
+++ b/internal/backend/sending.go
@@ -28,7 +28,7 @@
 	}
 	e.written <- err
 	if errors.Is(err, os.ErrDeadlineExceeded) && !e.answered.Load() {
-		_ = e.connection.Close()
+		_ = e.connection.Close() // ends the reading of an answer; it fails only when it is closed already
 	}
 }
 
@@ -37,7 +37,7 @@
 func (e *exchange) cause(err error) error {
 	_ = e.connection.Close() // ends the sending, if it is still under way
 	if sent := <-e.written; sent != nil {
-		return eris.Wrap(ErrUnread, err.Error())
+		return eris.Wrapf(ErrUnread, "%v; sending: %v", err, sent)
 	}
 	return err
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -113,17 +113,17 @@
 // Reserve takes the most that a turn may generate from the program's budget.
 // It returns ErrSpent, or an error of the store or of the context.
 func (l *Ledger) Reserve(ctx context.Context, identifier string, total, most int64) (*Reservation, error) {
-	return l.reserve(ctx, question{turnNeed: turnNeed{identifier, total, most}})
+	return l.reserve(ctx, reserveNeed{turnNeed: turnNeed{identifier, total, most}})
 }
 
-// question is what one turn asks for. soon: who asks has another holder to ask, so that the
-// store is not waited for.
-type question struct {
+// reserveNeed is a turn's need, and how long who asks waits. soon: there is another holder to
+// ask, so that the store is not waited for.
+type reserveNeed struct {
 	turnNeed
 	soon bool
 }
 
-func (l *Ledger) reserve(ctx context.Context, need question) (*Reservation, error) {
+func (l *Ledger) reserve(ctx context.Context, need reserveNeed) (*Reservation, error) {
 	held := l.open(need.program, need.total)
 	for {
 		reservation, asked, err := l.takeOrAsk(ctx, held, need.turnNeed)
@@ -137,7 +137,7 @@
 		switch {
 		case lent != nil:
 			return held.onCredit(lent), nil
-		case errors.Is(err, ErrSpent) && (asked == nil || need.most >= asked.most):
+		case errors.Is(err, ErrSpent) && (asked == nil || need.most >= asked.most): // a smaller turn than the one asked for may still fit
 			reservation, err = l.whenSpent(ctx, held, need.turnNeed, err)
 			if reservation != nil || err != nil {
 				return reservation, err
--- a/internal/budget/granting.go
+++ b/internal/budget/granting.go
@@ -46,7 +46,7 @@
 }
 
 // await waits for a question's answer; a turn that waits for long is lent to, if it can be.
-func (l *Ledger) await(ctx context.Context, asked *granting, need question) (*loan, error) {
+func (l *Ledger) await(ctx context.Context, asked *granting, need reserveNeed) (*loan, error) {
 	soon := time.NewTimer(l.patienceBeforeLoan())
 	defer soon.Stop()
 	select {
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -30,8 +30,8 @@
 	Soon bool
 }
 
-func (r *ReserveRequest) question() question {
-	return question{turnNeed: turnNeed{program: r.Program, total: r.Total, most: r.Most}, soon: r.Soon}
+func (r *ReserveRequest) question() reserveNeed {
+	return reserveNeed{turnNeed: turnNeed{program: r.Program, total: r.Total, most: r.Most}, soon: r.Soon}
 }
 
 // Result is a holder's verdict.
--- a/internal/budget/shared.go
+++ b/internal/budget/shared.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/rpc"
 	"slices"
 	"time"
 
@@ -102,6 +101,12 @@
 	return s.reserveNear(ctx, near, request)
 }
 
+// Endings of a reservation's name, by who is asked after the holders of the own zone.
+const (
+	atRegion  = "/region"
+	nearAgain = "/near"
+)
+
 // reserveNear asks the holders of this zone; and where these have nothing left, or can't know, the first of the region.
 func (s *Shared) reserveNear(ctx context.Context, near members.Homes, request ReserveRequest) (Settler, error) {
 	homes := s.list.Homes(request.Program)
@@ -113,10 +118,12 @@
 	soon.Soon = true
 	settler, err := s.reserveAmong(ctx, near, soon)
 	spent := errors.Is(err, ErrSpent)
-	if settler != nil || ctx.Err() != nil || !spent && !errors.Is(err, errNoStore) && !state.NoVerdict(err) {
+	undecided := spent || errors.Is(err, errNoStore) || state.NoVerdict(err)
+	if settler != nil || ctx.Err() != nil || !undecided {
 		return settler, err
 	}
-	request.Reservation += "/region"
+	// Another name: a late settlement of one holder's reservation is not to end another's.
+	request.Reservation += atRegion
 	settler, elsewhere := s.reserveAt(ctx, first, request)
 	switch {
 	case elsewhere == nil, errors.Is(elsewhere, ErrSpent), errors.Is(elsewhere, errNoStore), ctx.Err() != nil:
@@ -124,7 +131,7 @@
 	case spent:
 		return nil, err
 	default: // it gave no answer: the store is waited for here
-		request.Reservation += "/near"
+		request.Reservation += nearAgain
 		return s.reserveAmong(ctx, near, request)
 	}
 }
@@ -173,54 +180,6 @@
 	return &local{Reservation: reservation, trails: s.ledger.trails, place: told}, nil
 }
 
-// place is where a turn's prompt was read, and where the turn ran.
-type place struct {
-	request ReserveRequest
-	engine  string
-	read    int
-	ran     string
-	// Of what the turn goes on from, and of the turn itself.
-	keptAt   string
-	self     string // address of this daemon
-	recorded string
-}
-
-// ReadAt implements Settler.
-func (p *place) ReadAt() (engine string, parts int) { return p.engine, p.read }
-
-// KeptAt implements Settler.
-func (p *place) KeptAt() string { return p.keptAt }
-
-// Recorded implements Settler.
-func (p *place) Recorded(turn string) { p.recorded = turn }
-
-// RanAt implements Settler.
-func (p *place) RanAt(engine string) { p.ran = engine }
-
-func (p *place) outcome() Ran {
-	ran := Ran{Program: p.request.Program, Engine: p.ran}
-	if count := len(p.request.Parts); count > 0 {
-		ran.Part = p.request.Parts[count-1]
-	}
-	if p.recorded != "" {
-		ran.Turn, ran.Daemon = p.recorded, p.self
-	}
-	return ran
-}
-
-// local is a reservation at this daemon itself.
-type local struct {
-	*Reservation
-	place
-	trails *Trails
-}
-
-// Settle implements Settler.
-func (l *local) Settle(generated int64) {
-	l.trails.settled(l.outcome())
-	l.Reservation.Settle(generated)
-}
-
 // ask returns a settler, or ErrSpent, or errNoStore, or another error if the
 // holder did not answer.
 func (s *Shared) ask(ctx context.Context, home members.Member, request ReserveRequest) (Settler, error) {
@@ -276,36 +235,3 @@
 	s.list.Suspect(home, wait)
 	s.log.Warn("budget: holder passed over.", zap.String("holder", string(home.Process.Machine)), zap.Duration("for", wait), zap.String("cause", cause))
 }
-
-// remote is a reservation at another daemon.
-type remote struct {
-	place
-	shared   *Shared
-	home     members.Member
-	attained int64
-}
-
-// Attained implements Settler.
-func (r *remote) Attained() int64 { return r.attained }
-
-// Settle implements Settler; it does not wait for the holder.
-func (r *remote) Settle(generated int64) {
-	request := SettleRequest{Reservation: r.request.Reservation, Generated: generated, Ran: r.outcome()}
-	go func() {
-		var err error
-		for try := range settleTries {
-			if err = r.settleOnce(request); err == nil || errors.Is(err, rpc.ErrShutdown) {
-				return
-			}
-			time.Sleep(time.Duration(try+1) * settlePause)
-		}
-		r.shared.log.Warn("budget: settlement lost; the tokens stay reserved.", zap.String("holder", string(r.home.Process.Machine)),
-			zap.String("reservation", request.Reservation), zap.Int64("generated", generated), zap.Int("tries", settleTries), zap.String("cause", err.Error()))
-	}()
-}
-
-func (r *remote) settleOnce(request SettleRequest) error {
-	ctx, cancel := context.WithTimeout(context.Background(), settleWait)
-	defer cancel()
-	return r.shared.caller.Call(ctx, r.home.Process.Address, peer.Control, methodSettle, request, &SettleReply{})
-}
--- a/internal/budget/zones_test.go
+++ b/internal/budget/zones_test.go
@@ -235,7 +235,7 @@
 		store.Misbehave(func(memorystore.Call) memorystore.Fault { return memorystore.Refused })
 		limited, cancel := context.WithTimeout(ctx, 5*time.Second)
 		defer cancel()
-		_, err := newLedger(store).reserve(limited, question{turnNeed{"p", 13000, 288}, true})
+		_, err := newLedger(store).reserve(limited, reserveNeed{turnNeed{"p", 13000, 288}, true})
 		Expect(state.NoVerdict(err)).To(BeTrue(), "%v", err)
 		Expect(limited.Err()).NotTo(HaveOccurred())
 	})
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -34,7 +34,7 @@
 	input       []byte
 	history     *turn.Turn      // that the request goes on from; nil: none
 	holding     *memory.Holding // of what is held for this request
-	outputHeld  int64           // bytes of output that are counted, with the copies that saving makes
+	outputHeld  int64           // bytes of output for which, and for whose copies (copiesToSave), room was taken
 	taken       *quota.Taken    // place in the tenant's quota; nil: no limit
 	reservation budget.Settler
 	everywhere  int // parts of the prompt that every engine keeps
@@ -150,7 +150,7 @@
 	defer cancel()
 	if e.route.Recorded {
 		// It can't be served here once this daemon is cut off: in another zone it can.
-		stop := context.AfterFunc(e.gateway.Reach.Sound(), cancel)
+		stop := context.AfterFunc(e.gateway.Reach.Connected(), cancel)
 		defer stop()
 	}
 	start := time.Now()
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -105,8 +105,8 @@
 	mostComeBackFull  = 4 * time.Second
 )
 
-// comeBackFull spreads the callers that a full store has refused for so long a time as
-// long, so that they do not come back together.
+// comeBackFull has callers come back after about as long as the store has been full, at random
+// from half of that to one and a half, so that they do not come back together.
 func comeBackFull(fullFor time.Duration) time.Duration {
 	base := min(max(fullFor, leastComeBackFull), mostComeBackFull)
 	return base/2 + rand.N(base)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -31,8 +31,8 @@
 
 // How often loads are told. A turn lasts some 100 ms on the users' engines, and a
 // picture that is older than that sends bursts to engines that filled up
-// meanwhile: on the large Brackenlaw's scale-1 a picture of 148 ms in place of 885
-// raised the worth from 0.68 to 0.83 (trial, docs/reports/large.md).
+// meanwhile: with 295 daemons before 153 engines, under twice the usual load, a picture of
+// 148 ms in place of 885 ms raised what was served in time, weighed by its value, from 0.68 to 0.83.
 const (
 	reportInterval   = 100 * time.Millisecond
 	exchangeInterval = 100 * time.Millisecond
--- a/internal/load/speeds.go
+++ b/internal/load/speeds.go
@@ -10,7 +10,7 @@
 // whose parts lose weight with time at the same rate, so that sums of several daemons
 // add up, and a ratio of two of them is a mean.
 type Work struct {
-	Pieces  int // hundredths of pieces of an answer (backend.Outcome tells what one is)
+	Pieces  int // hundredths of pieces: events of a stream, or whole answers that are no stream
 	Answers int // hundredths of answers
 	Taken   int // milliseconds that these pieces took
 }
--- a/internal/members/laying.go
+++ b/internal/members/laying.go
@@ -35,6 +35,7 @@
 		return
 	}
 	_, err = l.Store.Commit(ctx, state.Commit{
+		Class:      state.ClassLease,
 		Conditions: []state.Condition{{Key: foundedKey, Version: seen}},
 		Puts:       []state.Put{{Key: foundedKey, Value: value}},
 	})
--- a/internal/members/silence.go
+++ b/internal/members/silence.go
@@ -13,8 +13,8 @@
 
 // A zone that is cut off is noticed by a daemon once, not by each request: when several members of another zone
 // gave no answer, one after the other, and none of that zone did in between, all its members are under
-// suspicion until one answers. A wrong suspicion costs a longer way for as long as a probe takes; nothing
-// true rests on it.
+// suspicion until one answers. A wrong suspicion costs a longer way for as long as a probe takes; its
+// correctness does not matter to any promise.
 const (
 	// silentMembers without an answer make a zone silent: one or two may be lost by themselves.
 	silentMembers = 3
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -48,11 +48,11 @@
 	since   atomic.Int64 // unix nanoseconds since when this daemon is cut off; 0: it is not
 	asking  sync.Mutex   // one question to the store at a time
 	asked   time.Time
-	sound   atomic.Pointer[soundness]
+	spell   atomic.Pointer[connectedSpell]
 }
 
-// soundness is a time in which this daemon is not cut off.
-type soundness struct {
+// connectedSpell is a time in which this daemon is not cut off.
+type connectedSpell struct {
 	ctx context.Context
 	end context.CancelFunc
 }
@@ -60,13 +60,13 @@
 // NewMonitor makes a monitor of a daemon that is not cut off.
 func NewMonitor(options Options) *Monitor {
 	made := &Monitor{options: options}
-	made.sound.Store(newSoundness())
+	made.spell.Store(newConnectedSpell())
 	return made
 }
 
-func newSoundness() *soundness {
+func newConnectedSpell() *connectedSpell {
 	ctx, end := context.WithCancel(context.Background())
-	return &soundness{ctx: ctx, end: end}
+	return &connectedSpell{ctx: ctx, end: end}
 }
 
 // Run observes until the context ends.
@@ -103,13 +103,13 @@
 func (m *Monitor) change(now time.Time, seen Observation, cut bool) {
 	if cut {
 		m.since.Store(now.UnixNano())
-		m.sound.Load().end()
+		m.spell.Load().end()
 		m.options.Log.Warn("reach: cut off from other zones and the store.",
 			zap.Duration("outsideSilent", now.Sub(seen.OutsideHeard)), zap.Duration("storeSilent", now.Sub(seen.StoreHeard)))
 	} else {
 		lasted := now.Sub(time.Unix(0, m.since.Load()))
 		m.since.Store(0)
-		m.sound.Store(newSoundness())
+		m.spell.Store(newConnectedSpell())
 		m.options.Log.Info("reach: not cut off any more.", zap.Duration("after", lasted))
 	}
 	if m.options.OnChange != nil {
@@ -120,12 +120,12 @@
 // CutOff tells whether this daemon is cut off.
 func (m *Monitor) CutOff() bool { return m != nil && m.since.Load() != 0 }
 
-// Sound is a context that ends when this daemon is cut off.
-func (m *Monitor) Sound() context.Context {
+// Connected is a context that ends when this daemon is cut off.
+func (m *Monitor) Connected() context.Context {
 	if m == nil {
 		return context.Background()
 	}
-	return m.sound.Load().ctx
+	return m.spell.Load().ctx
 }
 
 // Back is when a caller that is refused is likely to reach a daemon of another zone:
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -3,7 +3,7 @@
 // zones, so a daemon that is cut off says that it is not ready, ends its callers'
 // connections with their answers, and refuses at once what needs the store.
 //
-// Guarantee: none that anything true may rest on. A daemon that is not cut off may be
+// Guarantee: none. Nothing may depend on the verdict for its correctness. A daemon that is not cut off may be
 // believed to be for the time of one observation; what it then refuses was not run.
 //
 // Who decides: each daemon for itself. That other zones are silent is heard from the
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -112,7 +112,7 @@
 	})
 
 	It("ends what waits when the cut begins, and tells callers to come back once they are sent elsewhere", func(ctx SpecContext) {
-		sound := monitor.Sound()
+		sound := monitor.Connected()
 		around.pass(time.Second, true, true, func() { monitor.step(ctx) })
 		Expect(sound.Err()).NotTo(HaveOccurred())
 		around.pass(outsideSilence, false, false, func() { monitor.step(ctx) })
@@ -123,13 +123,13 @@
 		Expect(monitor.Back()).To(BeNumerically("<=", soonestBack+soonestBack/backSpread))
 		around.pass(observeEvery, true, true, func() { monitor.step(ctx) })
 		Expect(monitor.CutOff()).To(BeFalse())
-		Expect(monitor.Sound().Err()).NotTo(HaveOccurred())
+		Expect(monitor.Connected().Err()).NotTo(HaveOccurred())
 		Expect(changes).To(Equal([]bool{true, false}))
 	})
 
 	It("may be left out: then nobody is cut off", func() {
 		var none *Monitor
 		Expect(none.CutOff()).To(BeFalse())
-		Expect(none.Sound().Err()).NotTo(HaveOccurred())
+		Expect(none.Connected().Err()).NotTo(HaveOccurred())
 	})
 })
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -65,8 +65,8 @@
 const (
 	turnsCached    = 2048
 	turnsCachedFor = 90 * time.Second
-	// The bytes in memory are a fifth of what the smallest machine has (88 MB). A turn
-	// adds some 3,000, so 4,000 turns fit, more than a daemon ends in its callers' pauses.
+	// The bytes in memory are a fifth of what the smallest machine has (88 MB). A turn adds
+	// some 3,000, so 4,000 turns fit: the turnsCached recent ones, and those they go on from.
 	turnsCachedBytes  = 12 << 20
 	piecesCachedBytes = 4 << 20
 	programsKept      = 8192
--- a/internal/state/class.go
+++ b/internal/state/class.go
@@ -6,7 +6,7 @@
 // the more important classes go first.
 type Class uint8
 
-// The classes, the most important first. The zero class is ClassOther.
+// The classes, in the order of their importance; the zero class is ClassOther.
 const (
 	ClassOther       Class = iota // not told; ranks with ClassRead
 	ClassLease                    // a lease, a member's row, the confirmation of a configuration
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -97,8 +97,10 @@
 	probeWait    = 300 * time.Millisecond
 )
 
-// Commit implements Store. While the store is full, a commit of ClassTurn waits for room
-// until its context ends, and is sent at least once; one of a less important class is refused.
+// Commit implements Store. While the store is full, a commit of ClassTurn is sent at least
+// once, and again as room is looked for until its context ends. Reservations, settlements,
+// sweeps and what follows a table are refused unless it is their turn to probe (Room.admit);
+// the rest is sent.
 func (c *Client) Commit(ctx context.Context, commit Commit) (Version, error) {
 	version, err := c.commitWhenRoom(ctx, commit)
 	c.metrics.ended(commit.Class, err)
--- a/internal/state/lane.go
+++ b/internal/state/lane.go
@@ -37,22 +37,10 @@
 
 // rank orders classes by importance; zero is the most important.
 func (c Class) rank() int {
-	switch c {
-	case ClassLease:
-		return 0
-	case ClassTurn:
-		return 1
-	case ClassReservation:
-		return 2
-	case ClassFollow:
-		return 4
-	case ClassSettlement:
-		return 5
-	case ClassSweep:
-		return 6
-	default:
-		return 3
+	if c == ClassOther {
+		c = ClassRead
 	}
+	return int(c - ClassLease)
 }
 
 // arrive takes a call into the line; it is told at once if it may be made, or cannot be
--- a/internal/state/pace.go
+++ b/internal/state/pace.go
@@ -6,7 +6,7 @@
 )
 
 // pace is how many calls of one kind this process sends a second: additive increase while
-// none is refused for the rate, multiplicative decrease when one is, never below a floor.
+// none is refused for the rate, multiplicative leftAfterRefusal when one is, never below a floor.
 // It is a token bucket whose rate adapts. Time is an input; it is not safe for concurrent use.
 type pace struct {
 	floor float64 // calls a second that are always allowed
@@ -20,9 +20,9 @@
 }
 
 const (
-	// decrease is what a refusal leaves of the rate: with all daemons at it, three
-	// refusals in a row take three times what the store bears back to below it.
-	decrease = 0.7
+	// leftAfterRefusal is the part of the rate that a refusal leaves: with all daemons at it,
+	// four refusals in a row take three times what the store bears back to below it.
+	leftAfterRefusal = 0.7
 	// refusalsTogether is in which time refusals count as one: they answer calls that were
 	// sent at the rate before.
 	refusalsTogether = 200 * time.Millisecond
@@ -116,6 +116,6 @@
 		return false
 	}
 	p.lowered = now
-	p.allowed = max(decrease*min(p.allowed, p.recent), p.floor)
+	p.allowed = max(leftAfterRefusal*min(p.allowed, p.recent), p.floor)
 	return true
 }
--- a/internal/turn/beginnings.go
+++ b/internal/turn/beginnings.go
@@ -64,7 +64,7 @@
 }
 
 // shared returns how many bytes at an input's beginning other inputs begin with too;
-// 0: too few. An input of which most is new is remembered.
+// 0: too few. An input of which more than a quarter is new is remembered.
 func (b *beginnings) shared(input []byte) int {
 	if len(input) < smallestShared {
 		return 0
--- a/internal/turn/metrics.go
+++ b/internal/turn/metrics.go
@@ -20,7 +20,7 @@
 func newMetrics() *metrics {
 	return &metrics{
 		keptBytes: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "thymeloft_turn_kept_bytes", Help: "Bytes of turns that this daemon wrote and has not removed yet.",
+			Name: "thymeloft_turn_kept_bytes", Help: "Bytes of turns that this daemon wrote and has not removed itself; those left to the sweep stay counted.",
 		}),
 		pieceBytes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "thymeloft_turn_piece_bytes_total", Help: "Bytes of pieces that this daemon wrote.",
--- a/internal/turn/save.go
+++ b/internal/turn/save.go
@@ -26,7 +26,7 @@
 )
 
 // Save commits a turn in one of its places, to be kept for so long. It may be
-// called again with the same turn after any error, since the rows are the same.
+// called again with the same turn after any error: each commit writes all rows of the turn anew.
 func (r *Records) Save(ctx context.Context, identifier string, added Addition, keep time.Duration) error {
 	until := timesOf(r.options.Now(), keep)
 	shared := 0
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -30,8 +30,8 @@
 var (
 	// ErrNotFound says that there is no such turn.
 	ErrNotFound = errors.New("no such turn")
-	// ErrUnsure says that the store could not tell for certain.
-	ErrUnsure = errors.New("it is not certain whether the turn exists")
+	// ErrUnsure says that it could not be told for certain whether the turn exists, or what it holds.
+	ErrUnsure = errors.New("it is not certain whether the turn exists or what it holds")
 	// ErrTooLarge says that not even the names of a turn's pieces fit one commit.
 	ErrTooLarge = errors.New("the history is too large to be kept")
 )
@@ -100,9 +100,9 @@
 // rowsLast is how long a turn's rows are kept.
 func rowsLast(keep time.Duration) time.Duration { return 2*keep + expiryMargin }
 
-// timesOf gives rows twice the time that is promised: a turn that goes on from this
-// one at its last moment can still refer to it, and a conversation is written anew
-// once in that time at most. Shared pieces last twice as long as rows, so that each is
+// timesOf gives rows twice the time asked for, and one margin: a turn that goes on from this
+// one until keep is over can still refer to it (within the margin after that it is written whole), and a
+// conversation is written anew once in that time at most. Shared pieces last twice as long as rows, so that each is
 // written anew only after half of its time.
 func timesOf(now time.Time, keep time.Duration) times {
 	lasts := rowsLast(keep)
