Budgets: holders by zone are a setting, off by default

Ruled out: broken conversations (no such line), the store's limits, late callers (two of 51 tries). Change: near_budgets, false by default, until a small budget is never divided between holders.

--- a/internal/server/collaboration.go
+++ b/internal/server/collaboration.go
@@ -116,7 +116,7 @@
 		parts.ledger.LendWith(budget.NewLender(parts.list.MayLend, time.Now, s.Log))
 	}
 	parts.budgets = budget.NewShared(parts.ledger, parts.list, parts.pool, parts.availability, s.Log)
-	parts.budgets.Near = !off.Has(mechanism.NearBudgets)
+	parts.budgets.Near = s.Settings.NearBudgets && !off.Has(mechanism.NearBudgets)
 	parts.budgets.Alone = off.Has(mechanism.SharedBudgets)
 	parts.turns = turn.NewRecords(turn.Options{
 		Store: parts.client, RowBytes: s.Settings.Store.RowBytes, CacheEntries: turnsCached, CacheFor: turnsCachedFor,
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -47,6 +47,10 @@
 	// BoundPrograms refuses programs at their first turn while the engines hold as many as they
 	// bear. It is for fleets whose engines' memory is short; left out, it is false.
 	BoundPrograms bool `yaml:"bound_programs"`
+	// NearBudgets lets the holders of each zone hold budgets for the turns that come through it, so that
+	// a zone that is cut off goes on with its programs. Left out, it is false: two holders of a small
+	// budget may each be granted a part that is too small for a turn.
+	NearBudgets bool `yaml:"near_budgets"`
 	// Disabled are mechanisms that an experiment goes without; empty in service.
 	Disabled mechanism.Off `yaml:"disabled"`
 	// LogSuccessesPerSecond bounds the lines about requests that went well; 0: no bound.
