Following the store's tables: why and how long a table was not heard, metrics of its age

Cause: the log had the age of the configuration only on lines of requests, and said nothing of calls that waited for the rate limit in vain or of stale readings, so that the three hypotheses of the incident could not be told apart.

Change: one line when a table is followed again (how long, how many failures, last cause); the age of the previous answer with each revision in force; gauges of the revision and of the ages.

Conclusion: no decision changes.

--- a/internal/server/followers.go
+++ b/internal/server/followers.go
@@ -29,7 +29,9 @@
 	schema   StoreSchema
 	routes   *routetable.Holder
 	onChange func(*routetable.Table)
-	log      *zap.Logger
+	// answerAge returns how long ago the store last answered about the configuration.
+	answerAge func() time.Duration
+	log       *zap.Logger
 }
 
 // Replace implements watch.Follower.
@@ -56,7 +58,8 @@
 		return
 	}
 	c.onChange(table)
-	c.log.Info("configuration: in force.", zap.Uint64("revision", table.Revision), zap.Uint64("version", uint64(row.Version)))
+	c.log.Info("configuration: in force.", zap.Uint64("revision", table.Revision), zap.Uint64("version", uint64(row.Version)),
+		zap.Duration("previousAnswerAge", c.answerAge()))
 }
 
 // instanceFollower updates the fleet when the table of instances changes.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -129,6 +129,9 @@
 	if err := s.initReachMonitor(c); err != nil {
 		return err
 	}
+	if err := s.registerStalenessMetrics(); err != nil {
+		return err
+	}
 	buffers, err := s.newAnswerBuffers()
 	if err != nil {
 		return err
@@ -199,7 +202,8 @@
 func (s *Server) follow(ctx context.Context, c *components) {
 	configuration := &configurationFollower{
 		schema: s.StoreSchema, routes: s.routes, log: s.Log,
-		onChange: func(table *routetable.Table) { s.callerServer.SetLimits(table.Limits) },
+		onChange:  func(table *routetable.Table) { s.callerServer.SetLimits(table.Limits) },
+		answerAge: s.lastConfigurationAnswer.age,
 	}
 	instances := &instanceFollower{
 		schema: s.StoreSchema, fleet: s.fleet, log: s.Log,
--- a/internal/server/timestamp.go
+++ b/internal/server/timestamp.go
@@ -18,3 +18,11 @@
 	}
 	return time.Since(time.Unix(0, at))
 }
+
+// ageSeconds returns the age in seconds, or unconfirmedAge before the first call of set.
+func (t *timestamp) ageSeconds() float64 {
+	if t.at.Load() == 0 {
+		return unconfirmedAge
+	}
+	return t.age().Seconds()
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -59,6 +59,10 @@
 	follower Follower
 	version  state.Version
 	hasRead  bool // the table was read since the start or since the history was lost
+
+	lastAnswer time.Time // when the last successful step ended, or Run started
+	failures   int       // failed steps since lastAnswer
+	lastError  error     // of the last failed step
 }
 
 // Run follows the table until the context ends. It retries failed calls with growing delays.
@@ -66,14 +70,17 @@
 	if options.OnAnswer == nil {
 		options.OnAnswer = func() {}
 	}
-	w := &watcher{Options: options, follower: follower}
+	w := &watcher{Options: options, follower: follower, lastAnswer: time.Now()}
 	schedule := pause.NewBackoff(initialRetryDelay, maxRetryDelay)
 	for ctx.Err() == nil {
 		err := w.step(ctx)
 		if err == nil {
+			w.recordAnswer()
 			schedule.Reset()
 			continue
 		}
+		w.failures++
+		w.lastError = err
 		if errors.Is(err, state.ErrHistoryLost) {
 			w.hasRead = false
 			options.Log.Warn("watch: history lost, reading again.", zap.String("table", options.Table), zap.Uint64("version", uint64(w.version)))
@@ -101,6 +108,17 @@
 	return nil
 }
 
+// recordAnswer notes that a step has succeeded. If steps failed before it, recordAnswer logs how
+// long the table was not followed, and why.
+func (w *watcher) recordAnswer() {
+	now := time.Now()
+	if w.failures > 0 {
+		w.Log.Info("watch: following again.", zap.String("table", w.Table), zap.Duration("after", now.Sub(w.lastAnswer)),
+			zap.Int("failures", w.failures), zap.String("lastCause", w.lastError.Error()))
+	}
+	w.lastAnswer, w.failures, w.lastError = now, 0, nil
+}
+
 // feedWait returns how long the next feed call may wait for a change.
 func (w *watcher) feedWait() time.Duration {
 	if w.AnswerDue == nil {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
 	"github.com/thymeloft/thymeloft/internal/state"
@@ -161,6 +162,28 @@
 		Eventually(followed.seen).Should(HaveKeyWithValue("c", "3"))
 	})
 
+	It("logs how often and why the table could not be followed", func() {
+		core, logged := observer.New(zap.InfoLevel)
+		failing := memorystore.New()
+		failing.SetFaultFunc(func(memorystore.Call) memorystore.Fault { return memorystore.FaultThrottled })
+		running, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			watch.Run(running, watch.Options{Store: failing, Table: "t", MaxWait: 20 * time.Millisecond, Log: zap.New(core)}, &follower{})
+		}()
+		DeferCleanup(func() { cancel(); <-done })
+		Eventually(func() int { return failing.CallCount("read") }).Should(BeNumerically(">=", 2))
+		lines := func() []observer.LoggedEntry { return logged.FilterMessage("watch: following again.").All() }
+		Expect(lines()).To(BeEmpty())
+		failing.SetFaultFunc(nil)
+		Eventually(lines).Should(HaveLen(1))
+		fields := lines()[0].ContextMap()
+		Expect(fields).To(HaveKeyWithValue("table", "t"))
+		Expect(fields).To(HaveKeyWithValue("failures", BeNumerically(">=", 2)))
+		Expect(fields["lastCause"]).To(ContainSubstring(state.ErrThrottled.Error()))
+	})
+
 	It("continues after an outage of the store", func(ctx SpecContext) {
 		store.SetFaultFunc(func(memorystore.Call) memorystore.Fault { return memorystore.FaultRefused })
 		before := store.CallCount("feed")
