Feeds: a silent route is noticed when the wait is over, and the other one is asked

Cause: a feed is one call over one route. A silent route was given up only 0.9 s (relay) or 1 s (direct) after the wait, and nobody asked over the other route meanwhile. A daemon that the store had turned away follows its tables over another daemon for up to 1.1 s after the store answers again. If that one then falls silent, its feed ends 3.1 s later, 4.2 s and more after the end of the outage, of which 4 s are allowed.

Ruled out: failures by the daemon's own machine; late daemons without a failed way to the store were frozen or started again.

Change: Client.Feed is hedged like the other calls, once its wait is over, without a further wait. The order of routes is fixed when a call begins: attempts used to choose by the health at their own time, so that the second attempt could take the silent route again.

Why it works: the answer comes at most the wait and 0.6 s after the call, by either route. The wait is the contact time less 1.8 s.

--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -185,18 +185,18 @@
 
 // Parameters of configurationFeedTimeout.
 const (
-	// feedRecoveryTime is the maximum time needed to close a silent feed and to read
-	// the configuration again.
+	// feedRecoveryTime is the maximum time, after the wait of a feed, until its silence
+	// is noticed and the store has answered over another route.
 	feedRecoveryTime     = 1800 * time.Millisecond
 	minConfigurationWait = 500 * time.Millisecond
 	maxConfigurationWait = 10 * time.Second
 )
 
 // configurationFeedTimeout returns how long a feed of the configuration may be
-// silent before it is replaced. A feed whose connection was lost without notice may
-// have been silent since the daemon was last unable to reach the store. What the
-// feed missed since then must be applied within ContactMillis, of which
-// feedRecoveryTime is reserved for replacing the feed.
+// silent before the store is asked again. A feed whose connection was lost without
+// notice may have been silent since the daemon was last unable to reach the store.
+// What the feed missed since then must be applied within ContactMillis, of which
+// feedRecoveryTime is reserved for asking again.
 func (s *Settings) configurationFeedTimeout() time.Duration {
 	maxDelay := time.Duration(s.ContactMillis * float64(time.Millisecond))
 	return min(max(maxDelay-feedRecoveryTime, minConfigurationWait), maxConfigurationWait)
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -11,8 +11,8 @@
 	"github.com/thymeloft/thymeloft/internal/pause"
 )
 
-// Client is a Store for use by the rest of the daemon. It limits the rate of all calls, and
-// hedges commits and reads. If an alternative route to the store is given, it uses both routes.
+// Client is a Store for use by the rest of the daemon. It limits the rate of all calls and hedges
+// them. If an alternative route to the store is given, it uses both routes.
 // It tracks whether the store is available and whether it has space. While the store is down,
 // one background probe checks whether the store answers again.
 //
@@ -147,8 +147,9 @@
 // send sends the commit, which combines commitCount commits, in one hedged call.
 func (c *Client) send(ctx context.Context, commit Commit, commitCount int) (Version, error) {
 	start := time.Now()
-	version, err := hedge(ctx, &c.hedger, c.retryConditionsFor(CallCommit), func(ctx context.Context, attempt int) (Version, error) {
-		route, report := c.chooseRoute(attempt, CallCommit)
+	routes := c.orderRoutes(CallCommit)
+	version, err := hedge(ctx, &c.hedger, c.newHedgeRules(CallCommit), func(ctx context.Context, attempt int) (Version, error) {
+		route, report := routes.forAttempt(attempt)
 		version, err := route.Commit(ctx, commit)
 		report(ctx, err)
 		return version, err
@@ -171,9 +172,14 @@
 	return err
 }
 
-// retryConditionsFor returns the conditions for hedging a call of the kind.
-func (c *Client) retryConditionsFor(kind CallKind) retryConditions {
-	return retryConditions{shouldRetryAtOnce: c.isDirectDegraded, takeSpareSlot: func() bool { return c.limiter.takeSpareSlot(kind) }}
+// newHedgeRules returns the rules for hedging one call of the kind, and adds the call to the retry
+// budget.
+func (c *Client) newHedgeRules(kind CallKind) hedgeRules {
+	c.hedger.budget.recordCall()
+	return hedgeRules{
+		shouldRetryAtOnce: c.isDirectDegraded,
+		takeRetry:         func() bool { return c.hedger.budget.take() && c.limiter.takeSpareSlot(kind) },
+	}
 }
 
 // Read implements Store.
@@ -194,8 +200,9 @@
 		return Page{}, err
 	}
 	start := time.Now()
-	page, err := hedge(ctx, &c.hedger, c.retryConditionsFor(CallRead), func(ctx context.Context, attempt int) (Page, error) {
-		route, report := c.chooseRoute(attempt, CallRead)
+	routes := c.orderRoutes(CallRead)
+	page, err := hedge(ctx, &c.hedger, c.newHedgeRules(CallRead), func(ctx context.Context, attempt int) (Page, error) {
+		route, report := routes.forAttempt(attempt)
 		page, err := route.Read(ctx, selected)
 		report(ctx, err)
 		return page, err
@@ -205,21 +212,6 @@
 	return page, err
 }
 
-// Feed implements Store. It is not hedged, since it normally waits for changes.
-func (c *Client) Feed(ctx context.Context, table string, after Version, wait time.Duration) (FeedResult, error) {
-	if err := c.waitForRate(ctx, CallFeed, ClassFollow); err != nil {
-		c.metrics.recordCall(ClassFollow, err)
-		return FeedResult{}, err
-	}
-	start := time.Now()
-	route, report := c.chooseRoute(0, CallFeed)
-	result, err := route.Feed(ctx, table, after, wait)
-	report(ctx, err)
-	c.metrics.recordCall(ClassFollow, err)
-	c.recordOutcome(ctx, Failure{Op: "feed", Key: Key{Table: table}, Duration: time.Since(start), Err: err})
-	return result, err
-}
-
 // Available reports whether the store is considered available.
 func (c *Client) Available() bool { return c.availability.Available() }
 
@@ -269,9 +261,10 @@
 
 // probeUntilAnswered reads the probe range repeatedly until the store is considered available.
 func (c *Client) probeUntilAnswered() {
+	routes := c.orderRoutes(CallRead)
 	for attempt := 0; !c.availability.Available(); attempt++ {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		route, report := c.chooseRoute(attempt, CallRead)
+		route, report := routes.forAttempt(attempt)
 		_, err := route.Read(ctx, c.probe)
 		report(ctx, err)
 		cancel()
