Rate limit: following the tables goes before the calls of requests

Cause: calls that follow tables were the sixth of seven classes at a daemon's own limit. While a second's worth of turns and reads waits, such a call is refused the moment it comes, since it would miss its deadline behind them; the one grant in twenty for the last class never reaches it. The configuration is then not followed at all.

Change: following comes second, after leases. It is a few calls a second at each daemon. The numbers of the classes, which daemons tell each other, stay.

--- a/internal/state/callqueue.go
+++ b/internal/state/callqueue.go
@@ -25,7 +25,6 @@
 }
 
 const (
-	rankCount = 7 // number of different ranks
 	// grantsPerLeastImportant is the number of grants of which one goes to the least important
 	// class that waits. This keeps every class from starving, so that removals can free space.
 	grantsPerLeastImportant = 20
@@ -36,14 +35,6 @@
 	minCallTime = 20 * time.Millisecond
 )
 
-// rank returns the position of the class in the order of importance; 0 is the most important.
-func (c Class) rank() int {
-	if c == ClassOther {
-		c = ClassRead
-	}
-	return int(c - ClassLease)
-}
-
 // enqueue adds a call. If the call may be sent now, or is sure to miss its deadline, it is
 // notified before enqueue returns. A zero deadline means that there is none.
 func (q *callQueue) enqueue(now time.Time, w *waiter) {
--- a/internal/state/class.go
+++ b/internal/state/class.go
@@ -6,7 +6,7 @@
 // of more important classes go first.
 type Class uint8
 
-// The classes, from the most to the least important, after the zero value ClassOther.
+// The classes. Their order of importance is given by rank.
 const (
 	ClassOther       Class = iota // unspecified; as important as ClassRead
 	ClassLease                    // writes leases and member rows, or confirms a configuration
@@ -18,6 +18,31 @@
 	ClassSweep                    // removes expired rows
 )
 
+// rankCount is the number of different ranks.
+const rankCount = 7
+
+// rank returns the position of the class in the order of importance; 0 is the most important.
+// Following comes before the calls of requests: it is a few calls a second, and requests are
+// handled by what it finds.
+func (c Class) rank() int {
+	switch c {
+	case ClassLease:
+		return 0
+	case ClassFollow:
+		return 1
+	case ClassTurn:
+		return 2
+	case ClassReservation:
+		return 3
+	case ClassSettlement:
+		return 5
+	case ClassSweep:
+		return 6
+	default:
+		return 4
+	}
+}
+
 // String returns the name of the class that metrics use as a label.
 func (c Class) String() string {
 	switch c {
