Gateway: no 404 or 401 from a configuration that may have been replaced

Cause: a route that is not known was denied however old the configuration was; a key that is not known was denied up to the contact time. Both are statements about what the configuration does not contain, which only a current one allows.

Change: both answers need a configuration that the store confirmed within the feed's wait and 0.8 s, the longest time between two answers while the store can be reached (contact time less 1 s). Otherwise 503 with Retry-After, unsure-route or unsure-key.

Left: a daemon that was frozen answers for some ms by an answer that lay in its socket meanwhile, and takes it for new.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -195,6 +195,7 @@
 	"quota-exceeded":      "the quota of its tenant was used up; it did not run",
 	"quota-unknown":       "no daemon that counts the quota of its tenant could be reached, so it was unknown whether the quota was used up; it did not run",
 	"no-route":            "the configuration in force had no route for its host and path",
+	"unsure-route":        "the configuration in force had no route for its host and path, but it was last confirmed so long ago that the route may have been added since; it did not run",
 	"malformed":           "one of its headers could not be parsed",
 	"too-large":           "its body exceeded the limit of the configuration",
 	"unknown-turn":        "its previous turn does not exist: the store confirmed that its row is absent",
--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -10,9 +10,8 @@
 
 // authenticate sets the tenant from the caller's key. If no tenants are configured, it does nothing.
 // A public route also accepts requests whose key is missing or unknown. On other routes the
-// error is a *Refusal with status 401 if the key is missing or unknown. If the configuration is
-// too old to be sure that a key is unknown, the status is 503 instead, so that the caller
-// retries.
+// error is a *Refusal: with status 401 if the key is missing or unknown, or as denyByConfiguration
+// returns it.
 func (e *execution) authenticate() error {
 	if !e.table.Tenants.RequiresKey() {
 		return nil
@@ -26,18 +25,22 @@
 	if e.route.Public {
 		return nil
 	}
+	cause := "unknown key"
 	if e.call.Key == nil {
-		return unauthenticatedRefusal("exactly one key is required")
+		cause = "exactly one key is required"
 	}
-	if age, _ := e.gateway.Staleness(); age > e.gateway.MaxConfigurationAge {
-		return notRunRefusal(ReasonUncertainKey, storeRetryAfter, eris.Errorf("unknown key, but the configuration was last confirmed %s ago", age))
-	}
-	return unauthenticatedRefusal("unknown key")
+	return e.denyByConfiguration(&Refusal{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey, Err: eris.New(cause)}, ReasonUncertainKey)
 }
 
-// unauthenticatedRefusal returns a refusal with status 401.
-func unauthenticatedRefusal(cause string) error {
-	return &Refusal{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey, Err: eris.New(cause)}
+// denyByConfiguration returns the denial of what the configuration does not contain. If the
+// configuration is older than MaxConfigurationAge, a newer one may contain it, so the result is a
+// refusal with status 503 and the given reason instead, and the caller retries.
+func (e *execution) denyByConfiguration(denial *Refusal, uncertain Reason) error {
+	age, _ := e.gateway.Staleness()
+	if age <= e.gateway.MaxConfigurationAge {
+		return denial
+	}
+	return notRunRefusal(uncertain, storeRetryAfter, eris.Wrapf(denial.Err, "the configuration was last confirmed %s ago", age))
 }
 
 // tenantName returns the name of the request's tenant, or "" if it has none.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -114,7 +114,8 @@
 	}
 	route, found := e.table.Find(e.request.Host, e.request.URL.Path)
 	if !found {
-		return &Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute, Err: eris.New("no route matches the host and path")}
+		denial := &Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute, Err: eris.New("no route matches the host and path")}
+		return e.denyByConfiguration(denial, ReasonUncertainRoute)
 	}
 	e.route = route
 	if authErr := e.authenticate(); authErr != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,8 +49,8 @@
 	InstanceGrace time.Duration
 	// DisabledMechanisms lists mechanisms that are disabled for an experiment.
 	DisabledMechanisms mechanism.Disabled
-	// MaxConfigurationAge is the maximum age of the configuration for rejecting an unknown key
-	// with status 401. If the configuration is older, the key may have been added since.
+	// MaxConfigurationAge is the maximum age of the configuration for denying what it does not
+	// contain: an unknown route with status 404, or an unknown key with status 401.
 	MaxConfigurationAge time.Duration
 	// Staleness returns how long ago the configuration and the list of instances were last
 	// confirmed by the store.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -17,6 +17,7 @@
 	ReasonNone               Reason = ""
 	ReasonNoConfiguration    Reason = "no-configuration"
 	ReasonNoRoute            Reason = "no-route"
+	ReasonUncertainRoute     Reason = "unsure-route"
 	ReasonUnknownKey         Reason = "unknown-key"
 	ReasonUncertainKey       Reason = "unsure-key"
 	ReasonQuotaExceeded      Reason = "quota-exceeded"
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -178,7 +178,7 @@
 		Metrics:             s.metrics,
 		InstanceGrace:       s.instanceGrace(),
 		DisabledMechanisms:  s.Settings.Disabled,
-		MaxConfigurationAge: s.Settings.configurationFeedTimeout() + feedRecoveryTime,
+		MaxConfigurationAge: s.Settings.maxConfigurationAge(),
 		Staleness: func() (configuration, instances time.Duration) {
 			return s.lastConfigurationAnswer.age(), s.lastInstancesAnswer.age()
 		},
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -187,7 +187,10 @@
 const (
 	// feedRecoveryTime is the maximum time, after the wait of a feed, until its silence
 	// is noticed and the store has answered over another route.
-	feedRecoveryTime     = 1800 * time.Millisecond
+	feedRecoveryTime = 1800 * time.Millisecond
+	// feedAnswerTime is the maximum time, after the wait of a feed, until the store has
+	// answered over one of its routes if both work or one falls silent.
+	feedAnswerTime       = 800 * time.Millisecond
 	minConfigurationWait = 500 * time.Millisecond
 	maxConfigurationWait = 10 * time.Second
 )
@@ -201,3 +204,10 @@
 	maxDelay := time.Duration(s.ContactMillis * float64(time.Millisecond))
 	return min(max(maxDelay-feedRecoveryTime, minConfigurationWait), maxConfigurationWait)
 }
+
+// maxConfigurationAge returns the longest time between two answers about the
+// configuration while the store can be reached. A configuration that is older may
+// have been replaced, with its replacement already due.
+func (s *Settings) maxConfigurationAge() time.Duration {
+	return s.configurationFeedTimeout() + feedAnswerTime
+}
--- a/internal/server/settings_test.go
+++ b/internal/server/settings_test.go
@@ -54,6 +54,7 @@
 		func(contact float64, expected time.Duration) {
 			settings := Settings{ContactMillis: contact}
 			Expect(settings.configurationFeedTimeout()).To(Equal(expected))
+			Expect(settings.maxConfigurationAge()).To(Equal(expected + feedAnswerTime))
 		},
 		Entry("below contact_millis", 3000.0, 1200*time.Millisecond),
 		Entry("below a longer contact_millis", 4000.0, 2200*time.Millisecond),
