Members: a second death starts its own wait before claims are released

Cause: the time of death was carried over between rows of one process. A process that was marked dead, registered again and was marked dead once more was taken to be dead since the first time, so that its claims were released at once. The fence that its wait gives (until its list may no longer be used) was missing.

Change: the time belongs to the row in which the process is dead. That also covers a daemon that sees both deaths but not the registration between them; a row of the same process in another version starts anew.

--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -47,7 +47,9 @@
 	member     Member
 	rowVersion state.Version // of the member's row; zero in this daemon's own record
 	nameHash   uint64        // hash of the machine name, for rendezvous scores
-	diedAt     time.Time     // when this daemon first saw this process dead; zero: never
+	// diedAt is when this daemon first saw the row in which the process is dead; zero: it is alive.
+	// A process that registers again after its death may die again, in a later row.
+	diedAt time.Time
 	// suspicion is shared by successive records of the same process.
 	suspicion *suspicion
 	zone      *zoneHealth // health of the member's zone
@@ -159,10 +161,15 @@
 		return
 	}
 	next := l.newRecord(member, row.Version)
-	if previous, known := l.records[machine]; known && previous.member.Process == member.Process {
-		next.suspicion, next.diedAt = previous.suspicion, previous.diedAt
+	previous, known := l.records[machine]
+	if known && previous.member.Process == member.Process {
+		next.suspicion = previous.suspicion
 	}
-	if member.State == StateDead && next.diedAt.IsZero() {
+	switch {
+	case member.State != StateDead:
+	case known && previous.rowVersion == row.Version:
+		next.diedAt = previous.diedAt
+	default:
 		next.diedAt = l.now()
 	}
 	l.records[machine] = next
--- a/internal/members/shard_owner_test.go
+++ b/internal/members/shard_owner_test.go
@@ -127,6 +127,54 @@
 		Expect(fleet[1].stateOf("m0")).To(Equal(StateDead))
 	})
 
+	// expectOneOwner cuts off the first daemon and checks that, until its list may no longer be used, at
+	// most one daemon owns the shard.
+	expectOneOwner := func(key string, fleet ...*daemon) {
+		GinkgoHelper()
+		fleet[0].isCutOff = true
+		for cutSince := env.now; env.now.Sub(cutSince) < maxOwnerListAge-time.Second; {
+			env.run(testRenewal, fleet...)
+			owners := 0
+			for _, each := range fleet {
+				if owns(each, key) {
+					owners++
+				}
+			}
+			Expect(owners).To(BeNumerically("<=", 1), "%s after the cut", env.now.Sub(cutSince))
+		}
+	}
+	const untilMarkedDead = renewalsPerTerm*testRenewal + 3*testRenewal
+
+	// The next two guard against claims that are released by the time of an earlier death.
+	It("remain the only owners when they are marked dead again after they were registered again", func() {
+		fleet := bootstrapFleet("m0", "m1")
+		key := ownedKey(fleet[0])
+		env.run(untilMarkedDead, fleet[1])
+		Expect(fleet[1].stateOf("m0")).To(Equal(StateDead))
+		env.run(deadReleaseDelay+time.Minute, fleet...)
+		Expect(fleet[1].stateOf("m0")).To(Equal(StateAlive))
+		Expect(owns(fleet[0], key)).To(BeTrue())
+		expectOneOwner(key, fleet...)
+		Expect(fleet[1].stateOf("m0")).To(Equal(StateDead))
+	})
+
+	It("remain the only owners when the daemon that releases claims sees both deaths, but not the registration between them", func() {
+		fleet := bootstrapFleet("m0", "m1", "m2")
+		key := ownedKey(fleet[0])
+		env.run(untilMarkedDead, fleet[1:]...)
+		releasing, other := fleet[1], fleet[2]
+		if other.list.HasHighestScore("m0") {
+			releasing, other = other, releasing
+		}
+		Expect(releasing.stateOf("m0")).To(Equal(StateDead))
+		env.run(deadReleaseDelay+time.Minute, fleet[0], other)
+		fleet[0].isCutOff = true
+		env.run(untilMarkedDead, fleet[0], other)
+		Expect(other.stateOf("m0")).To(Equal(StateDead))
+		Expect(owns(fleet[0], key)).To(BeTrue())
+		expectOneOwner(key, fleet...)
+	})
+
 	It("do not backdate ownership to before they read the list, even if no other member is left", func() {
 		fleet := bootstrapFleet("m0", "m1")
 		key := ownedKey(fleet[0])
