Engine speeds: event times below 20 ms count as 20 ms

Cause: engines that answer within a millisecond seemed several times slower than each other, since a daemon that waits for a processor sees that as the engine's time. A program then left its engine for one that seemed faster.

Change: shorter event times are taken as 20 ms. Engines of the deployments make an event in 24 ms and more, so their speeds are told apart as before.

Test: "do not tell engines apart that answer faster than a daemon can measure" fails without the change.

--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -35,6 +35,9 @@
 	// a fraction. Engines of language models range from 3 to 30 %. The resulting error of the
 	// speed is too small to make an instance count as slow (see minEqualSpeedRatio).
 	batchSlowdown = 0.15
+	// minEventTime is the shortest time of an event that is used. A daemon observes shorter ones with
+	// an error of their own size, since it may itself wait that long for a processor.
+	minEventTime = 20 * time.Millisecond
 	// fixedPointScale multiplies events and answers in reports, which hold integers.
 	fixedPointScale = 100
 )
@@ -72,9 +75,9 @@
 		return work{}
 	case outcome.EventInterval > 0:
 		eventCount := float64(max(outcome.EventsAfterFirst, 1))
-		return work{answers: 1, events: eventCount * slowdown, seconds: eventCount * outcome.EventInterval.Seconds()}
+		return work{answers: 1, events: eventCount * slowdown, seconds: eventCount * max(outcome.EventInterval, minEventTime).Seconds()}
 	case outcome.TimeToFirstByte > 0 && utilization < 1:
-		return work{answers: 1, events: slowdown, seconds: outcome.TimeToFirstByte.Seconds()}
+		return work{answers: 1, events: slowdown, seconds: max(outcome.TimeToFirstByte, minEventTime).Seconds()}
 	default:
 		return work{}
 	}
--- a/internal/backend/speed_test.go
+++ b/internal/backend/speed_test.go
@@ -76,6 +76,17 @@
 }
 
 var _ = Describe("Speeds", func() {
+	// Guards against programs that leave their engine because of delays of the daemon's own machine.
+	It("do not tell engines apart that answer faster than a daemon can measure", func() {
+		fleet, _ := newTestFleet("a", "b")
+		for range 10 {
+			findInstance(fleet, "a").RecordOutcome(streamOutcome(time.Millisecond), start)
+			findInstance(fleet, "b").RecordOutcome(streamOutcome(8*time.Millisecond), start)
+		}
+		Expect(speedRatioAt(fleet, "a", start)).To(Equal(1.0))
+		Expect(speedRatioAt(fleet, "b", start)).To(Equal(1.0))
+	})
+
 	It("are updated from the first report of other daemons", func() {
 		fleet, _ := newTestFleet("a", "b", "c")
 		fleet.UpdateWork(load.EngineWork{
