Gateway: a SIGHUP while it starts no longer ends it

What callers saw: a daemon that is started while settings files change ends at once, with its requests (found by reading while the soak got series of signals).

Cause: the handler of SIGHUP was installed last, after the settings were read, the log opened and all components made. Until then a SIGHUP ends a process.

Change: it is installed first; the signal is handled once the gateway serves.

--- a/cmd/thymeloft-gateway/main.go
+++ b/cmd/thymeloft-gateway/main.go
@@ -33,6 +33,7 @@
 }
 
 func main() {
+	reloadSignals := server.NotifyReload()
 	var flags commandLine
 	kong.Parse(&flags, kong.Name("thymeloft-gateway"), kong.Description("Serves callers on a platform with a shared store."))
 	settings, err := server.LoadSettings(flags.Settings)
@@ -43,15 +44,15 @@
 	if flags.Check {
 		return
 	}
-	if err := run(flags.Settings, settings); err != nil {
+	if err := run(flags.Settings, settings, reloadSignals); err != nil {
 		fmt.Fprintln(os.Stderr, "thymeloft-gateway:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-// run serves until SIGINT or SIGTERM. It reloads the settings file when the file
-// changes.
-func run(path string, settings server.Settings) error {
+// run serves until SIGINT or SIGTERM. It reloads the settings file on each reload signal
+// and when the file changes.
+func run(path string, settings server.Settings, reloadSignals <-chan os.Signal) error {
 	if settings.MemoryMB > 0 {
 		division := memory.LimitsFor(settings.MemoryMB)
 		debug.SetMemoryLimit(division.MemoryLimit)
@@ -74,7 +75,7 @@
 	})
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	go server.NewSettingsReloader(path, settings, gateway.ApplySettings, log).Run(ctx)
+	go server.NewSettingsReloader(path, settings, gateway.ApplySettings, log).Run(ctx, reloadSignals)
 	go calls.LogSummaries(ctx, log)
 	return gateway.Run(ctx)
 }
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -35,10 +35,16 @@
 	return reloader
 }
 
-// Run calls Reload on SIGHUP and when the file has changed, until the context ends.
-func (r *SettingsReloader) Run(ctx context.Context) {
+// NotifyReload returns a channel that receives SIGHUPs, for SettingsReloader.Run. Until it is called,
+// a SIGHUP ends the process.
+func NotifyReload() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
+// Run calls Reload on each signal and when the file has changed, until the context ends.
+func (r *SettingsReloader) Run(ctx context.Context, signals <-chan os.Signal) {
 	ticker := time.NewTicker(reloadCheckInterval)
 	defer ticker.Stop()
 	for {
