Soak: series of changes and signals, upgrades from an earlier build, added routes and keys

Change: series of configurations, SIGHUPs and restarts (SIGTERM, SIGHUP and SIGKILL to one gateway) over the faults; all gateways replaced one after the other by another build; each configuration adds a route and a key and drops older ones, and requests that need them are checked against the configurations that may be in force. Faults of a seed stay what they were. Four spoilt pieces of evidence show that the checks find them.

--- a/cmd/thymeloft-lab/soak.go
+++ b/cmd/thymeloft-lab/soak.go
@@ -17,14 +17,15 @@
 // soakCommand is the soak test: it runs gateway processes under random faults and
 // checks their guarantees.
 type soakCommand struct {
-	GatewayBinary string        `type:"existingfile" placeholder:"FILE" help:"The gateway's binary; by default thymeloft-gateway beside this program."`
-	Logs          string        `type:"existingdir" placeholder:"DIRECTORY" help:"Where settings and logs are kept; by default they are kept only if a promise was broken."`
-	Seeds         []uint64      `help:"Seeds to play, one after the other; by default one from the clock." placeholder:"N"`
-	Duration      time.Duration `default:"60s" help:"How long faults are injected for each seed."`
-	Gateways      int           `default:"4" help:"Gateways at the same time."`
-	Callers       int           `default:"10" help:"Callers that play programs at the same time."`
-	Kinds         []string      `help:"Only these kinds of faults." placeholder:"KIND"`
-	Quiet         bool          `help:"Do not print the faults as they come."`
+	GatewayBinary  string        `type:"existingfile" placeholder:"FILE" help:"The gateway's binary; by default thymeloft-gateway beside this program."`
+	PreviousBinary string        `type:"existingfile" placeholder:"FILE" help:"The gateway's binary of an earlier build, with which all gateways start before they are upgraded."`
+	Logs           string        `type:"existingdir" placeholder:"DIRECTORY" help:"Where settings and logs are kept; by default they are kept only if a promise was broken."`
+	Seeds          []uint64      `help:"Seeds to play, one after the other; by default one from the clock." placeholder:"N"`
+	Duration       time.Duration `default:"60s" help:"How long faults are injected for each seed."`
+	Gateways       int           `default:"4" help:"Gateways at the same time."`
+	Callers        int           `default:"10" help:"Callers that play programs at the same time."`
+	Kinds          []string      `help:"Only these kinds of faults." placeholder:"KIND"`
+	Quiet          bool          `help:"Do not print the faults as they come."`
 }
 
 // Run runs each seed and prints its verdict. It returns an error if a guarantee
@@ -59,7 +60,7 @@
 
 func (c *soakCommand) options(seed uint64) soak.Options {
 	options := soak.Options{
-		GatewayBinary: c.GatewayBinary, Directory: c.Logs, Seed: seed, Duration: c.Duration,
+		GatewayBinary: c.GatewayBinary, PreviousBinary: c.PreviousBinary, Directory: c.Logs, Seed: seed, Duration: c.Duration,
 		Gateways: c.Gateways, Callers: c.Callers, FaultKinds: c.Kinds,
 	}
 	if !c.Quiet {
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -236,7 +236,7 @@
 	if a.kind == kindPlain {
 		body = strings.NewReader(a.prompt)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway.fromCallers.Address()+pathOf(a.kind), body)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway.fromCallers.Address()+a.path(), body)
 	if err != nil {
 		return err
 	}
@@ -263,8 +263,11 @@
 	header.Set("Request-Id", a.id)
 	header.Set("Deadline-Ms", strconv.FormatInt(routeTimeout.Milliseconds(), 10))
 	key := keyUnlimited
-	if a.limited {
+	switch {
+	case a.limited:
 		key = keyLimited
+	case a.kind == kindAdded:
+		key = a.addition.key()
 	}
 	header.Set("Authorization", "Token "+key)
 	if a.program == "" {
--- a/internal/lab/soak/checks.go
+++ b/internal/lab/soak/checks.go
@@ -19,7 +19,9 @@
 		findings = append(findings, e.checkExecutions(a)...)
 		if !e.skipTimingChecks {
 			findings = append(findings, e.checkConfigurationBound(a)...)
+			findings = append(findings, e.checkAddition(a)...)
 		}
+		findings = append(findings, checkDenial(a)...)
 	}
 	for id, executions := range e.executions {
 		findings = append(findings, checkRequested(id, executions, known[id])...)
@@ -95,7 +97,7 @@
 	}
 	var findings []string
 	for _, each := range executions {
-		if each.prompt != a.prompt || each.path != pathOf(a.kind) {
+		if each.prompt != a.prompt || each.path != a.path() {
 			findings = append(findings, fmt.Sprintf("asked: %s (%s) reached %s on path %s with body %q, expected %q", id, a.kind, each.instance, each.path, each.prompt, a.prompt))
 		}
 		if !slices.Contains(servicesOf(a.kind), each.service) {
@@ -111,7 +113,7 @@
 	var findings []string
 	for _, a := range e.attempts {
 		previous := known[a.previous]
-		if a.status == http.StatusNotFound && (a.previous == "" || previous != nil && previous.complete) {
+		if a.kind != kindAdded && a.status == http.StatusNotFound && (a.previous == "" || previous != nil && previous.complete) {
 			findings = append(findings, fmt.Sprintf("lost: %s got 404, but the previous turn %q was answered completely, or there is none", a.id, a.previous))
 		}
 		if a.status == http.StatusOK && a.previous != "" && previous == nil {
@@ -157,20 +159,29 @@
 	return findings
 }
 
-// isAllowedService reports whether the service may execute a request that started at
-// startedAt. A configuration must name the service for the moving route and must have
-// been acknowledged by then. If no fault was active, it also must not have been replaced
-// more than configurationBound and schedulingSlack before the request was sent.
+// isAllowedService reports whether a configuration by which the request may be handled names the
+// service for the moving route.
 func (e *evidence) isAllowedService(service string, a *attempt, startedAt time.Time) bool {
-	oldest := a.sent.Add(-configurationBound - schedulingSlack)
-	calm := e.calm.isCalmThroughout(oldest.Add(-contactTimeout), startedAt)
+	return slices.ContainsFunc(e.possibleConfigurations(a.sent, startedAt), func(index int) bool {
+		return e.configurations[index].moving == service
+	})
+}
+
+// possibleConfigurations returns the indices of the configurations by which a request may be handled
+// that was sent and was handled at the given times. They must have been acknowledged by then. If no
+// fault was active, they also must not have been replaced more than configurationBound and
+// schedulingSlack before the request was sent.
+func (e *evidence) possibleConfigurations(sent, handled time.Time) []int {
+	oldest := sent.Add(-configurationBound - schedulingSlack)
+	calm := e.calm.isCalmThroughout(oldest.Add(-contactTimeout), handled)
+	var possible []int
 	for index, each := range e.configurations {
 		replaced := index+1 < len(e.configurations) && e.configurations[index+1].acknowledged.Before(oldest)
-		if each.moving == service && !each.acknowledged.After(startedAt) && (!replaced || !calm) {
-			return true
+		if !each.acknowledged.After(handled) && (!replaced || !calm) {
+			possible = append(possible, index)
 		}
 	}
-	return false
+	return possible
 }
 
 // checkDrains checks that a draining instance receives no request later than drainBound
--- a/internal/lab/soak/checks_test.go
+++ b/internal/lab/soak/checks_test.go
@@ -28,16 +28,17 @@
 		"r3": {kind: kindMoving, input: "c", prompt: "c"},
 		"r4": {kind: kindPlain, program: "p", input: "d", prompt: "d", status: 503, retryAfter: time.Second},
 		"r5": {kind: kindPlain, program: "p", input: "e", prompt: "e", status: 402},
+		"r6": {kind: kindAdded, addition: addition{configuration: 1}, input: "f", prompt: "f"},
 	}
-	services := map[requestKind]string{kindRecorded: serviceModel, kindMoving: serviceOther}
+	services := map[requestKind]string{kindRecorded: serviceModel, kindMoving: serviceOther, kindAdded: serviceApp}
 	for id, a := range all {
 		a.id, a.sent, a.ended, a.budget = id, now, now, 2*maxTokensPerTurn
 		if a.status == 0 {
 			a.status, a.hasStamp, a.complete, a.content = 200, true, true, expectedAnswer(a.kind, id)
 			a.events = len(eventsOf(id))
-			e.executions[id] = []execution{{service: services[a.kind], instance: "e", path: pathOf(a.kind), prompt: a.prompt, startedAt: now}}
+			e.executions[id] = []execution{{service: services[a.kind], instance: "e", path: a.path(), prompt: a.prompt, startedAt: now}}
 		}
-		if a.kind == kindMoving {
+		if a.kind == kindMoving || a.kind == kindAdded {
 			a.events = 0
 		}
 		e.attempts = append(e.attempts, a)
@@ -94,6 +95,22 @@
 		}
 	}, "quota:"),
 	Entry("a configuration that is not in force", func(e *evidence, _ map[string]*attempt) { e.executions["r3"][0].service = serviceApp }, "configuration:"),
+	Entry("a route denied that is in force", func(e *evidence, all map[string]*attempt) {
+		all["r6"].status, all["r6"].hasStamp = 404, false
+		delete(e.executions, "r6")
+	}, "configuration:"),
+	Entry("a key denied that is in force", func(e *evidence, all map[string]*attempt) {
+		all["r6"].status, all["r6"].hasStamp, all["r6"].addition.isKey = 401, false, true
+		delete(e.executions, "r6")
+	}, "configuration:"),
+	Entry("a route served that is not in force any more", func(e *evidence, _ map[string]*attempt) {
+		for range additionLifetime {
+			e.configurations = append(e.configurations, configuration{serviceOther, time.Now().Add(-20 * time.Minute)})
+		}
+	}, "configuration: r6 was executed"),
+	Entry("a key denied that all configurations contain", func(_ *evidence, all map[string]*attempt) {
+		all["r4"].status = 401
+	}, "denied:"),
 	Entry("a request to an instance after its drain", func(e *evidence, _ map[string]*attempt) {
 		e.departures["e"] = departure{acknowledged: time.Now().Add(-10 * time.Minute)}
 	}, "drain:"),
--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -15,13 +15,15 @@
 	kindSafe     requestKind = "safe"     // a call to a service that may be repeated
 	kindUnsafe   requestKind = "unsafe"   // a call to a service that must not be repeated
 	kindMoving   requestKind = "moving"   // unsafe, on a route whose service changes
+	kindAdded    requestKind = "added"    // unsafe, needs a route or a key that was added
 )
 
 // attempt is one request of a caller, and its result.
 type attempt struct {
 	id        string
 	kind      requestKind
-	limited   bool // the request belongs to the tenant with a quota
+	limited   bool     // the request belongs to the tenant with a quota
+	addition  addition // what a request of kindAdded needs
 	program   string
 	previous  string // identifier of the turn that it continues; empty: none
 	budget    int64
--- a/internal/lab/soak/gateway.go
+++ b/internal/lab/soak/gateway.go
@@ -29,6 +29,7 @@
 	fromCallers  *faultproxy.Link
 
 	mutex        sync.Mutex
+	binary       string // path to the binary of the next process
 	command      *exec.Cmd
 	exited       chan struct{}
 	exitExpected bool // the soak sent the process a signal to end
@@ -53,7 +54,10 @@
 func newGateway(index int, r *soakRun) (*gateway, error) {
 	address := loopback(index)
 	at := func(port int) string { return fmt.Sprintf("%s:%d", address, port) }
-	g := &gateway{name: fmt.Sprintf("g%d", index), run: r}
+	g := &gateway{name: fmt.Sprintf("g%d", index), run: r, binary: r.options.GatewayBinary}
+	if r.options.PreviousBinary != "" {
+		g.binary = r.options.PreviousBinary
+	}
 	g.settingsPath = filepath.Join(r.options.Directory, g.name+".yaml")
 	for _, entry := range []struct {
 		link   **faultproxy.Link
@@ -111,7 +115,7 @@
 		return eris.Wrap(err, "open log")
 	}
 	defer func() { _ = output.Close() }() // the process has its own copy
-	command := exec.Command(g.run.options.GatewayBinary, "--settings", g.settingsPath)
+	command := exec.Command(g.binary, "--settings", g.settingsPath)
 	command.Stdout, command.Stderr = output, output
 	command.Env = append(os.Environ(), g.run.options.Environment...)
 	if err := command.Start(); err != nil {
@@ -122,6 +126,13 @@
 	return nil
 }
 
+// setBinary sets the binary of the next process.
+func (g *gateway) setBinary(path string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.binary = path
+}
+
 // isRunning reports whether the latest process is running. g.mutex must be held.
 func (g *gateway) isRunning() bool {
 	if g.command == nil {
--- a/internal/lab/soak/instance.go
+++ b/internal/lab/soak/instance.go
@@ -128,6 +128,14 @@
 	}
 }
 
+// path returns the path of the request.
+func (a *attempt) path() string {
+	if a.kind == kindAdded {
+		return a.addition.path()
+	}
+	return pathOf(a.kind)
+}
+
 func servicesOf(kind requestKind) []string {
 	switch kind {
 	case kindRecorded, kindPlain:
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -101,6 +101,8 @@
 // runCalmRound makes random planned changes while no fault is active. It waits long
 // enough before and after for the time limits to be checked.
 func (r *soakRun) runCalmRound(ctx context.Context, random *rand.Rand) {
+	r.disruptions.Lock()
+	defer r.disruptions.Unlock()
 	if err := r.awaitReady(ctx); err != nil {
 		r.evidence.addFinding("recovery: %v", err)
 		return
@@ -157,8 +159,17 @@
 	}
 }
 
+// Streams of random numbers of a seed. Those of the callers have the numbers from 1.
+const (
+	recoveryStream = 0
+	faultStream    = 1<<32 + iota - 1
+	seriesStream
+	upgradeStream
+	probeStream
+)
+
+// newStream returns a stream of random numbers of a seed.
+func newStream(seed, stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+
 // newFaultRandom returns the random source from which the faults of a seed are drawn.
-func newFaultRandom(seed uint64) *rand.Rand {
-	const faultStream = 1 << 32 // the streams of callers have lower numbers
-	return rand.New(rand.NewPCG(seed, faultStream))
-}
+func newFaultRandom(seed uint64) *rand.Rand { return newStream(seed, faultStream) }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -19,11 +18,14 @@
 // Options configure Run.
 type Options struct {
 	GatewayBinary string // path to the gateway binary
-	Directory     string // for settings and logs; empty: a temporary one, removed if there are no findings
-	Seed          uint64
-	Duration      time.Duration // how long faults are injected; recovery comes after it
-	Gateways      int           // number of gateways
-	Callers       int           // number of callers that run programs concurrently
+	// PreviousBinary is the path to the binary of an earlier build. If it is set, all gateways start
+	// with it, and are upgraded one after the other during the run.
+	PreviousBinary string
+	Directory      string // for settings and logs; empty: a temporary one, removed if there are no findings
+	Seed           uint64
+	Duration       time.Duration // how long faults are injected; recovery comes after it
+	Gateways       int           // number of gateways
+	Callers        int           // number of callers that run programs concurrently
 	// FaultKinds limits the faults to these kinds; empty: all kinds.
 	FaultKinds []string
 	// SkipTimingChecks skips the checks of time limits, for machines that may stall for
@@ -63,7 +65,9 @@
 	gateways  []*gateway
 	calm      *calmTracker
 
-	quotaRequests sync.WaitGroup // requests of the tenant with a quota that are in progress
+	backgroundRequests sync.WaitGroup // requests in progress that belong to no program
+	// disruptions is read-locked by series and upgrades, and locked by calm rounds.
+	disruptions sync.RWMutex
 
 	mutex  sync.Mutex
 	faults []string
@@ -150,13 +154,20 @@
 	callersCtx, stop := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for index := range r.options.Callers {
-		random := rand.New(rand.NewPCG(r.options.Seed, uint64(index)+1))
+		random := newStream(r.options.Seed, uint64(index)+1)
 		callers.Go(func() { newCaller(r, index, random).runPrograms(callersCtx) })
 	}
 	callers.Go(func() { r.exceedQuota(callersCtx, newFaultRandom(r.options.Seed+1)) })
+	callers.Go(func() { r.probeAdditions(callersCtx, newStream(r.options.Seed, probeStream)) })
 	r.sleep(ctx, firstStartDuration)
+	var background sync.WaitGroup
+	background.Go(func() { r.runSeries(callersCtx, newStream(r.options.Seed, seriesStream)) })
+	if r.options.PreviousBinary != "" {
+		background.Go(func() { r.upgradeGateways(callersCtx, newStream(r.options.Seed, upgradeStream)) })
+	}
 	r.injectFaults(ctx)
 	stop()
+	background.Wait()
 	callers.Wait()
 	r.checkRecovery(ctx)
 }
@@ -168,7 +179,7 @@
 		r.evidence.addFinding("recovery: %v", err)
 		return
 	}
-	random := rand.New(rand.NewPCG(r.options.Seed, 0))
+	random := newStream(r.options.Seed, recoveryStream)
 	probing := newCaller(r, r.options.Callers, random)
 	for index := range r.gateways {
 		probing.probe(ctx, index)
--- a/internal/lab/soak/store.go
+++ b/internal/lab/soak/store.go
@@ -211,8 +211,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision += 1 + uint64(rand.IntN(3))
+	index := observed.countConfigurations()
 	moving := serviceApp
-	if observed.countConfigurations()%2 == 1 {
+	if index%2 == 1 {
 		moving = serviceOther
 	}
 	timeout := float64(routeTimeout.Milliseconds())
@@ -223,18 +224,20 @@
 		}
 		return row
 	}
+	routes := []routeRow{
+		route("chat", pathRecorded, "streaming", serviceModel, 1, true),
+		route("agent", pathPlain, "streaming", serviceModel, 1, false),
+		route("look", pathSafe, "safe", serviceApp, 2, false),
+		route("pay", pathUnsafe, "unsafe", serviceApp, 1, false),
+		route("move", pathMoving, "unsafe", moving, 1, false),
+	}
+	added := addedRoutes(index, func(name, prefix string) routeRow { return route(name, prefix, "unsafe", serviceApp, 1, false) })
 	value, err := json.Marshal(configurationRow{
-		Version: s.revision,
-		Routes: []routeRow{
-			route("chat", pathRecorded, "streaming", serviceModel, 1, true),
-			route("agent", pathPlain, "streaming", serviceModel, 1, false),
-			route("look", pathSafe, "safe", serviceApp, 2, false),
-			route("pay", pathUnsafe, "unsafe", serviceApp, 1, false),
-			route("move", pathMoving, "unsafe", moving, 1, false),
-		},
+		Version:  s.revision,
+		Routes:   append(routes, added...),
 		Services: []serviceRow{{Name: serviceModel, Engine: &engineRow{Slots: 8, Stride: tokensPerEvent}}, {Name: serviceApp}, {Name: serviceOther}},
 		Limits:   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		Tenants:  tenantRows(),
+		Tenants:  tenantRows(index),
 	})
 	if err != nil {
 		panic(err) // cannot fail for these types
--- a/internal/lab/soak/tenants.go
+++ b/internal/lab/soak/tenants.go
@@ -35,9 +35,10 @@
 	Burst     int      `json:"burst,omitempty"`
 }
 
-func tenantRows() []tenantRow {
+// tenantRows returns the tenants of the configuration with the index.
+func tenantRows(configuration int) []tenantRow {
 	return []tenantRow{
-		{Name: "unlimited", Keys: []string{keyUnlimited}},
+		{Name: "unlimited", Keys: append(addedKeys(configuration), keyUnlimited)},
 		{Name: "limited", Keys: []string{keyLimited}, PerSecond: quotaPerSecond, Burst: quotaBurst},
 	}
 }
@@ -50,10 +51,10 @@
 	for ctx.Err() == nil {
 		a := limited.newAttempt(kindSafe)
 		a.limited, a.input, a.prompt = true, "pressed", "pressed"
-		r.quotaRequests.Go(func() { limited.send(a) })
+		r.backgroundRequests.Go(func() { limited.send(a) })
 		limited.sleep(ctx, int(limitedRequestInterval.Milliseconds()))
 	}
-	r.quotaRequests.Wait()
+	r.backgroundRequests.Wait()
 }
 
 // checkQuota checks that no window of quotaWindow contains more than maxRequestsInWindow
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -3,7 +3,10 @@
 
 import (
 	"bufio"
+	"context"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -21,15 +24,44 @@
 	RunSpecs(t, "soak seeds")
 }
 
-var gatewayBinary string
+var gatewayBinary, previousBinary string
 
-var _ = BeforeSuite(func() {
+var _ = BeforeSuite(func(ctx SpecContext) {
 	var err error
 	gatewayBinary, err = gexec.Build("github.com/thymeloft/thymeloft/cmd/thymeloft-gateway", "-race")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(gexec.CleanupBuildArtifacts)
+	previousBinary = buildPrevious(ctx)
 })
 
+// previousCommit is the landing before this one, from which fleets are upgraded.
+const previousCommit = "7516b784d1de7200233ad9678cd059129ab0bf45"
+
+// buildPrevious builds the gateway of previousCommit from the repository's history and returns the
+// path of the binary. In a shallow clone, which lacks that history, it returns the present gateway.
+func buildPrevious(ctx context.Context) string {
+	GinkgoHelper()
+	const root = "../.."
+	shallow, err := exec.CommandContext(ctx, "git", "-C", root, "rev-parse", "--is-shallow-repository").Output()
+	Expect(err).NotTo(HaveOccurred())
+	if strings.TrimSpace(string(shallow)) == "true" {
+		AddReportEntry("the clone is shallow: upgrades are played from the present build")
+		return gatewayBinary
+	}
+	directory := GinkgoT().TempDir()
+	source := filepath.Join(directory, "source.tar")
+	binary := filepath.Join(directory, "thymeloft-gateway")
+	for _, command := range []*exec.Cmd{
+		exec.CommandContext(ctx, "git", "-C", root, "archive", "--output", source, previousCommit),
+		exec.CommandContext(ctx, "tar", "-x", "-f", source, "-C", directory),
+		exec.CommandContext(ctx, "go", "build", "-C", directory, "-race", "-o", binary, "./cmd/thymeloft-gateway"),
+	} {
+		output, err := command.CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), "%s: %s", command, output)
+	}
+	return binary
+}
+
 // seedEntries returns a table entry for each seed in seeds.txt. It panics if the file
 // cannot be read or a line is malformed.
 func seedEntries() (entries []TableEntry) {
@@ -54,15 +86,24 @@
 	return entries
 }
 
+// play runs the soak and fails if a guarantee was broken.
+func play(ctx context.Context, options soak.Options) {
+	GinkgoHelper()
+	options.GatewayBinary, options.Gateways, options.Callers, options.SkipTimingChecks = gatewayBinary, 3, 4, true
+	options.Environment = []string{"GORACE=halt_on_error=1"} // a data race ends the gateway, which is a finding
+	options.Progress = func(format string, arguments ...any) { GinkgoWriter.Printf(format+"\n", arguments...) }
+	verdict, err := soak.Run(ctx, options)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(verdict.Findings).To(BeEmpty())
+}
+
 var _ = DescribeTable("every guarantee holds under the faults",
 	func(ctx SpecContext, seed uint64, seconds int) {
-		verdict, err := soak.Run(ctx, soak.Options{
-			GatewayBinary: gatewayBinary, Seed: seed, Duration: time.Duration(seconds) * time.Second, Gateways: 3, Callers: 4, SkipTimingChecks: true,
-			Environment: []string{"GORACE=halt_on_error=1"}, // a data race ends the gateway, which is a finding
-			Progress:    func(format string, arguments ...any) { GinkgoWriter.Printf(format+"\n", arguments...) },
-		})
-		Expect(err).NotTo(HaveOccurred())
-		Expect(verdict.Findings).To(BeEmpty())
+		play(ctx, soak.Options{Seed: seed, Duration: time.Duration(seconds) * time.Second})
 	},
 	seedEntries(),
 )
+
+var _ = It("every guarantee holds while the gateways of the landing before are replaced", func(ctx SpecContext) {
+	play(ctx, soak.Options{Seed: 2, Duration: 20 * time.Second, PreviousBinary: previousBinary})
+})
