Ages of the store's answers go by the monotonic clock

What callers would see: a 401 or 404 from a configuration that is older than it counts, for as long as a clock was stepped back; in thymeloftd, a revision that counts as confirmed for longer than confirm_bound.

Cause: the time of the last answer was kept in Unix nanoseconds, which lose the reading of the monotonic clock, at two places (server, configuration/stored). Found while looking for what else makes an old configuration look new.

Change: one type for both, watch.AnswerTime, which keeps the time as read.

Evidence: by reading; no process of a test can step the clock of its machine. The spec checks that the monotonic reading is kept.

--- a/internal/configuration/stored/metrics.go
+++ b/internal/configuration/stored/metrics.go
@@ -22,7 +22,7 @@
 			return 0
 		}},
 		{"thymeloft_configuration_confirmation_age_seconds", "Seconds since the store last reported the latest revision, or -1 if it has not done so yet.", func() float64 {
-			age, found := s.sinceStoreAnswer()
+			age, found := s.storeAnswered.Age()
 			if !found {
 				return -1
 			}
--- a/internal/configuration/stored/stored.go
+++ b/internal/configuration/stored/stored.go
@@ -48,11 +48,11 @@
 // Service provides the stored configuration to one daemon and applies changes to
 // it. It is safe for concurrent use.
 type Service struct {
-	options         Options
-	log             *zap.Logger
-	storeAnsweredAt atomic.Int64 // when the store last answered the watch of the head, in Unix nanoseconds; 0: never
-	latestKnown     atomic.Uint64
-	machine         atomic.Pointer[configuration.Machine]
+	options       Options
+	log           *zap.Logger
+	storeAnswered watch.AnswerTime // when the store last answered the watch of the head
+	latestKnown   atomic.Uint64
+	machine       atomic.Pointer[configuration.Machine]
 
 	mutex       sync.Mutex // guards subscribers and the replacement of machine
 	subscribers []chan struct{}
@@ -82,7 +82,7 @@
 func (s *Service) Run(ctx context.Context) error {
 	watch.Run(ctx, watch.Options{
 		Store: s.options.Store, Table: tableHead, MaxWait: s.options.ConfirmBound / readsPerConfirmBound, Log: s.log,
-		OnAnswer: func() { s.storeAnsweredAt.Store(time.Now().UnixNano()) },
+		OnAnswer: s.storeAnswered.Record,
 	}, follower{s, ctx})
 	return nil
 }
@@ -162,20 +162,12 @@
 // answered the watch of the head within ConfirmBound, and the latest revision known
 // from the store is in force.
 func (s *Service) IsConfirmed() bool {
-	age, found := s.sinceStoreAnswer()
+	age, found := s.storeAnswered.Age()
 	return found && age <= s.options.ConfirmBound && s.Current().Revision >= s.latestKnown.Load()
 }
 
 // HasStoreAnswered reports whether the store has answered the watch of the head at least once.
 func (s *Service) HasStoreAnswered() bool {
-	_, found := s.sinceStoreAnswer()
+	_, found := s.storeAnswered.Age()
 	return found
 }
-
-func (s *Service) sinceStoreAnswer() (time.Duration, bool) {
-	at := s.storeAnsweredAt.Load()
-	if at == 0 {
-		return 0, false
-	}
-	return time.Since(time.Unix(0, at)), true
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -60,8 +60,8 @@
 	activeRequests          atomic.Int64
 	graceNanos              atomic.Int64   // the grace period, in nanoseconds
 	rateLog                 rate.Sometimes // limits the log lines of logLoweredRate
-	lastConfigurationAnswer timestamp      // when the store last answered about the configuration
-	lastInstancesAnswer     timestamp      // when the store last answered about the instances
+	lastConfigurationAnswer watch.AnswerTime
+	lastInstancesAnswer     watch.AnswerTime
 }
 
 // Limits of what is cached in memory.
@@ -180,7 +180,9 @@
 		DisabledMechanisms:  s.Settings.Disabled,
 		MaxConfigurationAge: s.Settings.maxConfigurationAge(),
 		Staleness: func() (configuration, instances time.Duration) {
-			return s.lastConfigurationAnswer.age(), s.lastInstancesAnswer.age()
+			configuration, _ = s.lastConfigurationAnswer.Age()
+			instances, _ = s.lastInstancesAnswer.Age()
+			return configuration, instances
 		},
 	})
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
@@ -203,7 +205,7 @@
 	configuration := &configurationFollower{
 		schema: s.StoreSchema, routes: s.routes, log: s.Log,
 		onChange:  func(table *routetable.Table) { s.callerServer.SetLimits(table.Limits) },
-		answerAge: s.lastConfigurationAnswer.age,
+		answerAge: func() time.Duration { age, _ := s.lastConfigurationAnswer.Age(); return age },
 	}
 	instances := &instanceFollower{
 		schema: s.StoreSchema, fleet: s.fleet, log: s.Log,
@@ -212,11 +214,11 @@
 	}
 	go watch.Run(ctx, watch.Options{
 		Store: c.client, Table: s.StoreSchema.ConfigurationKey().Table, MaxWait: s.Settings.configurationFeedTimeout(), Log: s.Log,
-		OnAnswer: s.lastConfigurationAnswer.set,
+		OnAnswer: s.lastConfigurationAnswer.Record,
 	}, configuration)
 	go watch.Run(ctx, watch.Options{
 		Store: c.client, Table: s.StoreSchema.InstancesTableName(), MaxWait: instancesFeedTimeout, MinBatchInterval: s.Settings.drainPeriod() / changesPerDrain, Log: s.Log,
-		OnAnswer: s.lastInstancesAnswer.set,
+		OnAnswer: s.lastInstancesAnswer.Record,
 	}, instances)
 	c.start(ctx)
 }
--- a/internal/server/staleness_metrics.go
+++ b/internal/server/staleness_metrics.go
@@ -4,6 +4,8 @@
 	"errors"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
 // unconfirmedAge is the value of the age metrics before the store's first answer.
@@ -18,12 +20,24 @@
 	return errors.Join(
 		register("thymeloft_configuration_revision", "Revision of the configuration in force; 0: none.", s.configurationRevision),
 		register("thymeloft_configuration_confirmation_age_seconds", "Seconds since the store last answered about the configuration, or -1 if it has not done so yet.",
-			s.lastConfigurationAnswer.ageSeconds),
+			ageSeconds(&s.lastConfigurationAnswer)),
 		register("thymeloft_engines_confirmation_age_seconds", "Seconds since the store last answered about the engines, or -1 if it has not done so yet.",
-			s.lastInstancesAnswer.ageSeconds),
+			ageSeconds(&s.lastInstancesAnswer)),
 	)
 }
 
+// ageSeconds returns a function that returns the age of the answer in seconds, or unconfirmedAge
+// before the first answer.
+func ageSeconds(answered *watch.AnswerTime) func() float64 {
+	return func() float64 {
+		age, found := answered.Age()
+		if !found {
+			return unconfirmedAge
+		}
+		return age.Seconds()
+	}
+}
+
 func (s *Server) configurationRevision() float64 {
 	table := s.routes.Current()
 	if table == nil {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -193,3 +193,17 @@
 		Eventually(followed.seen).Should(HaveKeyWithValue("b", "2"))
 	})
 })
+
+var _ = Describe("AnswerTime", func() {
+	// Guards against an age that a step of the time of day changes.
+	It("keeps the reading of the monotonic clock", func() {
+		var answered watch.AnswerTime
+		_, found := answered.Age()
+		Expect(found).To(BeFalse())
+		answered.Record()
+		Expect(watch.TimeOf(&answered).String()).To(ContainSubstring("m=+"), "time.Time prints a monotonic reading so")
+		age, found := answered.Age()
+		Expect(found).To(BeTrue())
+		Expect(age).To(BeNumerically(">=", 0))
+	})
+})
