--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -185,12 +185,15 @@
 
 // Parameters of configurationFeedTimeout.
 const (
-	// feedRecoveryTime is the maximum time, after the wait of a feed, until its silence
-	// is noticed and the store has answered over another route.
-	feedRecoveryTime = 1800 * time.Millisecond
 	// feedAnswerTime is the maximum time, after the wait of a feed, until the store has
-	// answered over one of its routes if both work or one falls silent.
-	feedAnswerTime       = 800 * time.Millisecond
+	// answered over one of the two routes, even if the other one is silent.
+	feedAnswerTime = 800 * time.Millisecond
+	// relayTime is how long feeds may still begin over other daemons after the store
+	// can be reached directly again (package state).
+	relayTime = time.Second
+	// feedRecoveryTime is the part of ContactMillis that is not spent on the wait of a
+	// feed which begins at the end of relayTime.
+	feedRecoveryTime     = relayTime + feedAnswerTime
 	minConfigurationWait = 500 * time.Millisecond
 	maxConfigurationWait = 10 * time.Second
 )
