--- a/internal/lab/soak/additions.go
+++ b/internal/lab/soak/additions.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -64,16 +65,17 @@
 // probeAdditions sends requests that need a recent addition to random gateways, until ctx is done
 // and all requests have ended.
 func (r *soakRun) probeAdditions(ctx context.Context, random *rand.Rand) {
+	var requests sync.WaitGroup
 	probing := newCaller(r, r.options.Callers+2, random)
 	for ctx.Err() == nil {
 		a := probing.newAttempt(kindAdded)
 		newest := r.evidence.countConfigurations() - 1
 		a.addition = addition{configuration: max(0, newest-probing.drawInt(maxProbedAge+1)), isKey: probing.drawInt(2) == 0}
 		a.input, a.prompt = "added", "added"
-		r.backgroundRequests.Go(func() { probing.send(a) })
+		requests.Go(func() { probing.send(a) })
 		probing.sleep(ctx, int(probeInterval.Milliseconds()))
 	}
-	r.backgroundRequests.Wait()
+	requests.Wait()
 }
 
 // checkAddition checks that a request which needs an addition is served as one of the
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -65,7 +65,6 @@
 	gateways  []*gateway
 	calm      *calmTracker
 
-	backgroundRequests sync.WaitGroup // requests in progress that belong to no program
 	// disruptions is read-locked by series and upgrades, and locked by calm rounds.
 	disruptions sync.RWMutex
 
--- a/internal/lab/soak/tenants.go
+++ b/internal/lab/soak/tenants.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -47,14 +48,15 @@
 // allows, to all gateways, without waiting for answers. It returns when ctx is done and
 // all requests have ended.
 func (r *soakRun) exceedQuota(ctx context.Context, random *rand.Rand) {
+	var requests sync.WaitGroup
 	limited := newCaller(r, r.options.Callers+1, random)
 	for ctx.Err() == nil {
 		a := limited.newAttempt(kindSafe)
 		a.limited, a.input, a.prompt = true, "pressed", "pressed"
-		r.backgroundRequests.Go(func() { limited.send(a) })
+		requests.Go(func() { limited.send(a) })
 		limited.sleep(ctx, int(limitedRequestInterval.Milliseconds()))
 	}
-	r.backgroundRequests.Wait()
+	requests.Wait()
 }
 
 // checkQuota checks that no window of quotaWindow contains more than maxRequestsInWindow
