Soak: settings files are replaced as a whole

Found by reading, while the failure of the upgrade spec was traced: a change of the settings truncated the file and wrote it again, also while a restart or an upgrade started the process that reads it. A process that found the file empty ended with status 2, which would be the finding "process: g0 ended unexpectedly".

Change: the new content is written beside the file and renamed. What the gateway does with a file that is wrong at a SIGHUP stays the subject of the specs of internal/server.

--- a/internal/lab/soak/gateway.go
+++ b/internal/lab/soak/gateway.go
@@ -95,12 +95,17 @@
 	return g, g.writeSettings()
 }
 
+// writeSettings replaces the settings file as a whole, since a process may be reading it.
 func (g *gateway) writeSettings() error {
 	content, err := yaml.Marshal(g.settings)
 	if err != nil {
 		return eris.Wrap(err, "encode settings")
 	}
-	return eris.Wrap(os.WriteFile(g.settingsPath, content, 0o600), "write settings")
+	next := g.settingsPath + ".next"
+	if err := os.WriteFile(next, content, 0o600); err != nil {
+		return eris.Wrap(err, "write settings")
+	}
+	return eris.Wrap(os.Rename(next, g.settingsPath), "replace settings")
 }
 
 // start starts a new process, unless one is running: a kill and a graceful stop that
--- a/internal/lab/soak/gateway_test.go
+++ b/internal/lab/soak/gateway_test.go
@@ -9,6 +9,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/thymeloft/thymeloft/internal/server"
 )
 
 // idleGateway is the environment variable that makes the test binary run as a gateway which only
@@ -59,4 +61,26 @@
 		}
 		Expect(run.evidence.findings).To(BeEmpty())
 	})
+
+	// Guards against a process that starts with a part of its settings, and ends for that.
+	It("never finds a part of its settings while they are written again", func() {
+		const writes = 500
+		written := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(written)
+			for range writes {
+				Expect(started.writeSettings()).To(Succeed())
+			}
+		}()
+		for isWriting := true; isWriting; {
+			_, err := server.LoadSettings(started.settingsPath)
+			Expect(err).NotTo(HaveOccurred())
+			select {
+			case <-written:
+				isWriting = false
+			default:
+			}
+		}
+	})
 })
