Soak: a configuration may be in force from when it is sent

The checks of configurations counted one as possible from its acknowledgement on, and the acknowledgement was noted after the store had told the gateways already. A request that a gateway handled in between would be a finding though it was handled as the newest configuration says.

--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -55,6 +55,7 @@
 // configuration records one write of a configuration.
 type configuration struct {
 	moving       string    // service of the moving route
+	sent         time.Time // when the write was sent to the store; the configuration may be in force from then on
 	acknowledged time.Time // when the store acknowledged the write
 }
 
@@ -90,10 +91,11 @@
 	e.executions[id] = append(e.executions[id], executed)
 }
 
-func (e *evidence) recordConfiguration(moving string) {
+// recordConfiguration records the write of a configuration that the store has just acknowledged.
+func (e *evidence) recordConfiguration(moving string, sent time.Time) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.configurations = append(e.configurations, configuration{moving: moving, acknowledged: time.Now()})
+	e.configurations = append(e.configurations, configuration{moving: moving, sent: sent, acknowledged: time.Now()})
 }
 
 func (e *evidence) countConfigurations() int {
--- a/internal/lab/soak/store.go
+++ b/internal/lab/soak/store.go
@@ -242,8 +242,9 @@
 	if err != nil {
 		panic(err) // cannot fail for these types
 	}
+	sent := time.Now()
 	s.writeAsOperator(state.Put{Key: state.Key{Table: "op", Name: "config"}, Value: value})
-	observed.recordConfiguration(moving)
+	observed.recordConfiguration(moving, sent)
 }
 
 // writeAsOperator writes a row regardless of faults: the store serves operators and
