Following tables: a late answer confirms only what was true when it was asked for

Looked for elsewhere, the same cause breaks a rule that has no such exception: who owns a part of a quota, and who lends, goes by when the store last confirmed the list of members.

Cause: an answer counted as a confirmation as of when it was taken in. The answer to a feed that lay in the socket of a suspended process was given before; the list could be older than the minute (maxListDelay) that owners allow for. The class: freshness reckoned from receipt, not from the question.

Ruled out: that the time-out of the call is enough. It runs out when the process wakes, in a race with the answer that is there already.

Change: watch.ConfirmationTime, a pure function: an answer within its wait and 0.8 s (the time within which one of two routes answers) confirms as of its receipt, a later one as of its call. The time is passed on as taken at the receipt, so that a suspension after it counts too. After a late answer the next call waits for no change, so that true denials are not held up. One log line shows it.

The plays of the two property tests draw from 13 actions instead of 11; nothing in their checks changed.

--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -9,9 +9,13 @@
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
 	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
-const testRenewal = time.Second
+const (
+	testRenewal  = time.Second
+	testFeedWait = 15 * time.Second // the longest time for which the store may keep a daemon waiting for an answer
+)
 
 // daemon is a simulated process with its list and its lease. It implements state.Store by passing
 // calls on to the store of the environment. If the daemon is cut off, Commit and Read fail.
@@ -20,6 +24,13 @@
 	lease    *Lease
 	env      *testEnv
 	isCutOff bool // Commit and Read fail
+	pending  *pendingAnswer
+}
+
+// pendingAnswer is what the store answered about the list, which the daemon has not taken in yet.
+type pendingAnswer struct {
+	page  state.Page
+	asked time.Time
 }
 
 // testEnv is the environment of simulated daemons: their store and their clock.
@@ -73,14 +84,27 @@
 	return d.env.store.Feed(ctx, table, after, wait)
 }
 
-// read reads all rows into the daemon's list, unless the daemon is cut off.
-func (d *daemon) read() {
+// ask makes the store answer about the list, unless an answer is pending or the daemon is cut off.
+func (d *daemon) ask() {
+	if d.pending != nil {
+		return
+	}
 	page, err := d.Read(context.Background(), state.Range{Table: MemberTable, Partition: partition})
-	if err != nil {
+	if err == nil {
+		d.pending = &pendingAnswer{page: page, asked: d.env.now}
+	}
+}
+
+// read takes the pending answer into the daemon's list. If none is pending, it asks for one.
+func (d *daemon) read() {
+	d.ask()
+	if d.pending == nil {
 		return
 	}
-	d.list.Replace(page.Rows, page.Version)
-	d.list.RecordConfirmation()
+	answer := d.pending
+	d.pending = nil
+	d.list.Replace(answer.page.Rows, answer.page.Version)
+	d.list.RecordConfirmation(watch.ConfirmationTime(answer.asked, d.env.now, testFeedWait))
 }
 
 // step runs one step of the lease and then reads the list. It returns the result of
--- a/internal/members/lender.go
+++ b/internal/members/lender.go
@@ -66,9 +66,10 @@
 
 func (s *localStatus) elapsed(now time.Time) int64 { return max(int64(now.Sub(s.startedAt)), 1) }
 
-// RecordConfirmation records that the store has just confirmed the list.
-func (l *List) RecordConfirmation() {
-	elapsed := l.localStatus.elapsed(l.now())
+// RecordConfirmation records that the store has confirmed the list as of the given time (see
+// watch.ConfirmationTime).
+func (l *List) RecordConfirmation(confirmed time.Time) {
+	elapsed := l.localStatus.elapsed(confirmed)
 	if previous := l.localStatus.lastConfirmed.Swap(elapsed); elapsed-previous > int64(maxOwnerListAge) {
 		l.localStatus.staleUntil.Store(elapsed)
 	}
--- a/internal/members/lender_property_test.go
+++ b/internal/members/lender_property_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestOneLender simulates machines that start within a second or join later, register late, renew
-// and read the list now and then, are suspended, cut off from the store, killed, shut down and
+// and read the list now and then, are suspended, also with the store's answer on its way, cut off from the store, killed, shut down and
 // restarted. Only one process may lend to a program within programReturnTime.
 func TestOneLender(t *testing.T) {
 	rapid.Check(t, checkOneLender)
@@ -99,7 +99,7 @@
 // runOtherAction runs any action except a restart.
 func (s *lenderSimulation) runOtherAction(t *rapid.T, step, machine int) {
 	chosen := s.daemons[machine]
-	switch rapid.IntRange(1, 11).Draw(t, fmt.Sprint("other action ", step)) {
+	switch rapid.IntRange(1, 13).Draw(t, fmt.Sprint("other action ", step)) {
 	case 1:
 		if len(s.daemons) < 7 {
 			joined := s.startDaemon(fmt.Sprint("m", len(s.daemons)), false)
@@ -122,6 +122,8 @@
 		if s.delays[chosen] == 0 {
 			chosen.step()
 		}
+	case 9, 10: // the store's answer is on its way to the chosen daemon, or lies in its socket
+		chosen.ask()
 	default:
 		chosen.read()
 	}
--- a/internal/members/lender_test.go
+++ b/internal/members/lender_test.go
@@ -55,10 +55,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		marker := slices.IndexFunc(late.Rows, func(row state.Row) bool { return row.Key == bootstrapKey })
 		first.list.Replace(append(read.Rows, late.Rows[marker]), read.Version) // two pages that were read at different times
-		first.list.RecordConfirmation()
+		first.list.RecordConfirmation(env.now)
 		Expect(first.list.MayLend("p")).To(BeFalse(), "a page of this reading is older than the end of the bootstrap")
 		first.list.Apply(change.Rows)
-		first.list.RecordConfirmation()
+		first.list.RecordConfirmation(env.now)
 		second.read()
 		Expect(first.list.MayLend("p") != second.list.MayLend("p")).To(BeTrue())
 	})
--- a/internal/members/shard_owner_property_test.go
+++ b/internal/members/shard_owner_property_test.go
@@ -10,8 +10,8 @@
 )
 
 // TestOneShardOwner simulates machines in one to three zones. They start within a second or join
-// later, register late, renew and read the list now and then, are suspended, cut off from the
-// store, killed, shut down, and restarted at the same or another address. At most one process may
+// later, register late, renew and read the list now and then, are suspended, also with the store's
+// answer on its way, cut off from the store, killed, shut down, and restarted at the same or another address. At most one process may
 // own a shard at a time, and no other process may have owned it since the time that OwnsShard
 // returns.
 func TestOneShardOwner(t *testing.T) {
--- a/internal/members/shard_owner_test.go
+++ b/internal/members/shard_owner_test.go
@@ -145,6 +145,18 @@
 	}
 	const untilMarkedDead = renewalsPerTerm*testRenewal + 3*testRenewal
 
+	// Guards against a process that is suspended while the store's answer is on its way, and takes it for
+	// new when it runs again.
+	It("own nothing by an answer about their list from before they were suspended", func() {
+		fleet := bootstrapFleet("m0", "m1")
+		key := ownedKey(fleet[0])
+		fleet[0].ask()
+		env.run(untilMarkedDead+deadReleaseDelay+time.Minute, fleet[1])
+		Expect(owns(fleet[1], key)).To(BeTrue())
+		fleet[0].read()
+		Expect(owns(fleet[0], key)).To(BeFalse())
+	})
+
 	// The next two guard against claims that are released by the time of an earlier death.
 	It("remain the only owners when they are marked dead again after they were registered again", func() {
 		fleet := bootstrapFleet("m0", "m1")
@@ -224,7 +236,7 @@
 		fleet := bootstrapFleet("m0")
 		key := ownedKey(fleet[0])
 		env.now = env.now.Add(maxOwnerListAge + time.Minute)
-		fleet[0].list.RecordConfirmation()
+		fleet[0].list.RecordConfirmation(env.now)
 		since, owned := fleet[0].list.OwnsShard(key, 0)
 		Expect(owned).To(BeTrue())
 		Expect(since).To(BeTemporally("~", env.now, time.Microsecond))
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -14,6 +14,7 @@
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
 // Settings are the contents of a process's settings file.
@@ -187,7 +188,7 @@
 const (
 	// feedAnswerTime is the maximum time, after the wait of a feed, until the store has
 	// answered over one of the two routes, even if the other one is silent.
-	feedAnswerTime = 800 * time.Millisecond
+	feedAnswerTime = watch.MaxAnswerDelay
 	// relayTime is how long feeds may still begin over other daemons after the store
 	// can be reached directly again (package state).
 	relayTime = time.Second
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -43,8 +43,9 @@
 	// batches larger.
 	MinBatchInterval time.Duration
 	// OnAnswer, if set, is called after each feed answer and each complete reading, once the
-	// follower has applied it. It isn't called after a stale reading, which is discarded.
-	OnAnswer func()
+	// follower has applied it. confirmed is the ConfirmationTime of the answer. OnAnswer isn't called
+	// after a stale reading, which is discarded.
+	OnAnswer func(confirmed time.Time)
 	Log      *zap.Logger
 }
 
@@ -59,6 +60,7 @@
 	follower Follower
 	version  state.Version
 	hasRead  bool // the table was read since the start or since the history was lost
+	wasLate  bool // the last answer came so late that it confirmed the table only as of its call
 
 	lastAnswer time.Time // when the last successful step ended, or Run started
 	failures   int       // failed steps since lastAnswer
@@ -68,7 +70,7 @@
 // Run follows the table until the context ends. It retries failed calls with growing delays.
 func Run(ctx context.Context, options Options, follower Follower) {
 	if options.OnAnswer == nil {
-		options.OnAnswer = func() {}
+		options.OnAnswer = func(time.Time) {}
 	}
 	w := &watcher{Options: options, follower: follower, lastAnswer: time.Now()}
 	schedule := pause.NewBackoff(initialRetryDelay, maxRetryDelay)
@@ -93,21 +95,35 @@
 	if !w.hasRead {
 		return w.readAll(ctx)
 	}
-	result, err := w.Store.Feed(ctx, w.Table, w.version, w.feedWait())
+	wait := w.feedWait()
+	asked := time.Now()
+	result, err := w.Store.Feed(ctx, w.Table, w.version, wait)
 	if err != nil {
 		return err
 	}
+	confirmed := w.confirmationTime(asked, wait)
 	w.version = max(w.version, result.Version)
 	if len(result.Rows) == 0 {
-		w.OnAnswer()
+		w.OnAnswer(confirmed)
 		return nil
 	}
 	w.follower.Apply(result.Rows)
-	w.OnAnswer()
+	w.OnAnswer(confirmed)
 	pause.Sleep(ctx, w.MinBatchInterval)
 	return nil
 }
 
+// confirmationTime returns the ConfirmationTime of an answer that has just been received.
+func (w *watcher) confirmationTime(asked time.Time, wait time.Duration) time.Time {
+	received := time.Now()
+	confirmed := ConfirmationTime(asked, received, wait)
+	w.wasLate = confirmed.Before(received)
+	if w.wasLate {
+		w.Log.Info("watch: late answer, asking again.", zap.String("table", w.Table), zap.Duration("after", received.Sub(asked)), zap.Duration("wait", wait))
+	}
+	return confirmed
+}
+
 // recordAnswer notes that a step has succeeded. If steps failed before it, recordAnswer logs how
 // long the table was not followed, and why.
 func (w *watcher) recordAnswer() {
@@ -121,6 +137,9 @@
 
 // feedWait returns how long the next feed call may wait for a change.
 func (w *watcher) feedWait() time.Duration {
+	if w.wasLate {
+		return 0
+	}
 	if w.AnswerDue == nil {
 		return w.MaxWait
 	}
@@ -136,6 +155,7 @@
 	var rows []state.Row
 	oldest := state.Version(0)
 	from := ""
+	asked := time.Now()
 	for {
 		page, err := w.Store.Read(ctx, state.Range{Class: state.ClassFollow, Table: w.Table, Partition: w.Partition, From: from})
 		if err != nil {
@@ -153,10 +173,11 @@
 	if oldest < w.version {
 		return eris.Errorf("stale reading of %s: version %d, already at version %d", w.Table, oldest, w.version)
 	}
+	confirmed := w.confirmationTime(asked, 0)
 	w.version = oldest
 	w.hasRead = true
 	w.follower.Replace(rows, oldest)
-	w.OnAnswer()
+	w.OnAnswer(confirmed)
 	w.Log.Info("watch: table read.", zap.String("table", w.Table), zap.Int("rows", len(rows)), zap.Uint64("version", uint64(oldest)))
 	return nil
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -101,7 +102,7 @@
 			defer close(done)
 			watch.Run(running, watch.Options{
 				Store: store, Table: "t", MaxWait: 20 * time.Millisecond, Log: zap.NewNop(),
-				OnAnswer: func() {
+				OnAnswer: func(time.Time) {
 					select {
 					case atFirst <- late.seen():
 					default:
@@ -124,7 +125,7 @@
 			watch.Run(running, watch.Options{
 				Store: store, Table: "t", MaxWait: time.Hour, Log: zap.NewNop(),
 				AnswerDue: func() time.Duration { return time.Millisecond },
-				OnAnswer: func() {
+				OnAnswer: func(time.Time) {
 					select {
 					case answers <- struct{}{}:
 					default: // the test receives only the first ones
@@ -200,10 +201,52 @@
 		var answered watch.AnswerTime
 		_, found := answered.Age()
 		Expect(found).To(BeFalse())
-		answered.Record()
+		answered.Record(time.Now())
 		Expect(watch.TimeOf(&answered).String()).To(ContainSubstring("m=+"), "time.Time prints a monotonic reading so")
 		age, found := answered.Age()
 		Expect(found).To(BeTrue())
 		Expect(age).To(BeNumerically(">=", 0))
 	})
 })
+
+// suspendedStore is a store whose next answer to a feed is taken in only after the process was
+// suspended.
+type suspendedStore struct {
+	state.Store
+	suspension time.Duration
+	waits      []time.Duration // of the feed calls
+}
+
+func (s *suspendedStore) Feed(ctx context.Context, table string, after state.Version, wait time.Duration) (state.FeedResult, error) {
+	s.waits = append(s.waits, wait)
+	result, err := s.Store.Feed(ctx, table, after, wait)
+	time.Sleep(s.suspension)
+	s.suspension = 0
+	return result, err
+}
+
+// TestAnswerBeforeSuspension guards against an answer that a process receives after it was suspended
+// and takes for new.
+func TestAnswerBeforeSuspension(t *testing.T) {
+	const maxWait, suspension = 2 * time.Second, 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &suspendedStore{Store: memorystore.New(), suspension: suspension}
+		start := time.Now()
+		var confirmed, received []time.Duration
+		ctx, cancel := context.WithCancel(context.Background())
+		watch.Run(ctx, watch.Options{
+			Store: store, Table: "t", MaxWait: maxWait, Log: zap.NewNop(),
+			OnAnswer: func(at time.Time) {
+				confirmed, received = append(confirmed, at.Sub(start)), append(received, time.Since(start))
+				if len(received) == 4 {
+					cancel()
+				}
+			},
+		}, &follower{})
+		late := maxWait + suspension
+		g.Expect(received).To(Equal([]time.Duration{0, late, late, late + maxWait}))
+		g.Expect(confirmed).To(Equal([]time.Duration{0, 0, late, late + maxWait}), "the late answer confirms only what was true when it was asked for")
+		g.Expect(store.waits).To(Equal([]time.Duration{maxWait, 0, maxWait}), "it is followed by a call that is answered at once")
+	})
+}
