Server: the model of the two ways to the store in a test file of its own

The model that both tests of the configuration's bound share stood in the file of one of them, and its type was called route, which elsewhere is a route of the table: storeRoute now.

--- /dev/null
+++ b/internal/server/configuration_model_test.go
@@ -0,0 +1,127 @@
+package server
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
+	"github.com/thymeloft/thymeloft/internal/pause"
+	"github.com/thymeloft/thymeloft/internal/state"
+	"github.com/thymeloft/thymeloft/internal/watch"
+)
+
+// Bounds on the configuration in these tests.
+const (
+	testContact = 4 * time.Second // after it can reach the store again, a daemon must be up to date
+	testApply   = 3 * time.Second // after it is acknowledged, a change must be in force
+)
+
+var configurationKey = state.Key{Table: "op", Name: "config"}
+
+// storeRoute is one way to the store. It fails while isDown, is silent while isSilent, and otherwise
+// passes calls to the store. A silent route loses the answers of calls in progress, too.
+type storeRoute struct {
+	state.Store
+	answerTimeout    time.Duration // of a call, in addition to the wait of a feed
+	isDown, isSilent func() bool
+}
+
+func (r *storeRoute) Read(ctx context.Context, selected state.Range) (state.Page, error) {
+	return callRoute(ctx, r, r.answerTimeout, func(ctx context.Context) (state.Page, error) { return r.Store.Read(ctx, selected) })
+}
+
+func (r *storeRoute) Feed(ctx context.Context, table string, after state.Version, wait time.Duration) (state.FeedResult, error) {
+	return callRoute(ctx, r, wait+r.answerTimeout, func(ctx context.Context) (state.FeedResult, error) {
+		return r.Store.Feed(ctx, table, after, wait)
+	})
+}
+
+func callRoute[T any](ctx context.Context, r *storeRoute, timeout time.Duration, call func(ctx context.Context) (T, error)) (T, error) {
+	const roundTrip = 4 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	time.Sleep(roundTrip)
+	var none T
+	if r.isDown() {
+		return none, state.ErrNotExecuted
+	}
+	result, err := call(ctx)
+	if r.isSilent() {
+		<-ctx.Done()
+		return none, state.ErrUnknownOutcome
+	}
+	return result, err
+}
+
+// appliedRows records when each value of the configuration row was applied.
+type appliedRows struct {
+	mutex sync.Mutex
+	at    map[string]time.Time
+}
+
+func (a *appliedRows) Replace(rows []state.Row, _ state.Version) { a.Apply(rows) }
+
+func (a *appliedRows) Apply(rows []state.Row) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, row := range rows {
+		a.at[string(row.Value)] = time.Now()
+	}
+}
+
+// inForceAt returns when the revision, or a later one, was applied.
+func (a *appliedRows) inForceAt(revision, newest int) time.Time {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var earliest time.Time
+	for ; revision <= newest; revision++ {
+		if at, applied := a.at[strconv.Itoa(revision)]; applied && (earliest.IsZero() || at.Before(earliest)) {
+			earliest = at
+		}
+	}
+	return earliest
+}
+
+// runConfigurationWatch follows the configuration over the two routes for the given time, while
+// other reads go on, and writes a new revision at each interval.
+func runConfigurationWatch(memory *memorystore.Store, direct, relay state.Store, duration, interval time.Duration) (applied *appliedRows, written []time.Time) {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &Server{Options: Options{Settings: Settings{ContactMillis: float64(testContact.Milliseconds())}, Log: zap.NewNop()}}
+	client := state.NewClient(state.ClientOptions{
+		Store: direct, Alternative: relay, Probe: state.KeyRange(configurationKey),
+		Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {}),
+	})
+	applied = &appliedRows{at: map[string]time.Time{}}
+	var running sync.WaitGroup
+	running.Go(func() {
+		watch.Run(ctx, watch.Options{
+			Store: client, Table: configurationKey.Table, MaxWait: server.Settings.configurationFeedTimeout(), Log: zap.NewNop(),
+		}, applied)
+	})
+	running.Go(func() {
+		for pause.Sleep(ctx, 50*time.Millisecond) {
+			_, _ = client.Read(ctx, state.KeyRange(state.Key{Table: "t", Partition: "p", Name: "n"}))
+		}
+	})
+	for range int(duration / interval) {
+		memory.Write(state.Put{Key: configurationKey, Value: []byte(strconv.Itoa(len(written)))})
+		written = append(written, time.Now())
+		time.Sleep(interval)
+	}
+	time.Sleep(3 * testContact)
+	cancel()
+	running.Wait()
+	synctest.Wait()
+	return applied, written
+}
+
+func never() bool { return false }
+
+func during(from, to time.Time) func() bool {
+	return func() bool { return !time.Now().Before(from) && time.Now().Before(to) }
+}
--- a/internal/server/configuration_random_test.go
+++ b/internal/server/configuration_random_test.go
@@ -73,8 +73,8 @@
 	relaySilent := drawFaultPeriods(random, 6, longestFault, duration)
 	interval := 30*time.Millisecond + time.Duration(random.Int64N(int64(time.Second)))
 	memory := memorystore.New()
-	direct := &route{Store: memory, answerTimeout: time.Second, isSilent: silent.active, isDown: down.active}
-	relay := &route{Store: memory, answerTimeout: 900 * time.Millisecond, isDown: never, isSilent: relaySilent.active}
+	direct := &storeRoute{Store: memory, answerTimeout: time.Second, isSilent: silent.active, isDown: down.active}
+	relay := &storeRoute{Store: memory, answerTimeout: 900 * time.Millisecond, isDown: never, isSilent: relaySilent.active}
 	applied, written := runConfigurationWatch(memory, direct, relay, duration, interval)
 	for revision, at := range written {
 		g.Expect(applied.inForceAt(revision, len(written)-1)).To(BeTemporally("<=", dueTime(at, down, silent)), "seed %d, revision %d", seed, revision)
