Trace recorder: a program is recorded before its creation is answered

Cause: the recorder noted a program after it had forwarded the answer to its creation, and drops calls of programs that it doesn't know. A caller may make its first call as soon as it has that answer; if the recorder's goroutine stands still in between, the call is missing from the trace for good.

Change: the reply to a creation, which is short, is read whole and recorded before it is forwarded. Calls are recorded after their answers as before. The suite waits for states up to a minute, as the other suites do; no check changed.

--- a/internal/lab/replay/checks_test.go
+++ b/internal/lab/replay/checks_test.go
@@ -24,6 +24,7 @@
 
 func TestReplay(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(time.Minute)
 	RunSpecs(t, "replay library")
 }
 
--- a/internal/lab/replay/recorder.go
+++ b/internal/lab/replay/recorder.go
@@ -72,41 +72,53 @@
 		return
 	}
 	defer response.Body.Close()
-	reply := copyResponse(w, response)
-	if response.StatusCode/100 == 2 && incoming.Method == http.MethodPost {
-		r.record(incoming, body, reply)
+	isRecorded := response.StatusCode/100 == 2 && incoming.Method == http.MethodPost
+	if isRecorded && incoming.URL.Path == callerapi.PathPrograms {
+		r.forwardCreation(w, incoming, body, response)
+		return
+	}
+	copyResponse(w, response)
+	if isRecorded {
+		r.recordCall(incoming.URL.Path, body)
+	}
+}
+
+// forwardCreation records the program before it forwards the response, since the caller may make
+// calls of the program as soon as it has the response.
+func (r *Recorder) forwardCreation(w http.ResponseWriter, incoming *http.Request, body []byte, response *http.Response) {
+	reply, err := io.ReadAll(response.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
 	}
+	r.recordCreation(incoming.Header.Get("Authorization"), body, reply)
+	response.Body = io.NopCloser(bytes.NewReader(reply))
+	copyResponse(w, response)
 }
 
-// copyResponse streams the response to w and returns its body.
-func copyResponse(w http.ResponseWriter, response *http.Response) []byte {
+// copyResponse streams the response to w.
+func copyResponse(w http.ResponseWriter, response *http.Response) {
 	for name, values := range response.Header {
 		w.Header()[name] = values
 	}
 	w.WriteHeader(response.StatusCode)
-	var body bytes.Buffer
 	chunk := make([]byte, 32<<10)
 	for {
 		count, err := response.Body.Read(chunk)
-		body.Write(chunk[:count])
 		_, _ = w.Write(chunk[:count])
 		if flusher, ok := w.(http.Flusher); ok {
 			flusher.Flush()
 		}
 		if err != nil {
-			return body.Bytes()
+			return
 		}
 	}
 }
 
-func (r *Recorder) record(incoming *http.Request, body, reply []byte) {
+func (r *Recorder) recordCall(path string, body []byte) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if incoming.URL.Path == callerapi.PathPrograms {
-		r.recordCreation(incoming.Header.Get("Authorization"), body, reply)
-		return
-	}
-	parts := strings.Split(strings.TrimPrefix(incoming.URL.Path, callerapi.PathPrograms+"/"), "/")
+	parts := strings.Split(strings.TrimPrefix(path, callerapi.PathPrograms+"/"), "/")
 	known := r.byID[identity.Program(parts[0])]
 	if known == nil || len(parts) != 3 {
 		return
@@ -122,6 +134,8 @@
 }
 
 func (r *Recorder) recordCreation(key string, body, reply []byte) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	var request callerapi.CreateRequest
 	var created callerapi.CreateReply
 	if json.Unmarshal(body, &request) != nil || json.Unmarshal(reply, &created) != nil || r.byID[created.Program] != nil {
