--- a/internal/configuration/stored/stored.go
+++ b/internal/configuration/stored/stored.go
@@ -50,7 +50,7 @@
 type Service struct {
 	options       Options
 	log           *zap.Logger
-	storeAnswered watch.AnswerTime // when the store last answered the watch of the head
+	storeAnswered watch.AnswerTime // when the store last confirmed the head
 	latestKnown   atomic.Uint64
 	machine       atomic.Pointer[configuration.Machine]
 
--- a/internal/members/lender_property_test.go
+++ b/internal/members/lender_property_test.go
@@ -12,8 +12,9 @@
 )
 
 // TestOneLender simulates machines that start within a second or join later, register late, renew
-// and read the list now and then, are suspended, also with the store's answer on its way, cut off from the store, killed, shut down and
-// restarted. Only one process may lend to a program within programReturnTime.
+// and read the list now and then, are suspended (also with the store's answer on its way), cut off
+// from the store, killed, shut down and restarted. Only one process may lend to a program within
+// programReturnTime.
 func TestOneLender(t *testing.T) {
 	rapid.Check(t, checkOneLender)
 }
--- a/internal/members/shard_owner.go
+++ b/internal/members/shard_owner.go
@@ -32,7 +32,7 @@
 	// list. It is long enough to bridge outages of the store.
 	maxOwnerListAge = 5 * time.Minute
 	// maxListDelay is the maximum age of the list's contents at the time when the store confirms
-	// the list.
+	// the list. It is longer than the wait of a feed and watch.MaxAnswerDelay together.
 	maxListDelay = time.Minute
 	// settlingDuration is the maximum time for which another member may use a list that doesn't
 	// show this member's claims.
--- a/internal/members/shard_owner_property_test.go
+++ b/internal/members/shard_owner_property_test.go
@@ -10,10 +10,10 @@
 )
 
 // TestOneShardOwner simulates machines in one to three zones. They start within a second or join
-// later, register late, renew and read the list now and then, are suspended, also with the store's
-// answer on its way, cut off from the store, killed, shut down, and restarted at the same or another address. At most one process may
-// own a shard at a time, and no other process may have owned it since the time that OwnsShard
-// returns.
+// later, register late, renew and read the list now and then, are suspended (also with the store's
+// answer on its way), cut off from the store, killed, shut down, and restarted at the same or
+// another address. At most one process may own a shard at a time, and no other process may have
+// owned it since the time that OwnsShard returns.
 func TestOneShardOwner(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		simulation := &ownerSimulation{lenderSimulation: newZonedLenderSimulation(t, rapid.IntRange(1, 3).Draw(t, "zones")), lastOwned: map[shard]map[*List]time.Time{}}
--- a/internal/server/followers.go
+++ b/internal/server/followers.go
@@ -29,7 +29,7 @@
 	schema   StoreSchema
 	routes   *routetable.Holder
 	onChange func(*routetable.Table)
-	// answerAge returns how long ago the store last answered about the configuration.
+	// answerAge returns how long ago the store last confirmed the configuration.
 	answerAge func() time.Duration
 	log       *zap.Logger
 }
