Execution: an isolated replica of the fake group applies nothing

Cause: the fake replica group of the specs applied the new leader's commands to the isolated replica as well. If the new leader had looked the answer up before the spec asked the former leader, that one knew the answer, which a partitioned replica can't.

Ruled out: a fault of Follow. It reports a final state without asking the other replicas since a final state never changes, and the state was final.

--- a/internal/execution/failover_test.go
+++ b/internal/execution/failover_test.go
@@ -161,6 +161,10 @@
 		Eventually(cluster.backEnd.sent).Should(HaveLen(1))
 		first.groups.isolate()
 		cluster.log.setLeader(other.groups)
+		other.awaitLeading()
+		_, reply := other.follow(identifier, 1)
+		Expect(reply.State).To(Equal(program.CallAnswered))
+
 		followed, _ := first.Follow(context.Background(), execution.FollowArguments{
 			Tenant: tenant, Program: identifier, Sequence: 1, Offset: len("ans"), Wait: time.Millisecond,
 		})
--- a/internal/execution/fake_groups_test.go
+++ b/internal/execution/fake_groups_test.go
@@ -10,7 +10,7 @@
 )
 
 // fakeLog is an in-memory replica group. Each command that the leader proposes is
-// applied to all replicas immediately.
+// applied immediately to all replicas that are not isolated.
 type fakeLog struct {
 	mutex    sync.Mutex
 	index    uint64
@@ -106,6 +106,9 @@
 	g.log.commands = append(g.log.commands, command)
 	var result any
 	for _, replica := range g.log.replicas {
+		if replica.isolated {
+			continue
+		}
 		applied := replica.machine.Apply(g.log.index, encoded)
 		if replica == g {
 			result = applied
