--- a/internal/execution/fakes_test.go
+++ b/internal/execution/fakes_test.go
@@ -125,22 +125,52 @@
 	mutex    sync.Mutex
 	ended    []identity.Program
 	engines  []string
+	limited  bool // the engines run at most free more calls
+	free     int
 	snapshot scheduling.Snapshot
+	full     scheduling.Snapshot // the same engines, none of which accepts calls
 }
 
 func newFakeFleet() *fakeFleet {
-	return &fakeFleet{snapshot: scheduling.Snapshot{
+	return &fakeFleet{snapshot: newFakeSnapshot(true), full: newFakeSnapshot(false)}
+}
+
+func newFakeSnapshot(accepting bool) scheduling.Snapshot {
+	return scheduling.Snapshot{
 		Engines: []scheduling.Engine{
-			{ID: "engine-a", Address: "http://engine-a", Model: "model", Accepting: true},
-			{ID: "engine-b", Address: "http://engine-b", Model: "model", Accepting: true},
+			{ID: "engine-a", Address: "http://engine-a", Model: "model", Accepting: accepting},
+			{ID: "engine-b", Address: "http://engine-b", Model: "model", Accepting: accepting},
 		},
 		ByModel: map[string][]int{"model": {0, 1}},
-	}}
+	}
+}
+
+// setFree limits the number of calls that the engines run at a time, and makes the
+// given number of further calls possible.
+func (f *fakeFleet) setFree(free int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.limited, f.free = true, free
+}
+
+func (f *fakeFleet) Snapshot() *scheduling.Snapshot {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.limited && f.free == 0 {
+		return &f.full
+	}
+	return &f.snapshot
 }
 
-func (f *fakeFleet) Snapshot() *scheduling.Snapshot { return &f.snapshot }
 func (f *fakeFleet) AddPlacement(string, int64) func(bool, time.Duration) {
-	return func(bool, time.Duration) {}
+	f.addFree(-1)
+	return func(bool, time.Duration) { f.addFree(1) }
+}
+
+func (f *fakeFleet) addFree(change int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.free += change
 }
 func (f *fakeFleet) HoldPrefix(string, identity.Program, time.Duration) {}
 func (f *fakeFleet) ReleasePrograms(programs []identity.Program, engines []string) {
@@ -157,24 +187,26 @@
 }
 
 // fakePolicy returns the preset decision, if there is one. Otherwise it places
-// the call on the first engine that is not excluded, as long as slots allows it.
+// the call on the first accepting engine that is not excluded. The call waits if no
+// engine accepts calls, and is refused if all that do are excluded.
 type fakePolicy struct {
 	decision atomic.Pointer[scheduling.Decision]
-	slots    atomic.Int64 // 1: one more call may run; -1: no call may run; 0: no limit
+	// afterWait is called after each decision that lets a call wait, if it is set.
+	afterWait func()
 }
 
 func (p *fakePolicy) Decide(snapshot *scheduling.Snapshot, request *scheduling.Request) scheduling.Decision {
 	if preset := p.decision.Load(); preset != nil {
 		return *preset
 	}
-	switch p.slots.Load() {
-	case -1:
+	if !slices.ContainsFunc(snapshot.Engines, func(engine scheduling.Engine) bool { return engine.Accepting }) {
+		if p.afterWait != nil {
+			p.afterWait()
+		}
 		return scheduling.Decision{Action: scheduling.ActionWait, RetryAfter: time.Minute}
-	case 1:
-		p.slots.Store(-1)
 	}
 	for i := range snapshot.Engines {
-		if !slices.Contains(request.ExcludedEngines, snapshot.Engines[i].ID) {
+		if snapshot.Engines[i].Accepting && !slices.Contains(request.ExcludedEngines, snapshot.Engines[i].ID) {
 			return scheduling.Decision{Action: scheduling.ActionPlace, EngineIndex: i}
 		}
 	}
--- a/internal/execution/wait_queues.go
+++ b/internal/execution/wait_queues.go
@@ -74,7 +74,7 @@
 	queued.item.Sequence = w.sequence
 	name := queued.request.Model
 	if w.models[name] == nil {
-		w.models[name] = &modelQueues{queues: make(map[queueKey]*scheduling.Queue[*waiter])}
+		w.models[name] = &modelQueues{fleet: w.service.options.Fleet, queues: make(map[queueKey]*scheduling.Queue[*waiter])}
 	}
 	return w.models[name]
 }
@@ -147,6 +147,8 @@
 
 // modelQueues holds the queues of one model.
 type modelQueues struct {
+	fleet engine.Fleet
+
 	mutex  sync.Mutex
 	queues map[queueKey]*scheduling.Queue[*waiter]
 }
@@ -207,15 +209,20 @@
 // decideLocked decides on calls in their order until the first call of each queue
 // has to wait. It returns the time after which to decide again, at most
 // maxRetryInterval. The caller must hold the mutex.
+//
+// All decisions between two placements use the same snapshot. Otherwise an engine
+// that becomes free after the first call of one queue was told to wait could go to
+// a call of another queue that comes after it.
 func (m *modelQueues) decideLocked() time.Duration {
 	retry := maxRetryInterval
+	snapshot := m.fleet.Snapshot()
 	blocked := make(map[queueKey]bool, len(m.queues))
 	for {
 		next := m.firstUnblocked(blocked)
 		if next == nil {
 			return retry
 		}
-		result, wait := next.decide()
+		result, wait := next.decide(snapshot)
 		if wait > 0 {
 			blocked[next.key] = true
 			retry = min(retry, wait)
@@ -224,6 +231,10 @@
 		m.queues[next.key].Pop()
 		m.dropIfEmpty(next.key)
 		next.outcome <- result
+		if updated := m.fleet.Snapshot(); updated != snapshot {
+			snapshot = updated
+			clear(blocked)
+		}
 	}
 }
 
--- a/internal/execution/wait_queues_test.go
+++ b/internal/execution/wait_queues_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -25,12 +26,7 @@
 // runOneAtATime makes the policy place one call at a time: the next call is
 // placed after the last one has been answered.
 func (c *testCluster) runOneAtATime() {
-	c.backEnd.setBehaviour(func(_ context.Context, spec dispatch.AttemptSpec, piece func(string)) dispatch.Report {
-		report := c.backEnd.answer(spec, piece)
-		c.policy.slots.Store(1)
-		return report
-	})
-	c.policy.slots.Store(1)
+	c.fleet.setFree(1)
 	c.policy.decision.Store(nil)
 }
 
@@ -69,6 +65,31 @@
 		Expect(placed).To(Equal(expected))
 	})
 
+	// A place that becomes free during a pass over the queues must not go to a call
+	// that comes after one that the same pass has told to wait.
+	It("are placed in order when an engine becomes free between the decisions on two queues", func() {
+		cluster := newTestCluster()
+		leader := cluster.startLeader("a")
+		started := leader.createClass("started", "standard")
+		leader.submit(started, modelCall(1))
+		leader.follow(started, 1)
+		cluster.makePolicyWait()
+		later := leader.createClass("later", "standard")
+		leader.submit(later, modelCall(1))
+		leader.submit(started, modelCall(2))
+		Eventually(leader.waitingCalls).Should(BeEquivalentTo(2))
+
+		cluster.fleet.setFree(0)
+		cluster.policy.afterWait = sync.OnceFunc(func() { cluster.fleet.setFree(1) })
+		cluster.policy.decision.Store(nil)
+		leader.follow(later, 1)
+		leader.follow(started, 2)
+		sent := cluster.backEnd.sent()
+		Expect(sent).To(HaveLen(3))
+		Expect(sent[1].Program).To(Equal(started))
+		Expect(sent[2].Program).To(Equal(later))
+	})
+
 	It("are refused immediately if the queue is full of calls that go first, and leave the queue when their program ends", func() {
 		cluster := newTestCluster()
 		cluster.limits.MaxQueued = 2
--- a/internal/execution/waiter.go
+++ b/internal/execution/waiter.go
@@ -85,13 +85,13 @@
 	return w.refuse(&decision)
 }
 
-// decide returns the call's placement or refusal with a zero duration. If the
-// call has to wait, it returns the time after which to decide again at the latest.
-func (w *waiter) decide() (outcome, time.Duration) {
+// decide returns the call's placement or refusal, as the snapshot allows, with a zero
+// duration. If the call has to wait, it returns the time after which to decide again
+// at the latest.
+func (w *waiter) decide(snapshot *scheduling.Snapshot) (outcome, time.Duration) {
 	if !w.service.options.Configuration.IsConfirmed() {
 		return w.waitForReport("confirmed configuration") // a newer configuration may have drained an engine
 	}
-	snapshot := w.service.options.Fleet.Snapshot()
 	w.refresh(snapshot, 0)
 	decision := w.service.options.Policy.Decide(snapshot, w.request)
 	if decision.Reason == scheduling.ReasonNoEngine && len(w.request.ExcludedEngines) > 0 {
