Server: the tests of the configuration's bound notice one that is never in force

Cause: the two property tests asked when a revision was applied and got the zero time if it never was, which is before any bound. Found by reading.

--- a/internal/server/configuration_bound_test.go
+++ b/internal/server/configuration_bound_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,7 +27,6 @@
 // relay is silent for a time that begins after the outage has ended.
 func checkConfigurationInForce(t *testing.T, outage, silentAfter, silence time.Duration) {
 	const interval = 70 * time.Millisecond
-	g := NewWithT(t)
 	failedFrom := time.Now().Add(time.Second)
 	restored := failedFrom.Add(outage)
 	memory := memorystore.New()
@@ -36,12 +36,12 @@
 		isSilent: during(restored.Add(silentAfter), restored.Add(silentAfter+silence)),
 	}
 	applied, written := runConfigurationWatch(memory, direct, relay, outage+3*time.Second, interval)
-	for revision, at := range written {
-		due := at.Add(testApply)
-		if contact := restored.Add(testContact); contact.After(due) {
-			due = contact
+	dueTime := func(written time.Time) time.Time {
+		due, contact := written.Add(testApply), restored.Add(testContact)
+		if contact.After(due) {
+			return contact
 		}
-		g.Expect(applied.inForceAt(revision, len(written)-1)).To(BeTemporally("<=", due),
-			"outage of %s, relay silent %s after it, revision written %s after it", outage, silentAfter, at.Sub(restored))
+		return due
 	}
+	applied.expectInForce(NewWithT(t), written, dueTime, fmt.Sprintf("outage of %s, relay silent %s after it", outage, silentAfter))
 }
--- a/internal/server/configuration_model_test.go
+++ b/internal/server/configuration_model_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
@@ -74,17 +75,26 @@
 	}
 }
 
-// inForceAt returns when the revision, or a later one, was applied.
-func (a *appliedRows) inForceAt(revision, newest int) time.Time {
+// inForceAt returns when the revision, or a later one, was applied, and whether one of them was.
+func (a *appliedRows) inForceAt(revision, newest int) (earliest time.Time, found bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	var earliest time.Time
 	for ; revision <= newest; revision++ {
-		if at, applied := a.at[strconv.Itoa(revision)]; applied && (earliest.IsZero() || at.Before(earliest)) {
-			earliest = at
+		if at, applied := a.at[strconv.Itoa(revision)]; applied && (!found || at.Before(earliest)) {
+			earliest, found = at, true
 		}
 	}
-	return earliest
+	return earliest, found
+}
+
+// expectInForce checks that each revision, written at the given times, was in force when it was due.
+// dueTime returns when a revision that was written at a time is due.
+func (a *appliedRows) expectInForce(g Gomega, written []time.Time, dueTime func(written time.Time) time.Time, description string) {
+	for revision, at := range written {
+		inForce, found := a.inForceAt(revision, len(written)-1)
+		g.Expect(found).To(BeTrue(), "%s, revision %d was never in force", description, revision)
+		g.Expect(inForce).To(BeTemporally("<=", dueTime(at)), "%s, revision %d", description, revision)
+	}
 }
 
 // runConfigurationWatch follows the configuration over the two routes for the given time, while
--- a/internal/server/configuration_random_test.go
+++ b/internal/server/configuration_random_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -66,7 +67,6 @@
 		duration     = 30 * time.Second
 		longestFault = 6 * time.Second
 	)
-	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(seed, 0))
 	down := drawFaultPeriods(random, 3, longestFault, duration)
 	silent := drawFaultPeriods(random, 3, longestFault, duration)
@@ -76,7 +76,6 @@
 	direct := &storeRoute{Store: memory, answerTimeout: time.Second, isSilent: silent.active, isDown: down.active}
 	relay := &storeRoute{Store: memory, answerTimeout: 900 * time.Millisecond, isDown: never, isSilent: relaySilent.active}
 	applied, written := runConfigurationWatch(memory, direct, relay, duration, interval)
-	for revision, at := range written {
-		g.Expect(applied.inForceAt(revision, len(written)-1)).To(BeTemporally("<=", dueTime(at, down, silent)), "seed %d, revision %d", seed, revision)
-	}
+	due := func(written time.Time) time.Time { return dueTime(written, down, silent) }
+	applied.expectInForce(NewWithT(t), written, due, fmt.Sprintf("seed %d", seed))
 }
