Engine: the gauge of supervised engines is set before their supervision begins

Cause: the gauge was set after the supervisors had been started, so an engine could be claimed by a daemon whose metric did not count it yet. The spec reads the metric as soon as it sees the claim.

The spec stays as it is.

--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -168,12 +168,12 @@
 			delete(s.supervisors, name)
 		}
 	}
+	s.metrics.supervised.Set(float64(len(wanted)))
 	for name, tracked := range wanted {
 		if _, found := s.supervisors[name]; !found {
 			s.startSupervisor(ctx, tracked)
 		}
 	}
-	s.metrics.supervised.Set(float64(len(wanted)))
 }
 
 // startSupervisor starts supervising the engine. The supervisor runs until its stop function in
