Execution: specs of the order of waiting calls free places by the fleet alone

What was seen: "are placed by class, then started programs first, then by arrival" failed once more in 6 runs of the suite under load: the call of the started program was placed before all others.

Cause: the spec let calls wait by a preset decision of the fake policy, and ended that in the middle of a pass: the first queue was decided with the preset, the next one without.

Change: the fake fleet is full until the spec frees a place, so that a pass sees the one or the other.

The checks are unchanged.

--- a/internal/execution/fakes_test.go
+++ b/internal/execution/fakes_test.go
@@ -192,7 +192,7 @@
 type fakePolicy struct {
 	decision atomic.Pointer[scheduling.Decision]
 	// afterWait is called after each decision that lets a call wait, if it is set.
-	afterWait func()
+	afterWait atomic.Pointer[func()]
 }
 
 func (p *fakePolicy) Decide(snapshot *scheduling.Snapshot, request *scheduling.Request) scheduling.Decision {
@@ -200,8 +200,8 @@
 		return *preset
 	}
 	if !slices.ContainsFunc(snapshot.Engines, func(engine scheduling.Engine) bool { return engine.Accepting }) {
-		if p.afterWait != nil {
-			p.afterWait()
+		if afterWait := p.afterWait.Load(); afterWait != nil {
+			(*afterWait)()
 		}
 		return scheduling.Decision{Action: scheduling.ActionWait, RetryAfter: time.Minute}
 	}
--- a/internal/execution/wait_queues_test.go
+++ b/internal/execution/wait_queues_test.go
@@ -23,13 +23,6 @@
 	return reply.Program
 }
 
-// runOneAtATime makes the policy place one call at a time: the next call is
-// placed after the last one has been answered.
-func (c *testCluster) runOneAtATime() {
-	c.fleet.setFree(1)
-	c.policy.decision.Store(nil)
-}
-
 var _ = Describe("Calls that wait for an engine", func() {
 	It("are placed by class, then started programs first, then by arrival, even after a leader change", func() {
 		cluster := newTestCluster()
@@ -37,7 +30,7 @@
 		started := previous.createClass("started", "standard")
 		previous.submit(started, modelCall(1))
 		previous.follow(started, 1)
-		cluster.makePolicyWait()
+		cluster.fleet.setFree(0)
 		var expected []identity.Program
 		for _, class := range []string{"batch", "standard", "interactive"} {
 			var ofClass []identity.Program
@@ -54,7 +47,7 @@
 		cluster.log.setLeader(next.groups)
 		next.awaitLeading()
 		Eventually(next.waitingCalls).Should(BeEquivalentTo(len(expected)))
-		cluster.runOneAtATime()
+		cluster.fleet.setFree(1)
 		for _, identifier := range expected {
 			next.follow(identifier, uint64(len(next.history(identifier).Calls)))
 		}
@@ -73,15 +66,14 @@
 		started := leader.createClass("started", "standard")
 		leader.submit(started, modelCall(1))
 		leader.follow(started, 1)
-		cluster.makePolicyWait()
+		cluster.fleet.setFree(0)
 		later := leader.createClass("later", "standard")
 		leader.submit(later, modelCall(1))
 		leader.submit(started, modelCall(2))
 		Eventually(leader.waitingCalls).Should(BeEquivalentTo(2))
 
-		cluster.fleet.setFree(0)
-		cluster.policy.afterWait = sync.OnceFunc(func() { cluster.fleet.setFree(1) })
-		cluster.policy.decision.Store(nil)
+		freeOne := sync.OnceFunc(func() { cluster.fleet.setFree(1) })
+		cluster.policy.afterWait.Store(&freeOne)
 		leader.follow(later, 1)
 		leader.follow(started, 2)
 		sent := cluster.backEnd.sent()
