--- a/internal/server/configuration_bound_test.go
+++ b/internal/server/configuration_bound_test.go
@@ -36,12 +36,12 @@
 		isSilent: during(restored.Add(silentAfter), restored.Add(silentAfter+silence)),
 	}
 	applied, written := runConfigurationWatch(memory, direct, relay, outage+3*time.Second, interval)
-	dueTime := func(written time.Time) time.Time {
-		due, contact := written.Add(testApply), restored.Add(testContact)
-		if contact.After(due) {
+	due := func(written time.Time) time.Time {
+		normal, contact := written.Add(testApply), restored.Add(testContact)
+		if contact.After(normal) {
 			return contact
 		}
-		return due
+		return normal
 	}
-	applied.expectInForce(NewWithT(t), written, dueTime, fmt.Sprintf("outage of %s, relay silent %s after it", outage, silentAfter))
+	applied.expectInForce(NewWithT(t), written, due, fmt.Sprintf("outage of %s, relay silent %s after it", outage, silentAfter))
 }
--- a/internal/server/configuration_model_test.go
+++ b/internal/server/configuration_model_test.go
@@ -87,13 +87,13 @@
 	return earliest, found
 }
 
-// expectInForce checks that each revision, written at the given times, was in force when it was due.
-// dueTime returns when a revision that was written at a time is due.
-func (a *appliedRows) expectInForce(g Gomega, written []time.Time, dueTime func(written time.Time) time.Time, description string) {
+// expectInForce checks that each revision was in force by when it was due, which depends on when it
+// was written.
+func (a *appliedRows) expectInForce(g Gomega, written []time.Time, due func(written time.Time) time.Time, description string) {
 	for revision, at := range written {
 		inForce, found := a.inForceAt(revision, len(written)-1)
 		g.Expect(found).To(BeTrue(), "%s, revision %d was never in force", description, revision)
-		g.Expect(inForce).To(BeTemporally("<=", dueTime(at)), "%s, revision %d", description, revision)
+		g.Expect(inForce).To(BeTemporally("<=", due(at)), "%s, revision %d", description, revision)
 	}
 }
 
