Request log: the configuration's age is that of the decision

The line of a request gave the age of the configuration at the time of the line: for a stream, seconds after the request was decided, and after later answers of the store.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -28,6 +28,8 @@
 	arrived time.Time
 
 	table             *routetable.Table
+	configurationAge  time.Duration // time since the store last confirmed the configuration, when the table was taken
+	instancesAge      time.Duration // time since the store last confirmed the list of instances, when the table was taken
 	route             *routetable.Route
 	service           *routetable.Service
 	tenant            *tenant.Tenant // nil if the request belongs to no tenant
@@ -112,6 +114,7 @@
 	if e.table == nil {
 		return notRunRefusal(ReasonNoConfiguration, storeRetryAfter, eris.New("no configuration has been loaded yet"))
 	}
+	e.configurationAge, e.instancesAge = e.gateway.Staleness()
 	route, found := e.table.Find(e.request.Host, e.request.URL.Path)
 	if !found {
 		denial := &Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute, Err: eris.New("no route matches the host and path")}
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -86,15 +86,14 @@
 	return fields
 }
 
-// addConfigurationFields adds the revision of the configuration that was used, and the ages of
-// the configuration and of the list of engines.
+// addConfigurationFields adds the revision of the configuration that was used, and the ages that
+// the configuration and the list of engines had when the request was decided.
 func (e *execution) addConfigurationFields(fields []zap.Field) []zap.Field {
 	if e.table == nil {
 		return fields
 	}
-	configurationAge, instancesAge := e.gateway.Staleness()
 	return append(fields, zap.Uint64("revision", e.table.Revision),
-		zap.Duration("configurationAge", configurationAge), zap.Duration("enginesAge", instancesAge))
+		zap.Duration("configurationAge", e.configurationAge), zap.Duration("enginesAge", e.instancesAge))
 }
 
 // addProgressFields adds what happened while the request was served, and leaves out what did
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -62,6 +62,7 @@
 	hasRead  bool // the table was read since the start or since the history was lost
 	wasLate  bool // the last answer came so late that it confirmed the table only as of its call
 
+	lastRead   time.Time // when the table was last read; zero before the first reading
 	lastAnswer time.Time // when the last successful step ended, or Run started
 	failures   int       // failed steps since lastAnswer
 	lastError  error     // of the last failed step
@@ -85,7 +86,8 @@
 		w.lastError = err
 		if errors.Is(err, state.ErrHistoryLost) {
 			w.hasRead = false
-			options.Log.Warn("watch: history lost, reading again.", zap.String("table", options.Table), zap.Uint64("version", uint64(w.version)))
+			options.Log.Warn("watch: history lost, reading again.", zap.String("table", options.Table), zap.Uint64("version", uint64(w.version)),
+				zap.Duration("sinceReading", time.Since(w.lastRead)))
 		}
 		pause.Sleep(ctx, schedule.NextBackOff())
 	}
@@ -175,9 +177,10 @@
 	}
 	confirmed := w.confirmationTime(asked, 0)
 	w.version = oldest
-	w.hasRead = true
+	w.hasRead, w.lastRead = true, time.Now()
 	w.follower.Replace(rows, oldest)
 	w.OnAnswer(confirmed)
-	w.Log.Info("watch: table read.", zap.String("table", w.Table), zap.Int("rows", len(rows)), zap.Uint64("version", uint64(oldest)))
+	w.Log.Info("watch: table read.", zap.String("table", w.Table), zap.Int("rows", len(rows)), zap.Uint64("version", uint64(oldest)),
+		zap.Duration("took", time.Since(asked)))
 	return nil
 }
