Watch: an answer confirms only what is sure to have been true

What callers saw: 404 by a configuration that had been replaced up to 4 s before (2 s allowed with a contact time of 3 s). Cause: an answer of the store was taken to be true as of its receipt if it was received within its wait and 0.8 s. An answer with a change is given at once and may be received up to 2 s later, and what it says counted as new for 2 s more. TestChangeDeliveredLate failed before: a change that was delivered after 1.5 s confirmed as of its receipt. Why it works: the time of a confirmation is the latest one at which the contents are sure to have been true, so the age is an upper bound of the true one. The next call waits for what is left of the wait since then; after an outage it waits for nothing, and a silent route is noticed 0.6 s after it was asked instead of 1.8 s.

--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -104,7 +104,7 @@
 	answer := d.pending
 	d.pending = nil
 	d.list.Replace(answer.page.Rows, answer.page.Version)
-	d.list.RecordConfirmation(watch.ConfirmationTime(answer.asked, d.env.now, testFeedWait))
+	d.list.RecordConfirmation(watch.ConfirmationTime(answer.asked, d.env.now, testFeedWait, true))
 }
 
 // step runs one step of the lease and then reads the list. It returns the result of
--- a/internal/server/configuration_model_test.go
+++ b/internal/server/configuration_model_test.go
@@ -24,12 +24,14 @@
 
 var configurationKey = state.Key{Table: "op", Name: "config"}
 
-// storeRoute is one way to the store. It fails while isDown, is silent while isSilent, and otherwise
-// passes calls to the store. A silent route loses the answers of calls in progress, too.
+// storeRoute is one way to the store. It fails while isDown, is silent while isSilent, delivers
+// answers late while isHeld, and otherwise passes calls to the store. A silent route loses the answers
+// of calls in progress, too.
 type storeRoute struct {
 	state.Store
 	answerTimeout    time.Duration // of a call, in addition to the wait of a feed
 	isDown, isSilent func() bool
+	isHeld           func() bool // nil: never
 }
 
 func (r *storeRoute) Read(ctx context.Context, selected state.Range) (state.Page, error) {
@@ -56,6 +58,11 @@
 		<-ctx.Done()
 		return none, state.ErrUnknownOutcome
 	}
+	for r.isHeld != nil && r.isHeld() {
+		if !pause.Sleep(ctx, roundTrip) {
+			return none, state.ErrUnknownOutcome
+		}
+	}
 	return result, err
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -161,7 +161,17 @@
 // handler returns an HTTP handler that counts active requests and passes them to the
 // gateway.
 func (s *Server) handler(c *components) http.Handler {
-	handler := gateway.New(gateway.Options{
+	handler := gateway.New(s.gatewayOptions(c))
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		s.activeRequests.Add(1)
+		defer s.activeRequests.Add(-1)
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// gatewayOptions returns the options of the gateway of this process.
+func (s *Server) gatewayOptions(c *components) gateway.Options {
+	return gateway.Options{
 		Zone:                s.Settings.Zone,
 		HeaderCodec:         s.HeaderCodec,
 		Routes:              s.routes,
@@ -184,12 +194,7 @@
 			instances, _ = s.lastInstancesAnswer.Age()
 			return configuration, instances
 		},
-	})
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		s.activeRequests.Add(1)
-		defer s.activeRequests.Add(-1)
-		handler.ServeHTTP(writer, request)
-	})
+	}
 }
 
 // instanceGrace returns how long an instance that is leaving may still get new
@@ -202,20 +207,12 @@
 // follow starts the goroutines that keep the configuration, the instances and the
 // components up to date until the context ends.
 func (s *Server) follow(ctx context.Context, c *components) {
-	configuration := &configurationFollower{
-		schema: s.StoreSchema, routes: s.routes, log: s.Log,
-		onChange:  func(table *routetable.Table) { s.callerServer.SetLimits(table.Limits) },
-		answerAge: func() time.Duration { age, _ := s.lastConfigurationAnswer.Age(); return age },
-	}
 	instances := &instanceFollower{
 		schema: s.StoreSchema, fleet: s.fleet, log: s.Log,
 		retainRemoved: s.Settings.gracePeriod(),
 		onRead:        func() { s.instancesRead.Store(true) },
 	}
-	go watch.Run(ctx, watch.Options{
-		Store: c.client, Table: s.StoreSchema.ConfigurationKey().Table, MaxWait: s.Settings.configurationFeedTimeout(), Log: s.Log,
-		OnAnswer: s.lastConfigurationAnswer.Record,
-	}, configuration)
+	go s.followConfiguration(ctx, c.client, func(table *routetable.Table) { s.callerServer.SetLimits(table.Limits) })
 	go watch.Run(ctx, watch.Options{
 		Store: c.client, Table: s.StoreSchema.InstancesTableName(), MaxWait: instancesFeedTimeout, MinBatchInterval: s.Settings.drainPeriod() / changesPerDrain, Log: s.Log,
 		OnAnswer: s.lastInstancesAnswer.Record,
@@ -223,6 +220,19 @@
 	c.start(ctx)
 }
 
+// followConfiguration keeps the configuration up to date until the context ends. It calls onChange
+// with each table that it puts in force.
+func (s *Server) followConfiguration(ctx context.Context, store state.Store, onChange func(*routetable.Table)) {
+	watch.Run(ctx, watch.Options{
+		Store: store, Table: s.StoreSchema.ConfigurationKey().Table, MaxWait: s.Settings.configurationFeedTimeout(), Log: s.Log,
+		OnAnswer: s.lastConfigurationAnswer.Record,
+	}, &configurationFollower{
+		schema: s.StoreSchema, routes: s.routes, log: s.Log,
+		onChange:  onChange,
+		answerAge: func() time.Duration { age, _ := s.lastConfigurationAnswer.Age(); return age },
+	})
+}
+
 // conditions returns the conditions of readiness. The platform sends callers to
 // this process only while all of them hold.
 func (s *Server) conditions() process.Conditions {
--- a/internal/watch/answer_time.go
+++ b/internal/watch/answer_time.go
@@ -5,23 +5,24 @@
 	"time"
 )
 
-// MaxAnswerDelay is how long after its wait the answer to a feed, or after its first call a reading,
-// may be received and still count as new.
+// MaxAnswerDelay is how long after its wait the answer to a feed, or after its call a reading, is
+// expected at the latest.
 const MaxAnswerDelay = 800 * time.Millisecond
 
-// ConfirmationTime returns the time as of which an answer of the store confirms what is known of a
-// table. The store was asked at the given time and was allowed to wait for a change. An answer that
-// is received in time confirms the table as of then. A later one may have been given long before,
-// since a process that was suspended finds it in its socket: it confirms the table only as of when
-// the store was asked.
+// ConfirmationTime returns the latest time at which what an answer of the store says is sure to have
+// been true. The store was asked at the given time and was allowed to wait for a change. An answer
+// with changes may have been given at once and received much later, for example by a process that was
+// suspended, so it is sure only for when the store was asked. An answer without changes that is
+// received right after the wait was given then. Any other one may have ended its wait early.
 //
-// Guarantee: what the answer contains was true at most the wait and MaxAnswerDelay before the
-// returned time.
-func ConfirmationTime(asked, received time.Time, wait time.Duration) time.Time {
-	if received.Sub(asked) > wait+MaxAnswerDelay {
+// Guarantee: what the answer says was true at the returned time or later.
+func ConfirmationTime(asked, received time.Time, wait time.Duration, hasChanges bool) time.Time {
+	waited := asked.Add(wait)
+	isOnTime := !received.Before(waited) && received.Sub(waited) <= MaxAnswerDelay
+	if hasChanges || !isOnTime {
 		return asked
 	}
-	return received
+	return waited
 }
 
 // AnswerTime is when the store last confirmed what is known of a table, by the monotonic clock: steps
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -32,8 +32,9 @@
 	Table string
 	// Partition is the store partition that holds all rows of the table.
 	Partition string
-	// MaxWait is the maximum time that a feed call may wait for a change before the store is
-	// called again. It bounds how long a dead connection goes unnoticed.
+	// MaxWait is the maximum time without a confirmation while the store answers: a feed call may
+	// wait for a change for what is left of it since the last ConfirmationTime. It bounds how long a
+	// dead connection goes unnoticed.
 	MaxWait time.Duration
 	// AnswerDue, if set, returns the time within which the next answer is needed, which limits the
 	// wait of the next feed call if it is shorter than MaxWait. If AnswerDue returns zero or less,
@@ -60,7 +61,8 @@
 	follower Follower
 	version  state.Version
 	hasRead  bool // the table was read since the start or since the history was lost
-	wasLate  bool // the last answer came so late that it confirmed the table only as of its call
+
+	confirmed time.Time // the ConfirmationTime of the last answer; zero before the first
 
 	lastRead   time.Time // when the table was last read; zero before the first reading
 	lastAnswer time.Time // when the last successful step ended, or Run started
@@ -103,27 +105,27 @@
 	if err != nil {
 		return err
 	}
-	confirmed := w.confirmationTime(asked, wait)
 	w.version = max(w.version, result.Version)
-	if len(result.Rows) == 0 {
-		w.OnAnswer(confirmed)
+	hasChanges := len(result.Rows) > 0
+	if hasChanges {
+		w.follower.Apply(result.Rows)
+	}
+	w.confirm(asked, wait, hasChanges)
+	if !hasChanges {
 		return nil
 	}
-	w.follower.Apply(result.Rows)
-	w.OnAnswer(confirmed)
 	pause.Sleep(ctx, w.MinBatchInterval)
 	return nil
 }
 
-// confirmationTime returns the ConfirmationTime of an answer that has just been received.
-func (w *watcher) confirmationTime(asked time.Time, wait time.Duration) time.Time {
+// confirm records the ConfirmationTime of an answer that the follower has applied.
+func (w *watcher) confirm(asked time.Time, wait time.Duration, hasChanges bool) {
 	received := time.Now()
-	confirmed := ConfirmationTime(asked, received, wait)
-	w.wasLate = confirmed.Before(received)
-	if w.wasLate {
-		w.Log.Info("watch: late answer, asking again.", zap.String("table", w.Table), zap.Duration("after", received.Sub(asked)), zap.Duration("wait", wait))
+	w.confirmed = ConfirmationTime(asked, received, wait, hasChanges)
+	w.OnAnswer(w.confirmed)
+	if took := received.Sub(asked); took > wait+MaxAnswerDelay {
+		w.Log.Info("watch: late answer, asking again.", zap.String("table", w.Table), zap.Duration("after", took), zap.Duration("wait", wait))
 	}
-	return confirmed
 }
 
 // recordAnswer notes that a step has succeeded. If steps failed before it, recordAnswer logs how
@@ -139,16 +141,14 @@
 
 // feedWait returns how long the next feed call may wait for a change.
 func (w *watcher) feedWait() time.Duration {
-	if w.wasLate {
-		return 0
-	}
+	wait := max(w.MaxWait-time.Since(w.confirmed), 0)
 	if w.AnswerDue == nil {
-		return w.MaxWait
+		return wait
 	}
 	if due := w.AnswerDue(); due > 0 {
-		return min(w.MaxWait, due)
+		return min(wait, due)
 	}
-	return w.MaxWait
+	return wait
 }
 
 // readAll reads the table page by page. Each page is consistent as of its own version. The feed
@@ -175,11 +175,11 @@
 	if oldest < w.version {
 		return eris.Errorf("stale reading of %s: version %d, already at version %d", w.Table, oldest, w.version)
 	}
-	confirmed := w.confirmationTime(asked, 0)
 	w.version = oldest
 	w.hasRead, w.lastRead = true, time.Now()
 	w.follower.Replace(rows, oldest)
-	w.OnAnswer(confirmed)
+	const wait, hasChanges = 0, true
+	w.confirm(asked, wait, hasChanges)
 	w.Log.Info("watch: table read.", zap.String("table", w.Table), zap.Int("rows", len(rows)), zap.Uint64("version", uint64(oldest)),
 		zap.Duration("took", time.Since(asked)))
 	return nil
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -250,3 +250,26 @@
 		g.Expect(store.waits).To(Equal([]time.Duration{maxWait, 0, maxWait}), "it is followed by a call that is answered at once")
 	})
 }
+
+// TestChangeDeliveredLate guards against a change that the store gave long before it is received, and
+// that counts as what the store says now.
+func TestChangeDeliveredLate(t *testing.T) {
+	const maxWait, changedAfter, delay = 2 * time.Second, 100 * time.Millisecond, 1500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		memory := memorystore.New()
+		store := &suspendedStore{Store: memory, suspension: delay}
+		start := time.Now()
+		time.AfterFunc(changedAfter, func() { memory.Write(state.Put{Key: state.Key{Table: "t", Name: "a"}}) })
+		var confirmed []time.Duration
+		ctx, cancel := context.WithTimeout(context.Background(), maxWait+changedAfter)
+		defer cancel()
+		watch.Run(ctx, watch.Options{
+			Store: store, Table: "t", MaxWait: maxWait, Log: zap.NewNop(),
+			OnAnswer: func(at time.Time) { confirmed = append(confirmed, at.Sub(start)) },
+		}, &follower{})
+		g.Expect(confirmed).To(HaveExactElements(BeZero(), BeZero(), Equal(maxWait)), "the change may have been given as soon as it was asked for")
+		g.Expect(store.waits).To(HaveLen(3))
+		g.Expect(store.waits[1]).To(Equal(maxWait-changedAfter-delay), "the next call ends when the next confirmation is due")
+	})
+}
