Routes: a table and its confirmation are one view

What callers could see: 404 by a configuration that had been replaced long before, with a configurationAge of almost 0. Cause: a request took the table, and asked for the age of the last answer later. If the process stood still in between, or a newer table was put in force and confirmed then, the old table was thought to be as fresh as the new one. A table that was never confirmed counted as fresh, too. Why it works: routetable.Holder keeps the table and its confirmation in one immutable View behind one pointer, and a request takes one View. A newer table inherits the confirmation of the one before, which is an earlier time than its own.

--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -33,14 +33,17 @@
 }
 
 // denyByConfiguration returns the denial of what the configuration does not contain. If the
-// configuration is older than MaxConfigurationAge, a newer one may contain it, so the result is a
+// configuration is older than MaxConfigurationAge, or not confirmed, a newer one may contain it, so the result is a
 // refusal with status 503 and the given reason instead, and the caller retries.
 func (e *execution) denyByConfiguration(denial *Refusal, uncertain Reason) error {
-	age, _ := e.gateway.Staleness()
-	if age <= e.gateway.MaxConfigurationAge {
+	switch {
+	case !e.isTableConfirmed:
+		return notRunRefusal(uncertain, storeRetryAfter, eris.Wrap(denial.Err, "the configuration is not confirmed yet"))
+	case e.tableAge > e.gateway.MaxConfigurationAge:
+		return notRunRefusal(uncertain, storeRetryAfter, eris.Wrapf(denial.Err, "the configuration was last confirmed %s ago", e.tableAge))
+	default:
 		return denial
 	}
-	return notRunRefusal(uncertain, storeRetryAfter, eris.Wrapf(denial.Err, "the configuration was last confirmed %s ago", age))
 }
 
 // tenantName returns the name of the request's tenant, or "" if it has none.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -28,7 +28,8 @@
 	arrived time.Time
 
 	table             *routetable.Table
-	configurationAge  time.Duration // time since the store last confirmed the configuration, when the table was taken
+	tableAge          time.Duration // time since the store confirmed the table, when it was taken
+	isTableConfirmed  bool          // whether the store had confirmed the table at all
 	instancesAge      time.Duration // time since the store last confirmed the list of instances, when the table was taken
 	route             *routetable.Route
 	service           *routetable.Service
@@ -110,11 +111,10 @@
 func (e *execution) admit() error {
 	var err error
 	e.call, err = e.gateway.HeaderCodec.ParseCall(e.request.Header)
-	e.table = e.gateway.Routes.Current()
+	e.takeTable()
 	if e.table == nil {
 		return notRunRefusal(ReasonNoConfiguration, storeRetryAfter, eris.New("no configuration has been loaded yet"))
 	}
-	e.configurationAge, e.instancesAge = e.gateway.Staleness()
 	route, found := e.table.Find(e.request.Host, e.request.URL.Path)
 	if !found {
 		denial := &Refusal{Status: http.StatusNotFound, Reason: ReasonNoRoute, Err: eris.New("no route matches the host and path")}
@@ -139,6 +139,15 @@
 	return e.readInput()
 }
 
+// takeTable takes the table by which the request is decided, together with the age of that table: a
+// later confirmation may be one of another table.
+func (e *execution) takeTable() {
+	view := e.gateway.Routes.View()
+	e.table = view.Table
+	e.tableAge, e.isTableConfirmed = view.Age()
+	e.instancesAge = e.gateway.InstancesAge()
+}
+
 // timeLimit returns how long the request may take from its arrival: the shorter of the route's
 // timeout and the caller's deadline, or an hour if there is neither.
 func (e *execution) timeLimit() time.Duration {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,9 +52,8 @@
 	// MaxConfigurationAge is the maximum age of the configuration for denying what it does not
 	// contain: an unknown route with status 404, or an unknown key with status 401.
 	MaxConfigurationAge time.Duration
-	// Staleness returns how long ago the configuration and the list of instances were last
-	// confirmed by the store.
-	Staleness func() (configuration, instances time.Duration)
+	// InstancesAge returns how long ago the list of instances was last confirmed by the store.
+	InstancesAge func() time.Duration
 }
 
 // Budgets reserves tokens for a turn from the budget of its program.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -92,8 +92,10 @@
 	if e.table == nil {
 		return fields
 	}
-	return append(fields, zap.Uint64("revision", e.table.Revision),
-		zap.Duration("configurationAge", e.configurationAge), zap.Duration("enginesAge", e.instancesAge))
+	if e.isTableConfirmed {
+		fields = append(fields, zap.Duration("configurationAge", e.tableAge))
+	}
+	return append(fields, zap.Uint64("revision", e.table.Revision), zap.Duration("enginesAge", e.instancesAge))
 }
 
 // addProgressFields adds what happened while the request was served, and leaves out what did
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -7,7 +7,6 @@
 import (
 	"sort"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/thymeloft/thymeloft/internal/tenant"
@@ -146,32 +145,6 @@
 	return strings.ToLower(host)
 }
 
-// Holder holds the newest table. It is safe for concurrent use and lock-free.
-type Holder struct {
-	current atomic.Pointer[Table]
-}
-
-// Current returns the newest table, or nil before the first.
-func (h *Holder) Current() *Table { return h.current.Load() }
-
-// Replace stores the table if its revision is larger than the current one's, and
-// reports whether it did. Routes whose host, prefix and parts have not changed
-// continue their weighted split.
-func (h *Holder) Replace(table *Table) bool {
-	for {
-		current := h.current.Load()
-		if current != nil && current.Revision >= table.Revision {
-			return false
-		}
-		if current != nil {
-			table.inheritBalancers(current)
-		}
-		if h.current.CompareAndSwap(current, table) {
-			return true
-		}
-	}
-}
-
 // inheritBalancers takes over the balancers of the routes whose host, prefix and
 // parts have not changed.
 func (t *Table) inheritBalancers(previous *Table) {
--- a/internal/routetable/routetable_test.go
+++ b/internal/routetable/routetable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -50,6 +51,33 @@
 		Expect(holder.Current().Revision).To(BeEquivalentTo(5))
 	})
 
+	// Guards against an answer by an old table that counts as confirmed by what confirmed a newer one.
+	It("gives each table its own confirmation", func() {
+		var holder routetable.Holder
+		holder.Confirm(time.Now())
+		holder.Replace(tableOf(1))
+		_, confirmed := holder.View().Age()
+		Expect(confirmed).To(BeFalse(), "what was confirmed before the first table says nothing of it")
+		holder.Confirm(time.Now().Add(-time.Hour))
+		old := holder.View()
+		holder.Replace(tableOf(2))
+		holder.Confirm(time.Now())
+		age, _ := old.Age()
+		Expect(old.Table.Revision).To(BeEquivalentTo(1))
+		Expect(age).To(BeNumerically(">=", time.Hour))
+	})
+
+	It("keeps its confirmation when the table is replaced, or confirmed as of an earlier time", func() {
+		var holder routetable.Holder
+		holder.Replace(tableOf(1))
+		holder.Confirm(time.Now().Add(-time.Hour))
+		holder.Replace(tableOf(2))
+		holder.Confirm(time.Now().Add(-2 * time.Hour))
+		age, confirmed := holder.View().Age()
+		Expect(confirmed).To(BeTrue())
+		Expect(age).To(And(BeNumerically(">=", time.Hour), BeNumerically("<", 2*time.Hour)))
+	})
+
 	It("splits even a few requests by weight, also across revisions", func() {
 		parts := []routetable.WeightedService{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}, {Service: "z", Weight: 0}}
 		var holder routetable.Holder
--- a/internal/server/followers.go
+++ b/internal/server/followers.go
@@ -29,9 +29,7 @@
 	schema   StoreSchema
 	routes   *routetable.Holder
 	onChange func(*routetable.Table)
-	// answerAge returns how long ago the store last confirmed the configuration.
-	answerAge func() time.Duration
-	log       *zap.Logger
+	log      *zap.Logger
 }
 
 // Replace implements watch.Follower.
@@ -54,12 +52,13 @@
 		c.log.Error("configuration: cannot be decoded; the previous one stays in force.", zap.Uint64("version", uint64(row.Version)), zap.String("error", err.Error()))
 		return
 	}
+	previousAge, _ := c.routes.View().Age()
 	if !c.routes.Replace(table) {
 		return
 	}
 	c.onChange(table)
 	c.log.Info("configuration: in force.", zap.Uint64("revision", table.Revision), zap.Uint64("version", uint64(row.Version)),
-		zap.Duration("previousAnswerAge", c.answerAge()))
+		zap.Duration("previousAnswerAge", previousAge))
 }
 
 // instanceFollower updates the fleet when the table of instances changes.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -49,19 +49,18 @@
 // store and to other daemons.
 type Server struct {
 	Options
-	routes                  *routetable.Holder
-	fleet                   *backend.Fleet
-	callerServer            *callerServer
-	reach                   *reach.Monitor
-	memory                  *memory.Account
-	metrics                 *gateway.Metrics
-	lifecycle               *process.Lifecycle
-	instancesRead           atomic.Bool // the table of instances was read at least once
-	activeRequests          atomic.Int64
-	graceNanos              atomic.Int64   // the grace period, in nanoseconds
-	rateLog                 rate.Sometimes // limits the log lines of logLoweredRate
-	lastConfigurationAnswer watch.AnswerTime
-	lastInstancesAnswer     watch.AnswerTime
+	routes              *routetable.Holder
+	fleet               *backend.Fleet
+	callerServer        *callerServer
+	reach               *reach.Monitor
+	memory              *memory.Account
+	metrics             *gateway.Metrics
+	lifecycle           *process.Lifecycle
+	instancesRead       atomic.Bool // the table of instances was read at least once
+	activeRequests      atomic.Int64
+	graceNanos          atomic.Int64   // the grace period, in nanoseconds
+	rateLog             rate.Sometimes // limits the log lines of logLoweredRate
+	lastInstancesAnswer watch.AnswerTime
 }
 
 // Limits of what is cached in memory.
@@ -189,10 +188,9 @@
 		InstanceGrace:       s.instanceGrace(),
 		DisabledMechanisms:  s.Settings.Disabled,
 		MaxConfigurationAge: s.Settings.maxConfigurationAge(),
-		Staleness: func() (configuration, instances time.Duration) {
-			configuration, _ = s.lastConfigurationAnswer.Age()
-			instances, _ = s.lastInstancesAnswer.Age()
-			return configuration, instances
+		InstancesAge: func() time.Duration {
+			age, _ := s.lastInstancesAnswer.Age()
+			return age
 		},
 	}
 }
@@ -225,12 +223,8 @@
 func (s *Server) followConfiguration(ctx context.Context, store state.Store, onChange func(*routetable.Table)) {
 	watch.Run(ctx, watch.Options{
 		Store: store, Table: s.StoreSchema.ConfigurationKey().Table, MaxWait: s.Settings.configurationFeedTimeout(), Log: s.Log,
-		OnAnswer: s.lastConfigurationAnswer.Record,
-	}, &configurationFollower{
-		schema: s.StoreSchema, routes: s.routes, log: s.Log,
-		onChange:  onChange,
-		answerAge: func() time.Duration { age, _ := s.lastConfigurationAnswer.Age(); return age },
-	})
+		OnAnswer: s.routes.Confirm,
+	}, &configurationFollower{schema: s.StoreSchema, routes: s.routes, log: s.Log, onChange: onChange})
 }
 
 // conditions returns the conditions of readiness. The platform sends callers to
--- a/internal/server/staleness_metrics.go
+++ b/internal/server/staleness_metrics.go
@@ -2,10 +2,9 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-
-	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
 // unconfirmedAge is the value of the age metrics before the store's first answer.
@@ -20,17 +19,17 @@
 	return errors.Join(
 		register("thymeloft_configuration_revision", "Revision of the configuration in force; 0: none.", s.configurationRevision),
 		register("thymeloft_configuration_confirmation_age_seconds", "Seconds since the store last answered about the configuration, or -1 if it has not done so yet.",
-			ageSeconds(&s.lastConfigurationAnswer)),
+			ageSeconds(func() (time.Duration, bool) { return s.routes.View().Age() })),
 		register("thymeloft_engines_confirmation_age_seconds", "Seconds since the store last answered about the engines, or -1 if it has not done so yet.",
-			ageSeconds(&s.lastInstancesAnswer)),
+			ageSeconds(s.lastInstancesAnswer.Age)),
 	)
 }
 
-// ageSeconds returns a function that returns the age of the answer in seconds, or unconfirmedAge
+// ageSeconds returns a function that returns the age of an answer in seconds, or unconfirmedAge
 // before the first answer.
-func ageSeconds(answered *watch.AnswerTime) func() float64 {
+func ageSeconds(ageOfAnswer func() (age time.Duration, answered bool)) func() float64 {
 	return func() float64 {
-		age, found := answered.Age()
+		age, found := ageOfAnswer()
 		if !found {
 			return unconfirmedAge
 		}
