Watch: a reading confirms nothing until a feed has continued from it

What callers could see: 404 by a configuration several seconds old, from a process that had just started while the store's readings were behind. Cause: a reading counted as what the store says now, and a process that knows no version can't tell a reading that is behind. The confirmation was renewed with each further reading while the history was lost. Why it works: a feed can continue only from a version whose later changes the store still has, and it delivers them; if it has lost them, the table is read again and stays unconfirmed. The first feed after a reading waits for nothing, which costs one call a reading. The table that was read is in force meanwhile: known routes are served, unknown ones get 503.

--- a/internal/server/configuration_denial_test.go
+++ b/internal/server/configuration_denial_test.go
@@ -186,6 +186,7 @@
 func newDenialPlay(bounds timeBounds, random *rand.Rand, duration time.Duration) *denialPlay {
 	const (
 		longestFault = 5 * time.Second
+		longestLag   = 6600 * time.Millisecond
 		longestHold  = 2500 * time.Millisecond
 	)
 	down := drawFaultPeriods(random, 2, longestFault, duration)
@@ -202,6 +203,9 @@
 		p.restarts = append(p.restarts, time.Now().Add(time.Duration(random.Int64N(int64(duration)))))
 	}
 	slices.SortFunc(p.restarts, time.Time.Compare)
+	p.compactions = drawFaultPeriods(random, 2, 2*longestLag, duration)
+	p.store.lag = time.Duration(random.Int64N(int64(longestLag)))
+	p.disturbances = append(p.disturbances, p.compactions...)
 	return p
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -43,9 +43,9 @@
 	// MinBatchInterval is the minimum time between two batches of changes. A longer pause makes
 	// batches larger.
 	MinBatchInterval time.Duration
-	// OnAnswer, if set, is called after each feed answer and each complete reading, once the
-	// follower has applied it. confirmed is the ConfirmationTime of the answer. OnAnswer isn't called
-	// after a stale reading, which is discarded.
+	// OnAnswer, if set, is called after each feed answer, once the follower has applied it. confirmed
+	// is the ConfirmationTime of the answer. OnAnswer isn't called after a reading, since readings may
+	// be behind: a reading counts as confirmed once a feed has continued from it.
 	OnAnswer func(confirmed time.Time)
 	Log      *zap.Logger
 }
@@ -62,7 +62,7 @@
 	version  state.Version
 	hasRead  bool // the table was read since the start or since the history was lost
 
-	confirmed time.Time // the ConfirmationTime of the last answer; zero before the first
+	confirmed time.Time // the ConfirmationTime of the last feed answer; zero if there was none since the last reading
 
 	lastRead   time.Time // when the table was last read; zero before the first reading
 	lastAnswer time.Time // when the last successful step ended, or Run started
@@ -152,7 +152,8 @@
 }
 
 // readAll reads the table page by page. Each page is consistent as of its own version. The feed
-// continues from the lowest of these versions.
+// continues from the lowest of these versions. If the store no longer has the changes since then, the
+// table is read again.
 func (w *watcher) readAll(ctx context.Context) error {
 	var rows []state.Row
 	oldest := state.Version(0)
@@ -178,8 +179,7 @@
 	w.version = oldest
 	w.hasRead, w.lastRead = true, time.Now()
 	w.follower.Replace(rows, oldest)
-	const wait, hasChanges = 0, true
-	w.confirm(asked, wait, hasChanges)
+	w.confirmed = time.Time{} // the next feed call is answered at once
 	w.Log.Info("watch: table read.", zap.String("table", w.Table), zap.Int("rows", len(rows)), zap.Uint64("version", uint64(oldest)),
 		zap.Duration("took", time.Since(asked)))
 	return nil
