Configuration: one that can't be decoded is not confirmed

What callers could see: 404 by the previous configuration as long as the newest one can't be decoded. Cause: the follower kept the previous table, and the watch confirmed it with each answer. Evidence: the spec "leaves the previous one in force, but not confirmed" (server) failed before. Why it works: an answer confirms only if what the follower was given last is in force.

--- a/internal/server/followers.go
+++ b/internal/server/followers.go
@@ -28,8 +28,18 @@
 type configurationFollower struct {
 	schema   StoreSchema
 	routes   *routetable.Holder
-	onChange func(*routetable.Table)
+	onChange func(*routetable.Table) // called with each table that is put in force
 	log      *zap.Logger
+
+	isOutdated bool // the newest configuration could not be decoded, so an older one is in force
+}
+
+// confirm records that what the follower was given last was the newest configuration at the given
+// time. It is meant for watch.Options.OnAnswer.
+func (c *configurationFollower) confirm(at time.Time) {
+	if !c.isOutdated {
+		c.routes.Confirm(at)
+	}
 }
 
 // Replace implements watch.Follower.
@@ -48,6 +58,7 @@
 // current one.
 func (c *configurationFollower) apply(row state.Row) {
 	table, err := c.schema.DecodeRoutes(row)
+	c.isOutdated = err != nil
 	if err != nil {
 		c.log.Error("configuration: cannot be decoded; the previous one stays in force.", zap.Uint64("version", uint64(row.Version)), zap.String("error", err.Error()))
 		return
--- a/internal/server/followers_test.go
+++ b/internal/server/followers_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
@@ -59,3 +60,23 @@
 		Entry("when rows change", func() { follower.Apply(rows) }),
 	)
 })
+
+var _ = Describe("A configuration that cannot be decoded", func() {
+	// Guards against a denial by the previous configuration as if it were the store's newest one.
+	It("leaves the previous one in force, but not confirmed", func() {
+		follower := &configurationFollower{schema: revisionSchema{}, routes: &routetable.Holder{}, onChange: func(*routetable.Table) {}, log: zap.NewNop()}
+		row := func(value string) []state.Row { return []state.Row{{Key: configurationKey, Value: []byte(value)}} }
+		follower.Replace(row("1"), 1)
+		follower.confirm(time.Now().Add(-time.Hour))
+		follower.Apply(row("not a revision"))
+		follower.confirm(time.Now())
+		age, _ := follower.routes.View().Age()
+		Expect(follower.routes.Current().Revision).To(BeEquivalentTo(1))
+		Expect(age).To(BeNumerically(">=", time.Hour))
+		follower.Apply(row("3"))
+		follower.confirm(time.Now())
+		age, _ = follower.routes.View().Age()
+		Expect(follower.routes.Current().Revision).To(BeEquivalentTo(3))
+		Expect(age).To(BeNumerically("<", time.Hour))
+	})
+})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -221,10 +221,11 @@
 // followConfiguration keeps the configuration up to date until the context ends. It calls onChange
 // with each table that it puts in force.
 func (s *Server) followConfiguration(ctx context.Context, store state.Store, onChange func(*routetable.Table)) {
+	follower := &configurationFollower{schema: s.StoreSchema, routes: s.routes, log: s.Log, onChange: onChange}
 	watch.Run(ctx, watch.Options{
 		Store: store, Table: s.StoreSchema.ConfigurationKey().Table, MaxWait: s.Settings.configurationFeedTimeout(), Log: s.Log,
-		OnAnswer: s.routes.Confirm,
-	}, &configurationFollower{schema: s.StoreSchema, routes: s.routes, log: s.Log, onChange: onChange})
+		OnAnswer: follower.confirm,
+	}, follower)
 }
 
 // conditions returns the conditions of readiness. The platform sends callers to
