Caller API: whether the configuration is confirmed is asked before it is taken

What callers of thymeloftd could see: 401 for a key that a newer revision declares, by a revision that was not confirmed any more. Evidence: the spec "accepts a key of a revision that is put in force while the request is authenticated" failed before, with 401. Why it works: revisions only rise, so the revision taken after the question is at least the confirmed one. Where else IsConfirmed and Current are asked (execution, engine), it came first already.

--- a/internal/callerapi/authenticate.go
+++ b/internal/callerapi/authenticate.go
@@ -24,11 +24,13 @@
 	if !found || key == "" {
 		return nil, unauthenticatedProblem("a bearer key is needed in the Authorization header")
 	}
+	// Asked before the revision is taken, so that a confirmation is never that of a later revision.
+	isConfirmed := a.Configuration.IsConfirmed()
 	current := a.Configuration.Current()
 	if owner, known := current.Keys.Owner(tenant.HashKey(key)); known {
 		return current.TenantByName[owner], nil
 	}
-	if !a.Configuration.IsConfirmed() {
+	if !isConfirmed {
 		return nil, problem.New(problem.KindUnavailable, "authenticate",
 			"the bearer key is not known here, and the configuration is not confirmed: it may have been declared since").
 			WithRetryAfter(configurationRetryAfter)
--- a/internal/callerapi/fake_test.go
+++ b/internal/callerapi/fake_test.go
@@ -117,12 +117,16 @@
 	return reply, nil
 }
 
-// fakeSource is a configuration.Source whose configuration never changes.
-type fakeSource struct {
-	snapshot  *configuration.Snapshot
-	confirmed func() bool
+// fakeSource is the configuration.Source of an endpoint.
+type fakeSource struct{ served *endpoint }
+
+func (s fakeSource) Current() *configuration.Snapshot { return s.served.snapshot }
+
+func (s fakeSource) IsConfirmed() bool {
+	if s.served.onConfirmation != nil {
+		s.served.onConfirmation()
+	}
+	return !s.served.unconfirmed
 }
 
-func (s fakeSource) Current() *configuration.Snapshot { return s.snapshot }
-func (s fakeSource) IsConfirmed() bool                { return s.confirmed() }
-func (s fakeSource) Subscribe() <-chan struct{}       { return nil }
+func (s fakeSource) Subscribe() <-chan struct{} { return nil }
--- a/internal/callerapi/fuzz_test.go
+++ b/internal/callerapi/fuzz_test.go
@@ -34,7 +34,7 @@
 		snapshot := configuration.NewSnapshot(1, configuration.Document{Tenants: []configuration.Tenant{tenantWithKey("brackenlaw", "key-b")}})
 		handler := callerapi.NewHandler(callerapi.Options{
 			Programs:      programs,
-			Configuration: fakeSource{snapshot, func() bool { return true }},
+			Configuration: fakeSource{&endpoint{snapshot: snapshot}},
 		})
 		recorder := httptest.NewRecorder()
 		handler.ServeHTTP(recorder, request)
--- a/internal/callerapi/handler_test.go
+++ b/internal/callerapi/handler_test.go
@@ -38,11 +38,14 @@
 	registry    *prometheus.Registry
 	draining    bool
 	unconfirmed bool // if true, the configuration is not confirmed
+	snapshot    *configuration.Snapshot
+	// onConfirmation, if not nil, is called when the handler asks whether the configuration is confirmed.
+	onConfirmation func()
 }
 
 func newEndpoint(programs *fakePrograms) *endpoint {
 	served := &endpoint{programs: programs, registry: prometheus.NewRegistry()}
-	snapshot := configuration.NewSnapshot(1, configuration.Document{
+	served.snapshot = configuration.NewSnapshot(1, configuration.Document{
 		Tenants: []configuration.Tenant{tenantWithKey("brackenlaw", "key-b"), tenantWithKey("theory-desk", "key-t")},
 	})
 	limits := callerapi.DefaultLimits
@@ -50,7 +53,7 @@
 	limits.WriteTimeout = writeTimeout
 	served.Server = httptest.NewServer(callerapi.NewHandler(callerapi.Options{
 		Programs:      programs,
-		Configuration: fakeSource{snapshot, func() bool { return !served.unconfirmed }},
+		Configuration: fakeSource{served},
 		Limits:        limits,
 		Registerer:    served.registry,
 		IsDraining:    func() bool { return served.draining },
@@ -194,6 +197,15 @@
 		served.create("key-b")
 	})
 
+	// Guards against a 401 by an old revision that is thought to be as fresh as its replacement.
+	It("accepts a key of a revision that is put in force while the request is authenticated", func() {
+		served := newEndpoint(newFakePrograms())
+		served.onConfirmation = func() {
+			served.snapshot = configuration.NewSnapshot(2, configuration.Document{Tenants: []configuration.Tenant{tenantWithKey("brackenlaw", "key-new")}})
+		}
+		served.create("key-new")
+	})
+
 	It("returns problems with their outcome and Retry-After", func() {
 		served := newEndpoint(newFakePrograms())
 		path := fmt.Sprintf("/v1/programs/%s/calls/1", served.create("key-b"))
