Stored configuration: a head that can't be decoded confirms nothing

What callers of thymeloftd could see: work by an older revision that counts as confirmed. Cause: as in the gateway, a head that can't be decoded was passed over, and the answer that brought it still confirmed. Evidence: the spec "is not confirmed while the head of the store cannot be decoded" timed out before: confirmed throughout. Why it works: IsConfirmed is false until a head that can be decoded arrives; new work is refused meanwhile, and a line says why.

--- /dev/null
+++ b/internal/configuration/stored/export_test.go
@@ -0,0 +1,4 @@
+package stored
+
+// HeadKey is the key of the row that names the latest revision.
+var HeadKey = headKey
--- a/internal/configuration/stored/stored.go
+++ b/internal/configuration/stored/stored.go
@@ -52,6 +52,7 @@
 	log           *zap.Logger
 	storeAnswered watch.AnswerTime // when the store last confirmed the head
 	latestKnown   atomic.Uint64
+	isHeadInvalid atomic.Bool // the head that was received last cannot be decoded
 	machine       atomic.Pointer[configuration.Machine]
 
 	mutex       sync.Mutex // guards subscribers and the replacement of machine
@@ -99,8 +100,14 @@
 // Apply implements watch.Follower.
 func (f follower) Apply(rows []state.Row) {
 	for _, row := range rows {
+		if row.Key != headKey || row.Removed {
+			continue
+		}
 		var current head
-		if row.Key != headKey || row.Removed || cbor.Unmarshal(row.Value, &current) != nil {
+		err := cbor.Unmarshal(row.Value, &current)
+		f.service.isHeadInvalid.Store(err != nil)
+		if err != nil {
+			f.service.log.Error("configuration: the head cannot be decoded; the previous revision is not confirmed.", zap.String("error", err.Error()))
 			continue
 		}
 		f.service.latestKnown.Store(max(f.service.latestKnown.Load(), current.Revision))
@@ -163,7 +170,7 @@
 // from the store is in force.
 func (s *Service) IsConfirmed() bool {
 	age, found := s.storeAnswered.Age()
-	return found && age <= s.options.ConfirmBound && s.Current().Revision >= s.latestKnown.Load()
+	return found && !s.isHeadInvalid.Load() && age <= s.options.ConfirmBound && s.Current().Revision >= s.latestKnown.Load()
 }
 
 // HasStoreAnswered reports whether the store has answered the watch of the head at least once.
--- a/internal/configuration/stored/stored_test.go
+++ b/internal/configuration/stored/stored_test.go
@@ -132,6 +132,22 @@
 		Eventually(service.IsConfirmed).Should(BeTrue())
 	})
 
+	// Guards against work by a revision that counts as the newest one because the newer one is not understood.
+	It("is not confirmed while the head of the store cannot be decoded", func(ctx SpecContext) {
+		service := start(store)
+		Expect(service.Change(ctx, change("one", 0, "a"))).To(HaveField("Accepted", true))
+		Eventually(service.IsConfirmed).Should(BeTrue())
+		rows, err := store.Read(ctx, state.Range{Table: stored.HeadKey.Table})
+		Expect(err).NotTo(HaveOccurred())
+		feeds := store.CallCount("feed")
+		Eventually(func() int { return store.CallCount("feed") }).Should(BeNumerically(">", feeds+1), "revision 1 has been fetched")
+		store.Write(state.Put{Key: stored.HeadKey, Value: []byte("not a head")})
+		Eventually(service.IsConfirmed).Should(BeFalse())
+		Consistently(service.IsConfirmed, 2*confirmBound).Should(BeFalse())
+		store.Write(state.Put{Key: stored.HeadKey, Value: rows.Rows[0].Value})
+		Eventually(service.IsConfirmed).Should(BeTrue())
+	})
+
 	DescribeTable("accepts one of several concurrent changes of one revision", func(ctx SpecContext, seed int) {
 		services := []*stored.Service{start(store), start(store), start(store)}
 		calls := 0
