--- a/internal/server/configuration_denial_test.go
+++ b/internal/server/configuration_denial_test.go
@@ -26,15 +26,6 @@
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
-// timeBounds are a deployment's bounds on the configuration.
-type timeBounds struct {
-	contact time.Duration // after it can reach the store again, a daemon must be up to date
-	apply   time.Duration // after it is acknowledged, a change must be in force
-}
-
-// allTimeBounds are the bounds of the deployments.
-var allTimeBounds = []timeBounds{{contact: 3 * time.Second, apply: 2 * time.Second}, {contact: 4 * time.Second, apply: 3 * time.Second}}
-
 // revisionSchema decodes configurations whose row is their revision. They have no routes.
 type revisionSchema struct{ StoreSchema }
 
--- a/internal/server/configuration_model_test.go
+++ b/internal/server/configuration_model_test.go
@@ -16,11 +16,14 @@
 	"github.com/thymeloft/thymeloft/internal/watch"
 )
 
-// Bounds on the configuration in these tests.
-const (
-	testContact = 4 * time.Second // after it can reach the store again, a daemon must be up to date
-	testApply   = 3 * time.Second // after it is acknowledged, a change must be in force
-)
+// timeBounds are a deployment's bounds on the configuration.
+type timeBounds struct {
+	contact time.Duration // after it can reach the store again, a daemon must be up to date
+	apply   time.Duration // after it is acknowledged, a change must be in force
+}
+
+// allTimeBounds are the bounds of the deployments.
+var allTimeBounds = []timeBounds{{contact: 3 * time.Second, apply: 2 * time.Second}, {contact: 4 * time.Second, apply: 3 * time.Second}}
 
 var configurationKey = state.Key{Table: "op", Name: "config"}
 
@@ -106,9 +109,9 @@
 
 // runConfigurationWatch follows the configuration over the two routes for the given time, while
 // other reads go on, and writes a new revision at each interval.
-func runConfigurationWatch(memory *memorystore.Store, direct, relay state.Store, duration, interval time.Duration) (applied *appliedRows, written []time.Time) {
+func runConfigurationWatch(bounds timeBounds, memory *memorystore.Store, direct, relay state.Store, duration, interval time.Duration) (applied *appliedRows, written []time.Time) {
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &Server{Options: Options{Settings: Settings{ContactMillis: float64(testContact.Milliseconds())}, Log: zap.NewNop()}}
+	server := &Server{Options: Options{Settings: Settings{ContactMillis: float64(bounds.contact.Milliseconds())}, Log: zap.NewNop()}}
 	client := state.NewClient(state.ClientOptions{
 		Store: direct, Alternative: relay, Probe: state.KeyRange(configurationKey),
 		Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {}),
@@ -130,7 +133,7 @@
 		written = append(written, time.Now())
 		time.Sleep(interval)
 	}
-	time.Sleep(3 * testContact)
+	time.Sleep(3 * bounds.contact)
 	cancel()
 	running.Wait()
 	synctest.Wait()
--- a/internal/server/configuration_random_test.go
+++ b/internal/server/configuration_random_test.go
@@ -39,14 +39,14 @@
 	return periods
 }
 
-// dueTime returns when a change that was written at the given time must be in force: after
-// testApply, or once no direct call has failed for testContact.
-func dueTime(written time.Time, direct ...faultPeriods) time.Time {
-	due := written.Add(testApply)
+// dueTime returns when a change that was written at the given time must be in force: after the time
+// to apply it, or once no direct call has failed for the contact time.
+func (b timeBounds) dueTime(written time.Time, direct ...faultPeriods) time.Time {
+	due := written.Add(b.apply)
 	periods := slices.Concat(direct...)
 	slices.SortFunc(periods, func(a, b faultPeriod) int { return a.from.Compare(b.from) })
 	for _, period := range periods {
-		if contact := period.to.Add(testContact); period.from.Before(due) && contact.After(due) {
+		if contact := period.to.Add(b.contact); period.from.Before(due) && contact.After(due) {
 			due = contact
 		}
 	}
@@ -57,12 +57,14 @@
 // whatever the routes to the store did before, as long as the direct one works again.
 func TestConfigurationInForceUnderRandomFaults(t *testing.T) {
 	const seeds = 100
-	for seed := uint64(1); seed <= seeds; seed++ {
-		synctest.Test(t, func(t *testing.T) { checkUnderRandomFaults(t, seed) })
+	for _, bounds := range allTimeBounds {
+		for seed := uint64(1); seed <= seeds; seed++ {
+			synctest.Test(t, func(t *testing.T) { checkUnderRandomFaults(t, bounds, seed) })
+		}
 	}
 }
 
-func checkUnderRandomFaults(t *testing.T, seed uint64) {
+func checkUnderRandomFaults(t *testing.T, bounds timeBounds, seed uint64) {
 	const (
 		duration     = 30 * time.Second
 		longestFault = 6 * time.Second
@@ -75,7 +77,7 @@
 	memory := memorystore.New()
 	direct := &storeRoute{Store: memory, answerTimeout: time.Second, isSilent: silent.active, isDown: down.active}
 	relay := &storeRoute{Store: memory, answerTimeout: 900 * time.Millisecond, isDown: never, isSilent: relaySilent.active}
-	applied, written := runConfigurationWatch(memory, direct, relay, duration, interval)
-	due := func(written time.Time) time.Time { return dueTime(written, down, silent) }
-	applied.expectInForce(NewWithT(t), written, due, fmt.Sprintf("seed %d", seed))
+	applied, written := runConfigurationWatch(bounds, memory, direct, relay, duration, interval)
+	due := func(written time.Time) time.Time { return bounds.dueTime(written, down, silent) }
+	applied.expectInForce(NewWithT(t), written, due, fmt.Sprintf("bounds %v, seed %d", bounds, seed))
 }
