Soak: compactions with readings that are behind, and denials at any time

The soak played lost histories, but its readings were never behind, and it checked denials in calm times alone. Now a compaction changes the configuration, forgets the history and restarts a gateway while readings are behind, in a stream of random numbers of its own, so the faults of a seed stay what they were.

--- a/internal/lab/memorystore/memorystore.go
+++ b/internal/lab/memorystore/memorystore.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -61,7 +62,9 @@
 	faultFunc        FaultFunc
 	lateCommits      []state.Commit
 	calls            map[string]int
-	fixedPage        *state.Page // returned by every read if not nil
+	fixedPage        *state.Page             // returned by every read if not nil
+	heldRows         map[state.Key]state.Row // what reads return if not nil
+	heldVersion      state.Version           // version of heldRows
 }
 
 // New returns an empty store.
@@ -126,6 +129,21 @@
 	s.fixedPage = page
 }
 
+// HoldReads makes reads return the rows as they are now, until ReleaseReads is called. Commits and
+// feeds are not affected.
+func (s *Store) HoldReads() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.heldRows, s.heldVersion = maps.Clone(s.rows), s.version
+}
+
+// ReleaseReads ends the effect of HoldReads.
+func (s *Store) ReleaseReads() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.heldRows = nil
+}
+
 // notifyFeeds wakes the waiting feeds. The caller must hold s.mutex.
 func (s *Store) notifyFeeds() {
 	close(s.changed)
@@ -218,8 +236,12 @@
 	if s.fixedPage != nil {
 		return *s.fixedPage, nil
 	}
-	page := state.Page{Version: s.version}
-	for key, row := range s.rows {
+	rows, version := s.rows, s.version
+	if s.heldRows != nil {
+		rows, version = s.heldRows, s.heldVersion
+	}
+	page := state.Page{Version: version}
+	for key, row := range rows {
 		if key.Table == selected.Table && key.Partition == selected.Partition && key.Name >= selected.From && (selected.To == "" || key.Name < selected.To) {
 			page.Rows = append(page.Rows, row)
 		}
--- a/internal/lab/soak/additions.go
+++ b/internal/lab/soak/additions.go
@@ -92,7 +92,7 @@
 			others++
 		}
 	}
-	denied := a.status == http.StatusNotFound || a.status == http.StatusUnauthorized
+	denied := a.isDenied()
 	executed := len(e.executions[a.id]) > 0
 	switch {
 	case denied && others == 0:
@@ -104,6 +104,27 @@
 	}
 }
 
+// isDenied reports whether the configuration was the reason for the answer.
+func (a *attempt) isDenied() bool {
+	return a.status == http.StatusNotFound || a.status == http.StatusUnauthorized
+}
+
+// checkDenialAge checks that no request is denied by a configuration that had been replaced for more
+// than configurationBound when the request was sent, whatever faults are active.
+func (e *evidence) checkDenialAge(a *attempt) []string {
+	if a.kind != kindAdded || !a.isDenied() || a.toPreviousBuild {
+		return nil
+	}
+	oldest := a.sent.Add(-configurationBound)
+	for index, each := range e.configurations {
+		replaced := index+1 < len(e.configurations) && e.configurations[index+1].acknowledged.Before(oldest)
+		if !replaced && !each.sent.After(a.ended) && !a.addition.isIn(index) {
+			return nil
+		}
+	}
+	return []string{fmt.Sprintf("configuration: %s got status %d at g%d, although every configuration of the last %s contains %+v", a.id, a.status, a.gateway, configurationBound, a.addition)}
+}
+
 // checkDenial checks that no request gets status 401 whose key all configurations contain.
 func checkDenial(a *attempt) []string {
 	if a.kind != kindAdded && a.status == http.StatusUnauthorized {
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -229,6 +229,7 @@
 
 func (c *caller) exchange(ctx context.Context, a *attempt) error {
 	gateway := c.run.gateways[a.gateway]
+	a.toPreviousBuild = gateway.isPreviousBuild.Load()
 	method, body := http.MethodPost, io.Reader(strings.NewReader(a.input))
 	if a.kind == kindRecorded && a.previous == "" {
 		body = strings.NewReader(a.prompt)
--- a/internal/lab/soak/checks.go
+++ b/internal/lab/soak/checks.go
@@ -22,6 +22,7 @@
 			findings = append(findings, e.checkAddition(a)...)
 		}
 		findings = append(findings, checkDenial(a)...)
+		findings = append(findings, e.checkDenialAge(a)...)
 	}
 	for id, executions := range e.executions {
 		findings = append(findings, checkRequested(id, executions, known[id])...)
--- a/internal/lab/soak/checks_test.go
+++ b/internal/lab/soak/checks_test.go
@@ -113,6 +113,11 @@
 		all["r6"].status, all["r6"].hasStamp, all["r6"].addition.isKey = 401, false, true
 		delete(e.executions, "r6")
 	}, "configuration:"),
+	Entry("a route denied by a configuration that was replaced long before, while a fault is active", func(e *evidence, all map[string]*attempt) {
+		e.calm.beginFault()
+		all["r6"].status, all["r6"].hasStamp = 404, false
+		delete(e.executions, "r6")
+	}, "configuration: r6 got status 404"),
 	Entry("a route served that is not in force any more", func(e *evidence, _ map[string]*attempt) {
 		for range additionLifetime {
 			e.configurations = append(e.configurations, configured(serviceOther, time.Now().Add(-20*time.Minute)))
--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -31,8 +31,10 @@
 	input     string
 	prompt    string // body that the instance must receive
 	gateway   int
-	sent      time.Time
-	ended     time.Time
+	// toPreviousBuild means that a process of the previous build may have answered the request.
+	toPreviousBuild bool
+	sent            time.Time
+	ended           time.Time
 
 	status     int  // HTTP status; 0: no response
 	hasStamp   bool // the response has the Server-Stamp header, which only instances set
--- a/internal/lab/soak/gateway.go
+++ b/internal/lab/soak/gateway.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,11 +30,12 @@
 	fromPeers    *faultproxy.Link // other gateways connect to it through this link
 	fromCallers  *faultproxy.Link
 
-	mutex        sync.Mutex
-	binary       string // path to the binary of the next process
-	command      *exec.Cmd
-	exited       chan struct{}
-	exitExpected bool // the soak sent the process a signal to end
+	mutex           sync.Mutex
+	binary          string      // path to the binary of the next process
+	isPreviousBuild atomic.Bool // a process of the previous build may be running
+	command         *exec.Cmd
+	exited          chan struct{}
+	exitExpected    bool // the soak sent the process a signal to end
 }
 
 // Ports of a gateway. Each gateway has a loopback address of its own.
@@ -58,6 +60,7 @@
 	g := &gateway{name: fmt.Sprintf("g%d", index), run: r, binary: r.options.GatewayBinary}
 	if r.options.PreviousBinary != "" {
 		g.binary = r.options.PreviousBinary
+		g.isPreviousBuild.Store(true)
 	}
 	g.settingsPath = filepath.Join(r.options.Directory, g.name+".yaml")
 	for _, entry := range []struct {
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -166,6 +166,7 @@
 	seriesStream
 	upgradeStream
 	probeStream
+	compactionStream
 )
 
 // newStream returns a stream of random numbers of a seed.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -65,7 +65,7 @@
 	gateways  []*gateway
 	calm      *calmTracker
 
-	// disruptions is read-locked by series and upgrades, and locked by calm rounds.
+	// disruptions is read-locked by series, compactions and upgrades, and locked by calm rounds.
 	disruptions sync.RWMutex
 
 	mutex  sync.Mutex
@@ -162,6 +162,7 @@
 	r.sleep(ctx, firstStartDuration)
 	var background sync.WaitGroup
 	background.Go(func() { r.runSeries(callersCtx, newStream(r.options.Seed, seriesStream)) })
+	background.Go(func() { r.runCompactions(callersCtx, newStream(r.options.Seed, compactionStream)) })
 	if r.options.PreviousBinary != "" {
 		background.Go(func() { r.upgradeGateways(callersCtx, newStream(r.options.Seed, upgradeStream)) })
 	}
--- a/internal/lab/soak/upgrade.go
+++ b/internal/lab/soak/upgrade.go
@@ -32,4 +32,5 @@
 		chosen.stop()
 	}
 	r.startTargetsAndWait(fault{targets: []int{index}})
+	chosen.isPreviousBuild.Store(false)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,7 +35,7 @@
 })
 
 // previousCommit is the landing before this one, from which fleets are upgraded.
-const previousCommit = "7516b784d1de7200233ad9678cd059129ab0bf45"
+const previousCommit = "59fd8c3ae943fd969f301094710272129a573139"
 
 // buildPrevious builds the gateway of previousCommit from the repository's history and returns the
 // path of the binary. In a shallow clone, which lacks that history, it returns the present gateway.
