Stored configuration: the latest known revision never falls

What callers of thymeloftd could see: work by an older revision that counts as confirmed. Cause: the follower and a change of the configuration raise the latest known revision at the same time, each by a load and a store, so the lower one could win. The daemon then confirmed a revision though it had heard of a later one.

--- a/internal/configuration/stored/change.go
+++ b/internal/configuration/stored/change.go
@@ -81,7 +81,7 @@
 	if err := s.write(ctx, row, machine); err != nil {
 		return configuration.ChangeResult{}, err
 	}
-	s.latestKnown.Store(max(s.latestKnown.Load(), machine.Current().Revision))
+	s.raiseLatestKnown(machine.Current().Revision)
 	s.install(machine)
 	return *result, nil
 }
--- a/internal/configuration/stored/stored.go
+++ b/internal/configuration/stored/stored.go
@@ -110,11 +110,21 @@
 			f.service.log.Error("configuration: the head cannot be decoded; the previous revision is not confirmed.", zap.String("error", err.Error()))
 			continue
 		}
-		f.service.latestKnown.Store(max(f.service.latestKnown.Load(), current.Revision))
+		f.service.raiseLatestKnown(current.Revision)
 		f.service.fetch(f.ctx)
 	}
 }
 
+// raiseLatestKnown records that the store has the revision. latestKnown never falls.
+func (s *Service) raiseLatestKnown(revision uint64) {
+	for {
+		known := s.latestKnown.Load()
+		if known >= revision || s.latestKnown.CompareAndSwap(known, revision) {
+			return
+		}
+	}
+}
+
 // fetch reads the state from the store until the latest known revision is in force or
 // the context ends.
 func (s *Service) fetch(ctx context.Context) {
--- a/internal/configuration/stored/stored_test.go
+++ b/internal/configuration/stored/stored_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,6 +149,28 @@
 		Eventually(service.IsConfirmed).Should(BeTrue())
 	})
 
+	// Guards against an older revision that counts as the latest one after a concurrent change.
+	It("never forgets the latest revision that it knows of", func() {
+		service, err := stored.New(stored.Options{Store: state.NewClient(state.ClientOptions{Store: store}), MaxRowBytes: 200, ConfirmBound: confirmBound})
+		Expect(err).NotTo(HaveOccurred())
+		const writers, revisions = 8, 1_000_000
+		var running sync.WaitGroup
+		var forgotten atomic.Int64
+		for writer := range uint64(writers) {
+			running.Go(func() {
+				for step := range uint64(revisions) {
+					revision := step*writers + writer
+					stored.RaiseLatestKnown(service, revision)
+					if stored.LatestKnown(service) < revision {
+						forgotten.Add(1)
+					}
+				}
+			})
+		}
+		running.Wait()
+		Expect(forgotten.Load()).To(BeZero())
+	})
+
 	DescribeTable("accepts one of several concurrent changes of one revision", func(ctx SpecContext, seed int) {
 		services := []*stored.Service{start(store), start(store), start(store)}
 		calls := 0
