--- a/internal/server/configuration_model_test.go
+++ b/internal/server/configuration_model_test.go
@@ -23,7 +23,11 @@
 }
 
 // allTimeBounds are the bounds of the deployments.
-var allTimeBounds = []timeBounds{{contact: 3 * time.Second, apply: 2 * time.Second}, {contact: 4 * time.Second, apply: 3 * time.Second}}
+var allTimeBounds = []timeBounds{
+	{contact: 3 * time.Second, apply: 2 * time.Second},
+	{contact: 4 * time.Second, apply: 3 * time.Second},
+	{contact: 5 * time.Second, apply: 4 * time.Second},
+}
 
 var configurationKey = state.Key{Table: "op", Name: "config"}
 
