--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -33,8 +33,8 @@
 }
 
 // denyByConfiguration returns the denial of what the configuration does not contain. If the
-// configuration is older than MaxConfigurationAge, or not confirmed, a newer one may contain it, so the result is a
-// refusal with status 503 and the given reason instead, and the caller retries.
+// configuration is older than MaxConfigurationAge, or not confirmed, a newer one may contain it, so
+// the result is a refusal with status 503 and the given reason instead, and the caller retries.
 func (e *execution) denyByConfiguration(denial *Refusal, uncertain Reason) error {
 	switch {
 	case !e.isTableConfirmed:
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -61,8 +61,9 @@
 	follower Follower
 	version  state.Version
 	hasRead  bool // the table was read since the start or since the history was lost
-
-	confirmed time.Time // the ConfirmationTime of the last feed answer; zero if there was none since the last reading
+	// confirmed is the ConfirmationTime of the last feed answer; zero if there was none since the
+	// last reading.
+	confirmed time.Time
 
 	lastRead   time.Time // when the table was last read; zero before the first reading
 	lastAnswer time.Time // when the last successful step ended, or Run started
@@ -105,12 +106,13 @@
 	if err != nil {
 		return err
 	}
+	received := time.Now()
 	w.version = max(w.version, result.Version)
 	hasChanges := len(result.Rows) > 0
 	if hasChanges {
 		w.follower.Apply(result.Rows)
 	}
-	w.confirm(asked, wait, hasChanges)
+	w.confirm(asked, received, wait, hasChanges)
 	if !hasChanges {
 		return nil
 	}
@@ -119,8 +121,7 @@
 }
 
 // confirm records the ConfirmationTime of an answer that the follower has applied.
-func (w *watcher) confirm(asked time.Time, wait time.Duration, hasChanges bool) {
-	received := time.Now()
+func (w *watcher) confirm(asked, received time.Time, wait time.Duration, hasChanges bool) {
 	w.confirmed = ConfirmationTime(asked, received, wait, hasChanges)
 	w.OnAnswer(w.confirmed)
 	if took := received.Sub(asked); took > wait+MaxAnswerDelay {
