--- a/internal/server/configuration_denial_test.go
+++ b/internal/server/configuration_denial_test.go
@@ -149,11 +149,12 @@
 // the daemon had undisturbed contact.
 func TestNoDenialByReplacedConfiguration(t *testing.T) {
 	const seeds = 25
-	answering := gateway.New(gateway.Options{}) // has a goroutine, so it can't be part of a play
+	// The gateway has a goroutine that never ends, which synctest does not allow inside a play.
+	sharedGateway := gateway.New(gateway.Options{})
 	for _, bounds := range allTimeBounds {
 		for seed := uint64(1); seed <= seeds; seed++ {
 			t.Run(fmt.Sprintf("contact %s seed %d", bounds.contact, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { checkDenials(t, answering, bounds, seed) })
+				synctest.Test(t, func(t *testing.T) { checkDenials(t, sharedGateway, bounds, seed) })
 			})
 		}
 	}
@@ -164,9 +165,9 @@
 	bounds        timeBounds
 	store         *laggingStore
 	direct, relay *storeRoute
-	disturbances  faultPeriods // times in which something fails, or readings are behind
-	compactions   faultPeriods
-	restarts      []time.Time
+	disturbances  faultPeriods  // times in which something fails, or readings are behind
+	compactions   faultPeriods  // times in which readings are behind
+	restarts      []time.Time   // when the process is started anew, in this order
 	interval      time.Duration // between two revisions
 	gateway       *gateway.Gateway
 	process       *modelProcess
@@ -224,40 +225,51 @@
 	return true
 }
 
-// forgetHistory makes the store forget its history at the start of each compaction.
-func (p *denialPlay) forgetHistory(duration time.Duration) {
+// scheduleLostHistories makes the store forget its history at the start and in the middle of each
+// compaction.
+func (p *denialPlay) scheduleLostHistories() {
 	for _, period := range p.compactions {
-		time.AfterFunc(time.Until(period.from), p.store.ForgetHistory)
-		time.AfterFunc(time.Until(period.from)+min(period.to.Sub(period.from), duration)/2, p.store.ForgetHistory)
+		untilStart, length := time.Until(period.from), period.to.Sub(period.from)
+		time.AfterFunc(untilStart, p.store.ForgetHistory)
+		time.AfterFunc(untilStart+length/2, p.store.ForgetHistory)
 	}
 }
 
-func checkDenials(t *testing.T, answering *gateway.Gateway, bounds timeBounds, seed uint64) {
+// writeRevisions writes a revision at each interval until ctx is done.
+func (p *denialPlay) writeRevisions(ctx context.Context) {
+	for {
+		p.store.write()
+		if !pause.Sleep(ctx, p.interval) {
+			return
+		}
+	}
+}
+
+// restartWhenDue starts the process anew if the time of the next restart has come.
+func (p *denialPlay) restartWhenDue() {
+	if len(p.restarts) > 0 && !time.Now().Before(p.restarts[0]) {
+		p.restarts = p.restarts[1:]
+		p.start()
+	}
+}
+
+// checkDenials runs the play of a seed.
+func checkDenials(t *testing.T, sharedGateway *gateway.Gateway, bounds timeBounds, seed uint64) {
 	const (
 		duration        = 30 * time.Second
 		requestInterval = 20 * time.Millisecond
 	)
 	g := NewWithT(t)
 	play := newDenialPlay(bounds, rand.New(rand.NewPCG(seed, 1)), duration)
-	play.gateway = answering
-	play.forgetHistory(duration)
+	play.gateway = sharedGateway
+	play.scheduleLostHistories()
 	writing, stopWriting := context.WithCancel(context.Background())
 	t.Cleanup(func() { stopWriting(); play.process.stop(); synctest.Wait() })
-	go func() {
-		for {
-			play.store.write()
-			if !pause.Sleep(writing, play.interval) {
-				return
-			}
-		}
-	}()
+	go play.writeRevisions(writing)
 	play.start()
 	begin := time.Now()
 	for time.Since(begin) < duration+bounds.contact+bounds.apply {
-		if len(play.restarts) > 0 && !time.Now().Before(play.restarts[0]) {
-			play.restarts = play.restarts[1:]
-			play.start()
-		}
+		play.restartWhenDue()
 		status, revision := play.process.request()
 		due := play.store.newestAt(time.Now().Add(-bounds.apply))
 		description := fmt.Sprintf("bounds %v, seed %d, %s after the begin: status %d by revision %d, due %d", bounds, seed, time.Since(begin), status, revision, due)
