--- a/internal/lab/soak/compaction.go
+++ b/internal/lab/soak/compaction.go
@@ -30,7 +30,7 @@
 // compact makes the readings of the store fall behind for a time. Meanwhile the configuration changes,
 // the store forgets the history of each change, and a gateway is restarted.
 func (r *soakRun) compact(ctx context.Context, random *rand.Rand) {
-	lag := time.Duration(random.Int64N(int64(maxReadLag)))
+	lag := time.Duration(random.Int64N(int64(maxReadLag))) // readings stay as they are for this long
 	target := random.IntN(len(r.gateways))
 	restarts := random.IntN(maxRestartsPerCompaction + 1)
 	r.logEvent("compaction with readings up to " + lag.String() + " behind and restarts of " + r.gateways[target].name)
--- a/internal/members/shard_owner.go
+++ b/internal/members/shard_owner.go
@@ -31,8 +31,8 @@
 	// maxOwnerListAge is how long a shard owner may use its list after the store last confirmed the
 	// list. It is long enough to bridge outages of the store.
 	maxOwnerListAge = 5 * time.Minute
-	// maxListDelay is the maximum age of the list's contents at the time when the store confirms
-	// the list. It is longer than the wait of a feed and watch.MaxAnswerDelay together.
+	// maxListDelay is a margin for the age that the list's contents may have at the
+	// watch.ConfirmationTime of the list. It allows for a store whose feeds are behind.
 	maxListDelay = time.Minute
 	// settlingDuration is the maximum time for which another member may use a list that doesn't
 	// show this member's claims.
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -209,7 +209,7 @@
 	return min(max(maxDelay-feedRecoveryTime, minConfigurationWait), maxConfigurationWait)
 }
 
-// maxConfigurationAge returns the longest time between two answers about the
+// maxConfigurationAge returns the longest time between two confirmations of the
 // configuration while the store can be reached. A configuration that is older may
 // have been replaced, with its replacement already due.
 func (s *Settings) maxConfigurationAge() time.Duration {
