Request log: what a request continues, and the engine's software version

The line of a request did not say that it took up a stream, which attempt it named as the origin, after which event it went on, or which software version the engine has, so the hypotheses of the incident could not be told apart. platform/ now reads the origin's header and the version of an engine's row; both are logged (resumeFrom, origin, engineVersion), and nothing is decided by them yet.

--- a/internal/backend/instance.go
+++ b/internal/backend/instance.go
@@ -19,7 +19,10 @@
 	Zone     string
 	Slots    int // requests that the instance processes at a time; 0 if not declared
 	Draining bool
-	Gone     bool
+	// SoftwareVersion is the version of the software that the instance runs; empty if it is not
+	// declared. Versions are either equal or not; they have no order.
+	SoftwareVersion string
+	Gone            bool
 	// Born is the start time in unix milliseconds; 0 if not declared. The same ID with another
 	// Born is another instance.
 	Born    int64
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -21,7 +21,8 @@
 	Key             *tenant.Digest       // digest of the caller's key; nil if there is no readable key
 	Program         string               // identifier of the program; empty if there is none
 	Previous        string               // identifier of the turn that this one continues; empty if it starts a conversation
-	ResumeFrom      string               // ID of the last stream event that the caller received
+	ResumeFrom      string               // ID of the last stream event that the caller received; empty if the stream starts from its beginning
+	Origin          string               // ID of the caller's attempt that brought the first event of the stream; empty if the caller does not name it
 	Deadline        time.Duration        // time left for the request; 0: not given
 	ProgramDeadline time.Duration        // time left for the program; 0: not given
 	Budget          int64                // tokens that the whole program may generate; 0: unlimited
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -20,6 +20,7 @@
 	}
 	fields = e.addProgramFields(fields)
 	fields = e.addQuotaFields(fields)
+	fields = e.addResumptionFields(fields)
 	fields = e.addEngineFields(fields)
 	fields = e.addConfigurationFields(fields)
 	fields = e.addProgressFields(fields)
@@ -78,7 +79,7 @@
 // addEngineFields adds the engine that was tried last and its known state at that time.
 func (e *execution) addEngineFields(fields []zap.Field) []zap.Field {
 	if e.instance != nil {
-		fields = append(fields, zap.String("engine", e.instance.ID), zap.Duration("firstByte", e.timeToFirstByte), zap.Int("engineLoad", e.placement.load))
+		fields = append(fields, zap.String("engine", e.instance.ID), zap.String("engineVersion", e.instance.SoftwareVersion), zap.Duration("firstByte", e.timeToFirstByte), zap.Int("engineLoad", e.placement.load))
 	}
 	if e.placement.missingTokens > 0 {
 		fields = append(fields, zap.Int("toRead", e.placement.missingTokens))
@@ -86,6 +87,15 @@
 	return fields
 }
 
+// addResumptionFields adds, for a request that continues a stream, the last event that the caller
+// has and the attempt that brought the first one.
+func (e *execution) addResumptionFields(fields []zap.Field) []zap.Field {
+	if e.call.ResumeFrom == "" {
+		return fields
+	}
+	return append(fields, zap.String("resumeFrom", e.call.ResumeFrom), zap.String("origin", e.call.Origin))
+}
+
 // addConfigurationFields adds the revision of the configuration that was used, and the ages that
 // the configuration and the list of engines had when the request was decided.
 func (e *execution) addConfigurationFields(fields []zap.Field) []zap.Field {
