Load: the last contact with other groups does not move with a reply's delay

The age was true when the aggregator answered, so a reply that takes d moved the last contact d too late; between two replies of one silence it moved by the difference of their delays. For the daemon it meant that a cut was noticed late by as much.

Change: the age counts from when the aggregator was asked, so the time is never later than the true one; it never falls; and a reply tells which contact it means, so that the time stays the same while there is no new one. The number is new in the message: older builds ignore it and send none, which counts as unknown.

Checks: the old spec stands as it was but for the new arguments of recordOutside; the board's spec expects the number too.

--- a/internal/load/board.go
+++ b/internal/load/board.go
@@ -65,7 +65,7 @@
 	if b.lastOutsideContact.IsZero() {
 		return OutsideContact{}
 	}
-	return OutsideContact{Heard: true, Lasted: now.Sub(b.lastOutsideContact)}
+	return OutsideContact{Heard: true, Lasted: now.Sub(b.lastOutsideContact), Contact: b.lastOutsideContact.UnixNano()}
 }
 
 // recordOutsideContact records that an aggregator of another group has just answered.
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/peer"
@@ -127,6 +128,7 @@
 	}
 	index := xxhash.Sum64String(string(e.List.Self().Machine)) % uint64(len(aggregators))
 	chosen := aggregators[index]
+	asked := time.Now()
 	var reply ReportReply
 	report := ReportRequest{Member: string(e.List.Self().Machine), Told: e.localStats()}
 	if err := e.sendReport(ctx, chosen, report, &reply); err != nil {
@@ -149,7 +151,7 @@
 	}
 	e.Fleet.UpdateCounts(all.underWay, own.underWay)
 	e.Fleet.UpdateWork(all.speeds, own.speeds)
-	e.recordOutside(reply.Outside)
+	e.recordOutside(chosen, asked, reply.Outside)
 	e.metrics.countReport(resultReceived)
 	e.List.RecordAnswer(chosen)
 	e.recordAggregator(chosen)
@@ -236,22 +238,28 @@
 
 // outsideContact is the last known contact with other groups, taken from a reply.
 type outsideContact struct {
-	reachedAt  time.Time // when another group was last reached; zero if not known
-	reportedAt time.Time // when the reply arrived
+	reachedAt  time.Time        // when another group was last reached, or earlier; zero if not known
+	reportedAt time.Time        // when the reply arrived
+	aggregator identity.Process // the aggregator that replied
+	contact    int64            // OutsideContact.Contact of the reply
 }
 
-// recordOutside records when the aggregator last reached another group. If the aggregator doesn't
-// know, for example because it started recently, the previous time is retained.
-func (e *Exchange) recordOutside(outside OutsideContact) {
-	now := time.Now()
-	contact := outsideContact{reportedAt: now}
-	if previous := e.lastOutside.Load(); previous != nil {
-		contact.reachedAt = previous.reachedAt
+// recordOutside records when the aggregator, asked at the given time, last reached another group.
+// The age that it tells was true at some time after it was asked, so the recorded time is never
+// later than the true one. It stays the same while the aggregator tells of the same contact. If the
+// aggregator doesn't know, for example because it started recently, the previous time is retained.
+func (e *Exchange) recordOutside(aggregator members.Member, asked time.Time, outside OutsideContact) {
+	next := outsideContact{reportedAt: time.Now(), aggregator: aggregator.Process, contact: outside.Contact}
+	previous := e.lastOutside.Load()
+	if previous == nil {
+		previous = &outsideContact{}
 	}
-	if outside.Heard {
-		contact.reachedAt = now.Add(-outside.Lasted)
+	next.reachedAt = previous.reachedAt
+	isSame := outside.Contact != 0 && outside.Contact == previous.contact && aggregator.Process == previous.aggregator
+	if told := asked.Add(-outside.Lasted); outside.Heard && !isSame && told.After(next.reachedAt) {
+		next.reachedAt = told
 	}
-	e.lastOutside.Store(&contact)
+	e.lastOutside.Store(&next)
 }
 
 // LastOutsideContact returns when this daemon's group last reached a daemon of another group. known
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -93,6 +93,9 @@
 	// Lasted has no meaning then.
 	Heard  bool
 	Lasted time.Duration
+	// Contact identifies the contact: two replies of an aggregator with the same number tell of the
+	// same one. It is 0 if the aggregator does not number its contacts.
+	Contact int64
 }
 
 // Share holds the sums over the reports to one aggregator, which it sends to the other aggregators.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -120,9 +120,10 @@
 
 	It("returns the time since the last contact with another group, once there was one", func() {
 		Expect(report("a", Counts{}).Outside.Heard).To(BeFalse())
+		contacted := now
 		board.recordOutsideContact()
 		now = now.Add(time.Second)
-		Expect(report("a", Counts{}).Outside).To(Equal(OutsideContact{Heard: true, Lasted: time.Second}))
+		Expect(report("a", Counts{}).Outside).To(Equal(OutsideContact{Heard: true, Lasted: time.Second, Contact: contacted.UnixNano()}))
 		board.recordOutsideContact()
 		Expect(report("a", Counts{}).Outside.Lasted).To(BeZero())
 		board.clearOutsideContact()
@@ -348,7 +349,7 @@
 		awaitCounts(ctx, zone, last, 14)
 		afterRepeat, _ := last.LastOutsideContact()
 		Expect(afterRepeat).To(BeTemporally("~", afterCut, time.Millisecond), "the time of the last contact stays the same during a silence")
-		last.recordOutside(OutsideContact{})
+		last.recordOutside(members.Member{}, time.Now(), OutsideContact{})
 		afterRestart, known := last.LastOutsideContact()
 		Expect(known).To(BeTrue(), "a restarted aggregator doesn't clear the last contact")
 		Expect(afterRestart).To(Equal(afterRepeat))
