--- a/internal/lab/platformengine/platformengine.go
+++ b/internal/lab/platformengine/platformengine.go
@@ -49,6 +49,8 @@
 	ID      string
 	Service string
 	Zone    string
+	// Version is the version of the engine's software.
+	Version string
 	// Events are the data of the events that each run streams. If empty, the
 	// response is plain text.
 	Events []string
@@ -61,7 +63,7 @@
 
 // New starts an engine in zone "z". The caller must close it.
 func New(id, service string, events ...string) *Engine {
-	engine := &Engine{ID: id, Service: service, Zone: "z", Events: events}
+	engine := &Engine{ID: id, Service: service, Zone: "z", Version: "v1", Events: events}
 	engine.server = httptest.NewServer(engine)
 	return engine
 }
@@ -78,8 +80,8 @@
 // RowValue returns the JSON value of the row by which the engine announces
 // itself in the store, with the given state.
 func (e *Engine) RowValue(state string) []byte {
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":12,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
-		e.Service, e.Address(), e.Zone, state)
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":12,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
+		e.Service, e.Address(), e.Zone, e.Version, state)
 }
 
 // SetBehaviour sets the function that decides the behaviour for each request; with nil
@@ -184,7 +186,11 @@
 	e.setServerStamp(writer)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(writer)
+	received, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 if the stream starts from its beginning
 	for number, data := range e.Events {
+		if number < received {
+			continue
+		}
 		if behaviour.CutAfterEvents > 0 && number == behaviour.CutAfterEvents {
 			_, _ = io.WriteString(writer, "id: "+strconv.Itoa(number+1)+"\nda")
 			_ = controller.Flush()
--- a/internal/load/outside_test.go
+++ b/internal/load/outside_test.go
@@ -42,7 +42,7 @@
 
 	BeforeEach(func() {
 		view := fleetView(3, 15) // so many that each zone is a group
-		self := view.Members[1] // a small machine, which is no aggregator
+		self := view.Members[1]  // a small machine, which is no aggregator
 		list := members.NewList(self, time.Now, zap.NewNop())
 		for _, member := range view.Members {
 			row, err := acquaintance.Row(member)
