Engines: a new software version under a known ID makes a new instance

What callers could see: a stream placed by the version that the engine ran before. Cause: the fleet took a declaration with the same ID, start time, address and service for the known instance and kept its software version. The instance is now replaced, as after a restart under the same ID.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -38,7 +38,7 @@
 
 // Apply updates the fleet with a declaration and returns what changed. It ignores declarations
 // older than the known version of the instance. If an instance restarted under the same ID, or
-// its address or service changed, a new Instance replaces it and inherits no state.
+// its address, service or software version changed, a new Instance replaces it and inherits no state.
 func (f *Fleet) Apply(declaration Declaration) Event {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -51,7 +51,7 @@
 		return f.markLeaving(instance, declaration.Version, EventGone)
 	case declaration.Gone:
 		return EventNone
-	case known && declaration.Born != instance.Born:
+	case known && (declaration.Born != instance.Born || declaration.SoftwareVersion != instance.SoftwareVersion):
 		instance.pool.closeAll()
 		delete(f.byID, declaration.ID)
 	case known && declaration.Draining:
