Gateway: a stream goes on only at the service and software version that began it

Cause: a stream that is taken up was placed like a new one. No gateway read the origin that the caller names, none knew an engine's version, and nothing kept which version had begun a stream. The class: a request's past binds its future, and is known at one process or not at all.

Change, three cases: - known: the gateway that relays the first event records service and version and tells them to the homes of the stream, three daemons by rendezvous of its identifier (package origin). It waits for nothing, and the record never changes, since it is made after an engine's first bytes. A gateway that is asked to go on looks at itself, then asks the likely homes at once, 15 calls at most in four zones. The request is bound to that service and version. Engines of it that are full are waited for as before; if none is left, 503 at once. - not known, and one version alone can have served: it goes on. Package softwareversion keeps the versions of a service in a row of the store: added before engines of a version are preferred for such streams, removed 15 minutes after the last. "One alone" rests on a condition that the store checked and a feed of engines that it answered after the request came, never on the age of a list. - not known, and several may have served: 503 at once. Without Retry-After where trying again can't help, so that the caller starts anew; with one where the store can't be asked.

Ruled out for the records: rows in the store (4,000 and more writes a second at 390 gateways; the store takes 800), a question to all members (grows with them), engines' reports (an engine that is gone tells nothing). Batches by destination: a gateway of the target has 56 streams a second for 390 destinations, so they would hold one record each.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -100,8 +100,8 @@
 
 // chooseInstance returns the best instance whose ID is not in excluded. last is the error of
 // the previous attempt in this search, or nil. If no instance is available, chooseInstance
-// fails at once if last is set, and otherwise polls for one until maxPreparationWait is over. The
-// error is a *Refusal or an *AbortedError.
+// fails at once if last is set or the request is bound to a software version, and otherwise polls for
+// one until maxPreparationWait is over. The error is a *Refusal or an *AbortedError.
 func (e *execution) chooseInstance(ctx context.Context, excluded []string, last error) (*backend.Instance, error) {
 	request := &backend.PlacementRequest{
 		Prefix:             e.call.Prefix,
@@ -121,13 +121,16 @@
 			return nil, e.endedError(eris.New("no time left to run"))
 		}
 		request.Now = time.Now()
-		if instance := backend.Choose(e.gateway.Fleet.Instances(e.service.Name), request); instance != nil {
+		if instance := backend.Choose(e.candidates(request), request); instance != nil {
 			e.placement = placement{load: instance.Load(request.Now), missingTokens: backend.MissingTokens(instance, request), slots: backend.SlotsOf(instance, request)}
 			return instance, nil
 		}
 		if last != nil {
 			return nil, e.exhaustedError(last)
 		}
+		if e.boundVersion != nil {
+			return nil, e.noInstanceOfVersion()
+		}
 		if time.Since(e.arrived) > e.maxPreparationWait() || !pause.Sleep(ctx, instancePollInterval) {
 			return nil, notRunRefusal(ReasonNoEngine, storeRetryAfter, eris.Errorf("no instance of %s", e.service.Name))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,9 @@
 	Turns       *turn.Repository
 	Budgets     Budgets
 	Quotas      *quota.Limiter
+	// Origins and SoftwareVersions determine which instances may continue a stream.
+	Origins          Origins
+	SoftwareVersions SoftwareVersions
 	// Admission limits the number of programs that run at the same time; nil means no limit.
 	Admission    *admission.Controller
 	Availability *state.Availability
--- /dev/null
+++ b/internal/gateway/resumption.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/origin"
+	"github.com/thymeloft/thymeloft/internal/softwareversion"
+)
+
+// Origins knows which service and software version began a stream.
+type Origins interface {
+	// Record records the origin of a stream, which may be continued for the given time. It does not
+	// wait for other daemons.
+	Record(stream origin.Stream, origin origin.Origin, keep time.Duration)
+	// Find returns the origin of a stream, or false if it is not known.
+	Find(ctx context.Context, stream origin.Stream) (origin.Origin, bool)
+}
+
+// SoftwareVersions knows which software versions the engines of a service may have run.
+type SoftwareVersions interface {
+	// IsRecorded reports whether the version is recorded, so that all daemons take it into account.
+	IsRecorded(service, version string) bool
+	// Only returns the one version at which streams of the service that are not older than age can
+	// have begun. The error is softwareversion.ErrSeveral or wraps softwareversion.ErrUncertain.
+	Only(ctx context.Context, service string, age time.Duration) (string, error)
+}
+
+// maxConfirmedInstancesAge is the maximum age of the list of instances for concluding from it that no
+// instance of a version is left. It exceeds the time between two confirmations.
+const maxConfirmedInstancesAge = 2500 * time.Millisecond
+
+// attemptsPerStream is the number of times the route's timeout for which a stream may be continued. A
+// stream whose first attempt lasts until the timeout can still be continued once.
+const attemptsPerStream = 2
+
+// isResumption reports whether the request continues a stream that may be continued at another
+// instance.
+func (e *execution) isResumption() bool { return e.route.Resumable && e.call.ResumeFrom != "" }
+
+// bindToOrigin determines the service and the software version that began the stream which the request
+// continues, and binds the request to them. It refuses the request if they are not known for sure. It
+// does nothing if the request starts a stream. The error is a *Refusal.
+func (e *execution) bindToOrigin(ctx context.Context) error {
+	if !e.isResumption() {
+		return nil
+	}
+	if e.call.Origin != "" {
+		if found, isKnown := e.gateway.Origins.Find(ctx, e.originStream()); isKnown {
+			return e.bind(found)
+		}
+	}
+	return e.bindToOnlyOrigin(ctx)
+}
+
+// originStream returns the identity of the stream that the request continues.
+func (e *execution) originStream() origin.Stream {
+	return origin.StreamOf(e.tenantScoped(e.call.Origin))
+}
+
+// bind binds the request to the origin, unless the route no longer leads to the origin's service.
+func (e *execution) bind(found origin.Origin) error {
+	if !e.route.LeadsTo(found.Service) {
+		return notRunRefusal(ReasonOriginGone, 0, eris.Errorf("the stream began at service %s, to which the route does not lead", found.Service))
+	}
+	e.service = e.table.Service(found.Service)
+	e.boundVersion = &found.Version
+	return nil
+}
+
+// bindToOnlyOrigin binds a request whose origin is not known to the route's service and the software
+// version of its engines, if there is only one of each.
+func (e *execution) bindToOnlyOrigin(ctx context.Context) error {
+	if e.route.ServiceCount() > 1 {
+		return notRunRefusal(ReasonUnknownOrigin, 0, eris.New("the route has several services"))
+	}
+	if !e.gateway.Availability.Available() {
+		return notRunRefusal(ReasonUnknownOrigin, storeRetryAfter, eris.New("the store does not answer"))
+	}
+	version, err := e.gateway.SoftwareVersions.Only(ctx, e.service.Name, attemptsPerStream*e.route.Timeout)
+	switch {
+	case errors.Is(err, softwareversion.ErrSeveral):
+		return notRunRefusal(ReasonUnknownOrigin, 0, err)
+	case err != nil:
+		return notRunRefusal(ReasonUnknownOrigin, storeRetryAfter, err)
+	}
+	e.boundVersion = &version
+	return nil
+}
+
+// recordOrigin records the service and the software version that began the stream. It is called once
+// the engine has sent the first bytes and before they are relayed.
+func (e *execution) recordOrigin(reply *startedReply) {
+	if !e.route.Resumable || !e.isStream(reply) {
+		return
+	}
+	stream := origin.StreamOf(e.tenantScoped(e.call.ID))
+	if e.isResumption() {
+		if e.call.Origin == "" {
+			return
+		}
+		stream = e.originStream()
+	}
+	began := origin.Origin{Service: e.service.Name, Version: e.instance.SoftwareVersion}
+	e.gateway.Origins.Record(stream, began, attemptsPerStream*e.timeLimit())
+}
+
+// candidates returns the instances that may get the request. A request that continues a stream goes
+// to those of the version that began it. A stream that may be continued begins at instances whose
+// version is recorded, if one of them is usable.
+func (e *execution) candidates(request *backend.PlacementRequest) []*backend.Instance {
+	all := e.gateway.Fleet.Instances(e.service.Name)
+	if e.boundVersion != nil {
+		return instancesWith(all, func(instance *backend.Instance) bool { return instance.SoftwareVersion == *e.boundVersion })
+	}
+	if !e.route.Resumable {
+		return all
+	}
+	recorded := instancesWith(all, func(instance *backend.Instance) bool {
+		return e.gateway.SoftwareVersions.IsRecorded(instance.Service, instance.SoftwareVersion)
+	})
+	if len(recorded) < len(all) && backend.Choose(recorded, request) == nil {
+		return all
+	}
+	return recorded
+}
+
+// instancesWith returns the instances for which the condition holds. If it holds for all, it returns
+// the given slice.
+func instancesWith(instances []*backend.Instance, condition func(*backend.Instance) bool) []*backend.Instance {
+	differs := func(instance *backend.Instance) bool { return !condition(instance) }
+	if !slices.ContainsFunc(instances, differs) {
+		return instances
+	}
+	return slices.DeleteFunc(slices.Clone(instances), differs)
+}
+
+// noInstanceOfVersion returns the refusal of a request that continues a stream of whose version no
+// instance is usable. The caller gets no time to retry if that is certain, since it should start anew.
+func (e *execution) noInstanceOfVersion() error {
+	cause := eris.Errorf("no instance of %s with software version %q", e.service.Name, *e.boundVersion)
+	if age := e.gateway.InstancesAge(); age > maxConfirmedInstancesAge {
+		return notRunRefusal(ReasonNoEngine, storeRetryAfter, eris.Wrapf(cause, "the list of instances is %s old", age))
+	}
+	return notRunRefusal(ReasonOriginGone, 0, cause)
+}
--- /dev/null
+++ b/internal/origin/exchange.go
@@ -0,0 +1,160 @@
+package origin
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/peer"
+)
+
+const (
+	// keepTimeout bounds one call that tells a record.
+	keepTimeout = 500 * time.Millisecond
+	// findTimeout bounds a search. A daemon that can be reached answers several times faster.
+	findTimeout = 150 * time.Millisecond
+	// minReplicas is the number of other daemons that must have a record. If fewer homes confirm it,
+	// further daemons are told.
+	minReplicas = 2
+	// maxTelling is the maximum number of records that are being told. Beyond it a record stays at
+	// this daemon alone, so that daemons that do not answer cannot use up the memory.
+	maxTelling = 512
+)
+
+// Exchange records origins at this daemon and at the homes of the streams, and finds them there. It is
+// safe for concurrent use.
+type Exchange struct {
+	records    *Records
+	list       *members.List
+	peerClient peer.Client
+	log        *zap.Logger
+	metrics    metrics
+	telling    atomic.Int64
+}
+
+// NewExchange returns an exchange between this daemon's records and those of the members.
+func NewExchange(records *Records, list *members.List, peerClient peer.Client, log *zap.Logger) *Exchange {
+	return &Exchange{records: records, list: list, peerClient: peerClient, log: log}
+}
+
+// Record records the origin of a stream, which may be continued for the given time. It does not wait
+// for other daemons.
+func (e *Exchange) Record(stream Stream, origin Origin, keep time.Duration) {
+	record := Record{Stream: stream, Origin: origin, Keep: keep}
+	e.records.add(record)
+	if e.telling.Add(1) > maxTelling {
+		e.telling.Add(-1)
+		e.metrics.countTold(resultDropped)
+		return
+	}
+	go func() {
+		defer e.telling.Add(-1)
+		e.tell(record)
+	}()
+}
+
+// tell sends the record to the homes of its stream, and to further daemons if fewer than minReplicas
+// homes confirm it.
+func (e *Exchange) tell(record Record) {
+	homes := e.otherHomes(record.Stream)
+	confirmed := e.sendAll(homes, record)
+	if confirmed < minReplicas {
+		further := e.furtherMembers(record.Stream, homes)
+		confirmed += e.sendAll(further[:min(len(further), minReplicas)], record)
+	}
+	if confirmed == 0 {
+		e.metrics.countTold(resultUnconfirmed)
+		return
+	}
+	e.metrics.countTold(resultConfirmed)
+}
+
+// otherHomes returns the homes of the stream in this daemon's region, except this daemon.
+func (e *Exchange) otherHomes(stream Stream) []members.Member {
+	homes := e.list.Homes(stream.key())
+	var others []members.Member
+	for order := range homes.Len() {
+		if home := homes.At(order); home.Process != e.list.Self() {
+			others = append(others, home)
+		}
+	}
+	return others
+}
+
+// furtherMembers returns the members besides the homes at which Find looks for the stream.
+func (e *Exchange) furtherMembers(stream Stream, homes []members.Member) (further []members.Member) {
+	isHome := map[string]bool{}
+	for _, home := range homes {
+		isHome[home.Process.Address] = true
+	}
+	for _, member := range e.list.LikelyHomes(stream.key()) {
+		if !isHome[member.Process.Address] {
+			further = append(further, member)
+		}
+	}
+	return further
+}
+
+// sendAll sends the record to all targets at the same time, and returns how many confirmed it.
+func (e *Exchange) sendAll(targets []members.Member, record Record) int {
+	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
+	defer cancel()
+	var sending sync.WaitGroup
+	var confirmed atomic.Int64
+	for _, target := range targets {
+		sending.Go(func() {
+			if err := e.peerClient.Call(ctx, target.Process.Address, peer.ClassControl, methodKeep, record, &KeepReply{}); err != nil {
+				e.log.Debug("origin: not told.", zap.String("member", string(target.Process.Machine)), zap.String("cause", err.Error()))
+				return
+			}
+			confirmed.Add(1)
+		})
+	}
+	sending.Wait()
+	return int(confirmed.Load())
+}
+
+// Find returns the origin of a stream, or false if it is not known. It looks at this daemon first, and
+// then asks the daemons that may have been told, all at the same time.
+func (e *Exchange) Find(ctx context.Context, stream Stream) (Origin, bool) {
+	if record, found := e.records.find(stream); found {
+		e.metrics.countFound(resultHere)
+		return record.Origin, true
+	}
+	record, found := e.ask(ctx, stream)
+	if !found {
+		e.metrics.countFound(resultUnknown)
+		return Origin{}, false
+	}
+	e.metrics.countFound(resultAtOther)
+	e.records.add(record)
+	return record.Origin, true
+}
+
+// ask asks the daemons that are likely to have the record, and returns the first one received.
+func (e *Exchange) ask(ctx context.Context, stream Stream) (Record, bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	asked := e.list.LikelyHomes(stream.key())
+	replies := make(chan FindReply, len(asked))
+	for _, member := range asked {
+		go func() {
+			var reply FindReply
+			err := e.peerClient.Call(ctx, member.Process.Address, peer.ClassControl, methodFind, FindRequest{Stream: stream}, &reply)
+			if err != nil && ctx.Err() == nil {
+				e.log.Debug("origin: not asked.", zap.String("member", string(member.Process.Machine)), zap.String("cause", err.Error()))
+			}
+			replies <- reply
+		}()
+	}
+	for range asked {
+		if reply := <-replies; reply.IsKnown {
+			return reply.Record, true
+		}
+	}
+	return Record{}, false
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -5,6 +5,7 @@
 package routetable
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -45,6 +46,21 @@
 	balancer *balancer
 }
 
+// ServiceCount returns the number of services to which the route leads.
+func (r *Route) ServiceCount() (count int) {
+	for _, part := range r.Services {
+		if part.Weight > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// LeadsTo reports whether the route leads to the service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Services, func(part WeightedService) bool { return part.Service == service && part.Weight > 0 })
+}
+
 // WeightedService is one of the services of a route and its weight.
 type WeightedService struct {
 	Service string
@@ -137,6 +153,26 @@
 	return names
 }
 
+// ResumableServices returns the names of the services whose streams may be continued at another
+// engine, sorted. It returns nil for a nil table.
+func (t *Table) ResumableServices() []string {
+	if t == nil {
+		return nil
+	}
+	var names []string
+	for _, hostRoutes := range t.byHost {
+		for _, route := range hostRoutes {
+			for _, part := range route.Services {
+				if route.Resumable && !slices.Contains(names, part.Service) {
+					names = append(names, part.Service)
+				}
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // normalizeHost returns the host without its port and in lower case.
 func normalizeHost(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/server/components.go
+++ b/internal/server/components.go
@@ -14,10 +14,12 @@
 	"github.com/thymeloft/thymeloft/internal/load"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/origin"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/piece"
 	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/retention"
+	"github.com/thymeloft/thymeloft/internal/softwareversion"
 	"github.com/thymeloft/thymeloft/internal/state"
 	"github.com/thymeloft/thymeloft/internal/storerelay"
 	"github.com/thymeloft/thymeloft/internal/turn"
@@ -27,23 +29,25 @@
 // components holds the objects that use the store or communicate with other
 // daemons.
 type components struct {
-	availability   *state.Availability
-	client         *state.Client
-	budgets        *budget.Client
-	ledger         *budget.Ledger
-	turns          *turn.Repository
-	members        *members.List
-	lease          *members.Lease
-	stopLease      context.CancelFunc
-	removalQueue   *retention.Queue
-	loads          *load.Exchange
-	quotas         *quota.Limiter
-	quotaIssuer    *quota.Issuer
-	exchangesLoads bool                  // whether daemons exchange the loads of instances
-	admission      *admission.Controller // nil if programs are not limited
-	peerServer     *peer.Server
-	peerPool       *peer.Pool
-	log            *zap.Logger
+	availability     *state.Availability
+	client           *state.Client
+	budgets          *budget.Client
+	ledger           *budget.Ledger
+	turns            *turn.Repository
+	members          *members.List
+	lease            *members.Lease
+	stopLease        context.CancelFunc
+	removalQueue     *retention.Queue
+	loads            *load.Exchange
+	origins          *origin.Exchange
+	softwareVersions *softwareversion.History
+	quotas           *quota.Limiter
+	quotaIssuer      *quota.Issuer
+	exchangesLoads   bool                  // whether daemons exchange the loads of instances
+	admission        *admission.Controller // nil if programs are not limited
+	peerServer       *peer.Server
+	peerPool         *peer.Pool
+	log              *zap.Logger
 }
 
 // minLeaseRenewal is the minimum time between two renewals of this daemon's
@@ -144,6 +148,10 @@
 	if err := s.registerServices(c); err != nil {
 		return nil, err
 	}
+	if err := s.newOrigins(c); err != nil {
+		return nil, err
+	}
+	s.newSoftwareVersions(c)
 	return c, nil
 }
 
@@ -209,6 +217,7 @@
 	if c.exchangesLoads {
 		go c.loads.Run(ctx)
 	}
+	go c.softwareVersions.Run(ctx)
 	go turn.NewSweep(c.client, c.members.HasHighestScore, time.Now, c.log).Run(ctx)
 	go piece.NewSweep(c.client, c.members.HasHighestScore, time.Now, c.log).Run(ctx)
 	go budget.NewSweep(c.client, c.members.HasHighestScore, time.Now, c.log).Run(ctx)
--- a/internal/server/followers.go
+++ b/internal/server/followers.go
@@ -80,6 +80,7 @@
 	// from the table, so that requests running there can end.
 	retainRemoved time.Duration
 	onRead        func() // called after each complete read of the table
+	onChange      func() // called after each change of the fleet
 	log           *zap.Logger
 }
 
@@ -93,6 +94,7 @@
 	}
 	i.fleet.Replace(declared, uint64(version))
 	i.onRead()
+	i.onChange()
 }
 
 // Apply implements watch.Follower.
@@ -108,6 +110,7 @@
 		}
 	}
 	i.fleet.Prune(i.retainRemoved)
+	i.onChange()
 }
 
 // decode returns the instance that a row declares. If the row is not valid, decode
--- a/internal/server/followers_test.go
+++ b/internal/server/followers_test.go
@@ -38,7 +38,8 @@
 		core, observed := observer.New(zap.InfoLevel)
 		logged = observed
 		follower = &instanceFollower{
-			schema: addressRows{}, fleet: backend.NewFleet(time.Now), retainRemoved: time.Minute, onRead: func() {}, log: zap.New(core),
+			onChange: func() {},
+			schema:   addressRows{}, fleet: backend.NewFleet(time.Now), retainRemoved: time.Minute, onRead: func() {}, log: zap.New(core),
 		}
 	})
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -56,7 +56,8 @@
 	memory              *memory.Account
 	metrics             *gateway.Metrics
 	lifecycle           *process.Lifecycle
-	instancesRead       atomic.Bool // the table of instances was read at least once
+	instancesRead       atomic.Bool   // the table of instances was read at least once
+	instancesVersion    atomic.Uint64 // version up to which the list of instances is complete
 	activeRequests      atomic.Int64
 	graceNanos          atomic.Int64   // the grace period, in nanoseconds
 	rateLog             rate.Sometimes // limits the log lines of logLoweredRate
@@ -178,6 +179,8 @@
 		Turns:               c.turns,
 		Budgets:             c.budgets,
 		Quotas:              c.quotas,
+		Origins:             c.origins,
+		SoftwareVersions:    c.softwareVersions,
 		Admission:           c.admission,
 		Availability:        c.availability,
 		Connectivity:        s.reach,
@@ -209,11 +212,16 @@
 		schema: s.StoreSchema, fleet: s.fleet, log: s.Log,
 		retainRemoved: s.Settings.gracePeriod(),
 		onRead:        func() { s.instancesRead.Store(true) },
+		onChange:      c.softwareVersions.NoteChange,
 	}
-	go s.followConfiguration(ctx, c.client, func(table *routetable.Table) { s.callerServer.SetLimits(table.Limits) })
+	go s.followConfiguration(ctx, c.client, func(table *routetable.Table) {
+		s.callerServer.SetLimits(table.Limits)
+		c.softwareVersions.NoteChange()
+	})
 	go watch.Run(ctx, watch.Options{
 		Store: c.client, Table: s.StoreSchema.InstancesTableName(), MaxWait: instancesFeedTimeout, MinBatchInterval: s.Settings.drainPeriod() / changesPerDrain, Log: s.Log,
-		OnAnswer: s.lastInstancesAnswer.Record,
+		OnAnswer:  s.lastInstancesAnswer.Record,
+		OnVersion: func(version state.Version) { s.instancesVersion.Store(uint64(version)) },
 	}, instances)
 	c.start(ctx)
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -47,7 +47,10 @@
 	// is the ConfirmationTime of the answer. OnAnswer isn't called after a reading, since readings may
 	// be behind: a reading counts as confirmed once a feed has continued from it.
 	OnAnswer func(confirmed time.Time)
-	Log      *zap.Logger
+	// OnVersion, if set, is called after each reading and each feed answer, once the follower has
+	// applied it, with the version up to which the follower is complete.
+	OnVersion func(version state.Version)
+	Log       *zap.Logger
 }
 
 const (
@@ -76,6 +79,9 @@
 	if options.OnAnswer == nil {
 		options.OnAnswer = func(time.Time) {}
 	}
+	if options.OnVersion == nil {
+		options.OnVersion = func(state.Version) {}
+	}
 	w := &watcher{Options: options, follower: follower, lastAnswer: time.Now()}
 	schedule := pause.NewBackoff(initialRetryDelay, maxRetryDelay)
 	for ctx.Err() == nil {
@@ -112,6 +118,7 @@
 	if hasChanges {
 		w.follower.Apply(result.Rows)
 	}
+	w.OnVersion(w.version)
 	w.confirm(asked, received, wait, hasChanges)
 	if !hasChanges {
 		return nil
@@ -180,6 +187,7 @@
 	w.version = oldest
 	w.hasRead, w.lastRead = true, time.Now()
 	w.follower.Replace(rows, oldest)
+	w.OnVersion(oldest)
 	w.confirmed = time.Time{} // the next feed call is answered at once
 	w.Log.Info("watch: table read.", zap.String("table", w.Table), zap.Int("rows", len(rows)), zap.Uint64("version", uint64(oldest)),
 		zap.Duration("took", time.Since(asked)))
