Streams taken up: bounded waits, the next free place, and the list of engines after the feed

The question whether one version alone has served now ends with the time for preparation, not with the request's deadline. It takes the list of engines after the feed of changes: taken before, an engine that joined in between was in neither. The log has the version that the request is bound to. The bound of records is 16,384, 4 MB on the smallest machines.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,7 +47,7 @@
 // While all available instances refuse the request because they are full, the search is repeated
 // with growing pauses, until maxPreparationWait has passed since the request's arrival.
 func (e *execution) obtainReply(ctx context.Context) (*startedReply, error) {
-	schedule := pause.NewBackoff(minFullRetryPause, maxFullRetryPause)
+	schedule := pause.NewBackoff(minFullRetryPause, e.longestFullRetryPause())
 	for {
 		reply, err := e.searchInstance(ctx)
 		if err == nil || reasonOf(err) != ReasonEnginesFull {
@@ -61,6 +61,15 @@
 	}
 }
 
+// longestFullRetryPause returns the bound of the growing pause between two searches. The caller of a
+// stream that is continued has waited before, so its request gets the next free place.
+func (e *execution) longestFullRetryPause() time.Duration {
+	if e.boundVersion != nil {
+		return minFullRetryPause
+	}
+	return maxFullRetryPause
+}
+
 // searchInstance sends the request to one instance after another until one starts to answer.
 // The error is a *Refusal or an *AbortedError.
 func (e *execution) searchInstance(ctx context.Context) (*startedReply, error) {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -88,12 +88,16 @@
 }
 
 // addResumptionFields adds, for a request that continues a stream, the last event that the caller
-// has and the attempt that brought the first one.
+// has, the attempt that brought the first one, and the software version to which the request is bound.
 func (e *execution) addResumptionFields(fields []zap.Field) []zap.Field {
 	if e.call.ResumeFrom == "" {
 		return fields
 	}
-	return append(fields, zap.String("resumeFrom", e.call.ResumeFrom), zap.String("origin", e.call.Origin))
+	fields = append(fields, zap.String("resumeFrom", e.call.ResumeFrom), zap.String("origin", e.call.Origin))
+	if e.boundVersion != nil {
+		fields = append(fields, zap.String("boundVersion", *e.boundVersion))
+	}
+	return fields
 }
 
 // addConfigurationFields adds the revision of the configuration that was used, and the ages that
--- a/internal/gateway/resumption.go
+++ b/internal/gateway/resumption.go
@@ -50,6 +50,8 @@
 	if !e.isResumption() {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, e.maxPreparationWait())
+	defer cancel()
 	if e.call.Origin != "" {
 		if found, isKnown := e.gateway.Origins.Find(ctx, e.originStream()); isKnown {
 			return e.bind(found)
--- a/internal/server/resumption.go
+++ b/internal/server/resumption.go
@@ -13,7 +13,7 @@
 
 // maxStreamOrigins is the maximum number of origins of streams that this daemon holds, about 200 bytes
 // each.
-const maxStreamOrigins = 1 << 15
+const maxStreamOrigins = 1 << 14
 
 // newOrigins creates the exchange of the origins of streams and registers its service.
 func (s *Server) newOrigins(c *components) error {
--- a/internal/softwareversion/history.go
+++ b/internal/softwareversion/history.go
@@ -127,6 +127,8 @@
 	if err := calls.Wait(); err != nil {
 		return "", eris.Wrap(errors.Join(ErrUncertain, err), "confirm the software versions")
 	}
+	// The list is complete up to where the feed of changes began, if it is taken after the feed.
+	declared = append(declared, h.options.Engines()...)
 	return confirmed.only(versionsOf(declared, service), age, h.options.Now())
 }
 
