Software versions: a version that a daemon learns from the row is not removed as an old one

Found by the spec "records each version once, though the daemons see them at the same time", which failed (v3 was lost) on: a daemon that had just adopted a row took a version of which it had never known an engine for one not seen for ever, and removed it. Callers that name no origin could then have gone on at the other version. Such a version now counts as seen when the daemon learns of it.

--- a/internal/softwareversion/recording.go
+++ b/internal/softwareversion/recording.go
@@ -57,8 +57,7 @@
 	return nil
 }
 
-// noteSeen notes the time at which engines were known. A version that is recorded counts as seen when
-// this daemon first hears of it. If a version is back after so long that another daemon may have
+// noteSeen notes the time at which engines were known. If a version is back after so long that another daemon may have
 // removed it, the row is read again.
 func (h *History) noteSeen(engines []Engine) {
 	now := h.options.Now()
@@ -71,11 +70,6 @@
 		}
 		h.lastSeen[engine] = now
 	}
-	for recorded := range *h.recorded.Load() {
-		if _, found := h.lastSeen[recorded]; !found {
-			h.lastSeen[recorded] = now
-		}
-	}
 }
 
 // record adds the versions to the row of the service, unless it has them.
@@ -173,7 +167,13 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	for _, version := range versions {
-		if now.Sub(h.lastSeen[Engine{Service: service, Version: version}]) >= Retention {
+		engine := Engine{Service: service, Version: version}
+		seen, found := h.lastSeen[engine]
+		if !found {
+			h.lastSeen[engine] = now // this daemon has just learned of the version from the row
+			continue
+		}
+		if now.Sub(seen) >= Retention {
 			old = append(old, version)
 		}
 	}
