Soak: engines of several software versions, callers that take streams up elsewhere

What the soak could not see: its engines were all v1, no route was resumable, and no caller took a stream up.

Checks, from what callers and engines saw: events of one stream come from one version, also over a caller's tries; no engine of another version runs an attempt to continue; the content goes on without a gap; streams go on at least half as often as new ones begin while two engines of their version serve (the users' bound).

Narrowed: a 503 without a retry delay is allowed if it says that a stream cannot go on and the evidence agrees: no engine of the version served for the last 5 s, or the origin is unknown and several versions have served. Each of these has a spec that fails when the evidence says otherwise. Why: there is no time at which that request would succeed.

--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -10,12 +10,13 @@
 type requestKind string
 
 const (
-	kindRecorded requestKind = "recorded" // a turn on a route that records histories; it contains only the new input
-	kindPlain    requestKind = "plain"    // a turn that contains the whole prompt
-	kindSafe     requestKind = "safe"     // a call to a service that may be repeated
-	kindUnsafe   requestKind = "unsafe"   // a call to a service that must not be repeated
-	kindMoving   requestKind = "moving"   // unsafe, on a route whose service changes
-	kindAdded    requestKind = "added"    // unsafe, needs a route or a key that was added
+	kindRecorded  requestKind = "recorded"  // a turn on a route that records histories; it contains only the new input
+	kindPlain     requestKind = "plain"     // a turn that contains the whole prompt
+	kindResumable requestKind = "resumable" // a turn that contains the whole prompt, whose stream may be taken up
+	kindSafe      requestKind = "safe"      // a call to a service that may be repeated
+	kindUnsafe    requestKind = "unsafe"    // a call to a service that must not be repeated
+	kindMoving    requestKind = "moving"    // unsafe, on a route whose service changes
+	kindAdded     requestKind = "added"     // unsafe, needs a route or a key that was added
 )
 
 // attempt is one request of a caller, and its result.
@@ -33,6 +34,9 @@
 	gateway   int
 	// toPreviousBuild means that a process of the previous build may have answered the request.
 	toPreviousBuild bool
+	began           *attempt // the attempt that began the stream which this one takes up; nil: none
+	resumeFrom      int      // number of events that the caller has
+	namesOrigin     bool     // the attempt names began
 	sent            time.Time
 	ended           time.Time
 
@@ -42,6 +46,7 @@
 	content    string
 	events     int // number of complete data lines received
 	retryAfter time.Duration
+	reason     string // reason that a refusal gives
 	err        error
 }
 
@@ -49,6 +54,7 @@
 type execution struct {
 	service   string
 	instance  string
+	version   string
 	path      string
 	prompt    string
 	startedAt time.Time
@@ -72,13 +78,14 @@
 	executions       map[string][]execution
 	configurations   []configuration
 	departures       map[string]departure
+	lifetimes        map[string]*lifetime // of instances
 	findings         []string
 	calm             *calmTracker
 	skipTimingChecks bool
 }
 
 func newEvidence(calm *calmTracker) *evidence {
-	return &evidence{executions: map[string][]execution{}, departures: map[string]departure{}, calm: calm}
+	return &evidence{executions: map[string][]execution{}, departures: map[string]departure{}, lifetimes: map[string]*lifetime{}, calm: calm}
 }
 
 func (e *evidence) recordAttempt(a *attempt) {
@@ -112,6 +119,21 @@
 	e.departures[engine] = departure{acknowledged: time.Now()}
 }
 
+func (e *evidence) recordStart(i *instance) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.lifetimes[i.id] = &lifetime{service: i.service, version: i.version, from: time.Now()}
+}
+
+// recordEnd records that the instance begins to leave, or ends.
+func (e *evidence) recordEnd(engine string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if ended := e.lifetimes[engine]; ended != nil && ended.until.IsZero() {
+		ended.until = time.Now()
+	}
+}
+
 // addFinding records a violated guarantee.
 func (e *evidence) addFinding(format string, arguments ...any) {
 	e.mutex.Lock()
--- a/internal/lab/soak/instance.go
+++ b/internal/lab/soak/instance.go
@@ -29,12 +29,17 @@
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	i.owner.evidence.recordExecution(id, execution{service: i.service, instance: i.id, path: request.URL.Path, prompt: string(body), startedAt: time.Now()})
+	i.owner.evidence.recordExecution(id, execution{service: i.service, instance: i.id, version: i.version, path: request.URL.Path, prompt: string(body), startedAt: time.Now()})
 	if rand.Float64() < behavior.dropShare {
 		panic(http.ErrAbortHandler)
 	}
 	writer.Header().Set("Server-Stamp", "stamp."+i.id)
 	if i.service == serviceModel {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		if request.URL.Path == pathResumable {
+			i.streamResumable(writer, request, string(body))
+			return
+		}
 		i.stream(writer, request, id, behavior)
 		return
 	}
@@ -69,25 +74,33 @@
 const eventInterval = 4 * time.Millisecond
 
 func (i *instance) stream(writer http.ResponseWriter, request *http.Request, id string, behavior instanceBehavior) {
-	writer.Header().Set("Content-Type", "text/event-stream")
-	controller := http.NewResponseController(writer)
 	cut := rand.Float64() < behavior.cutShare
 	for index, event := range eventsOf(id) {
-		select {
-		case <-request.Context().Done():
-			panic(http.ErrAbortHandler)
-		case <-time.After(eventInterval):
-		}
+		waitForEvent(request)
 		if cut && index > 0 {
 			_, _ = io.WriteString(writer, "id: 9\nda")
-			_ = controller.Flush()
+			_ = http.NewResponseController(writer).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", index+1, event)
-		_ = controller.Flush()
+		writeEvent(writer, index, event)
+	}
+}
+
+// waitForEvent waits until the next event of a stream is due. It aborts the answer if the gateway
+// disconnects.
+func waitForEvent(request *http.Request) {
+	select {
+	case <-request.Context().Done():
+		panic(http.ErrAbortHandler)
+	case <-time.After(eventInterval):
 	}
 }
 
+func writeEvent(writer http.ResponseWriter, index int, data string) {
+	_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", index+1, data)
+	_ = http.NewResponseController(writer).Flush()
+}
+
 // eventsOf returns the data of the events that answer the turn with this request
 // identifier. The data contains the identifier.
 func eventsOf(id string) []string {
@@ -113,12 +126,26 @@
 	return "done " + id
 }
 
+// expectedContent returns what the attempt must receive, without the versions of engines.
+func (a *attempt) expectedContent() string {
+	if a.kind != kindResumable {
+		return expectedAnswer(a.kind, a.id)
+	}
+	content := ""
+	for _, event := range resumableEvents(a.prompt)[a.resumeFrom:] {
+		content += event + "\n"
+	}
+	return content
+}
+
 func pathOf(kind requestKind) string {
 	switch kind {
 	case kindRecorded:
 		return pathRecorded
 	case kindPlain:
 		return pathPlain
+	case kindResumable:
+		return pathResumable
 	case kindSafe:
 		return pathSafe
 	case kindMoving:
@@ -138,7 +165,7 @@
 
 func servicesOf(kind requestKind) []string {
 	switch kind {
-	case kindRecorded, kindPlain:
+	case kindRecorded, kindPlain, kindResumable:
 		return []string{serviceModel}
 	case kindMoving:
 		return []string{serviceApp, serviceOther}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -167,6 +167,7 @@
 	upgradeStream
 	probeStream
 	compactionStream
+	versionStream
 )
 
 // newStream returns a stream of random numbers of a seed.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -111,7 +111,7 @@
 // gateways are ready.
 func (r *soakRun) start(ctx context.Context) error {
 	r.store = newStore(r.options.Gateways)
-	created, err := newEngines(r.evidence, r.store)
+	created, err := newEngines(r.evidence, r.store, newVersionDrawer(r.options.Seed))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/soak/store.go
+++ b/internal/lab/soak/store.go
@@ -165,6 +165,7 @@
 	host           = "soak.example"
 	pathRecorded   = "/chat/"
 	pathPlain      = "/agent/"
+	pathResumable  = "/resume/"
 	pathSafe       = "/look/"
 	pathUnsafe     = "/pay/"
 	pathMoving     = "/move/"
@@ -182,6 +183,7 @@
 	Attempts  int     `json:"max_attempts"`
 	Retained  bool    `json:"retained,omitempty"`
 	Retention float64 `json:"retention_s,omitempty"`
+	Resumable bool    `json:"resumable,omitempty"`
 }
 
 type serviceRow struct {
@@ -224,7 +226,10 @@
 		}
 		return row
 	}
+	resumable := route("resume", pathResumable, "streaming", serviceModel, 1, false)
+	resumable.Resumable = true
 	routes := []routeRow{
+		resumable,
 		route("chat", pathRecorded, "streaming", serviceModel, 1, true),
 		route("agent", pathPlain, "streaming", serviceModel, 1, false),
 		route("look", pathSafe, "safe", serviceApp, 2, false),
