Soak: streams that began at an earlier build count only if engines run one version

So the case is allowed: nobody knows their version, and a guess is the fault itself. They no longer count, but with engines of one version they still do, and must go on.

--- a/internal/lab/soak/resumption_checks.go
+++ b/internal/lab/soak/resumption_checks.go
@@ -108,7 +108,8 @@
 
 // checkResumedShare checks that streams which are taken up go on at least half as often as new ones
 // begin, while two engines of their version serve. Those that name no origin count if all engines run
-// one version. Attempts that reached an earlier build, or whose budget was used up, do not count.
+// one version. Attempts that reached an earlier build, or whose budget was used up, do not count. Nor do
+// streams that began at an earlier build, which tells no origin, unless engines run one version.
 func (e *evidence) checkResumedShare() []string {
 	var begun, resumed shareCount
 	for _, a := range e.attempts {
@@ -116,6 +117,7 @@
 		case a.kind != kindResumable || a.toPreviousBuild || a.status == http.StatusPaymentRequired:
 		case a.began == nil:
 			begun.add(a)
+		case a.began.toPreviousBuild && len(e.versionsServed(a.ended)) > 1:
 		case e.enginesThroughout(a.began.versions(), a) < minEnginesToGoOn:
 		case a.namesOrigin || len(e.versionsServed(a.ended)) == 1:
 			resumed.add(a)
