Software versions: daemons that start together are spread too

At the first start of 390 daemons all would have written the row of a service at the same moment, to one partition that takes 300 writes a second. The pause of up to 1.5 ms a member now comes before each recording, also of the first version; the later daemons find it recorded. At 12 daemons it is 18 ms at most.

--- a/internal/softwareversion/recording.go
+++ b/internal/softwareversion/recording.go
@@ -77,9 +77,7 @@
 	if len(h.row(service).missing(versions)) == 0 {
 		return nil
 	}
-	if h.row(service).version != 0 {
-		pause.Sleep(ctx, rand.N(delayPerMember*time.Duration(max(h.options.MemberCount(), 1))))
-	}
+	pause.Sleep(ctx, rand.N(delayPerMember*time.Duration(max(h.options.MemberCount(), 1))))
 	if err := h.read(ctx, service); err != nil {
 		return err
 	}
