Gateway: the origin of a stream that lasts is told again each 10 s

By review: the homes of a stream are told when it begins. While a fleet is restarted in turn all of them may be replaced within the life of a long stream; if its gateway was then stopped too, the stream could not go on. It is now told again with the first bytes after 10 s, as it is when it is taken up. Streams of up to 10 s cost the same as before. The new spec failed without the interval: a second record was never made, or one was made with each chunk.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -41,6 +41,7 @@
 	reservedOutput    int64               // bytes of output for which memory has been reserved, not counting copiesWhileSaving
 	quotaPermit       *quota.Permit       // permit from the tenant's quota; nil if there is no limit
 	reservation       budget.Settler      // tokens reserved from the program's budget; nil if none
+	originRecordedAt  time.Time           // when the origin of the stream was last recorded; zero if it was not
 	boundVersion      *string             // software version that began the stream which the request continues; nil if it starts one
 	sharedParts       int                 // number of leading prompt parts assumed to be in the prefix cache of every engine
 	admitted          admittedTurn
@@ -107,7 +108,6 @@
 	}
 	e.reportFirstByte()
 	defer reply.close()
-	e.recordOrigin(reply)
 	return e.relay(ctx, reply)
 }
 
--- a/internal/gateway/execution_test.go
+++ b/internal/gateway/execution_test.go
@@ -12,6 +12,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/origin"
 	"github.com/thymeloft/thymeloft/internal/reach"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/state"
@@ -35,6 +37,56 @@
 	)
 })
 
+// originRecorder implements Origins. It keeps the streams that were recorded.
+type originRecorder struct{ recorded []origin.Stream }
+
+func (o *originRecorder) Record(stream origin.Stream, _ origin.Origin, _ time.Duration) {
+	o.recorded = append(o.recorded, stream)
+}
+
+func (o *originRecorder) Find(context.Context, origin.Stream) (origin.Origin, bool) {
+	return origin.Origin{}, false
+}
+
+var _ = Describe("The origin of a stream", func() {
+	var origins *originRecorder
+	var streaming *execution
+	reply := &startedReply{Reply: &backend.Reply{Status: http.StatusOK}}
+
+	BeforeEach(func() {
+		origins = &originRecorder{}
+		streaming = &execution{
+			gateway: &Gateway{Options: Options{Origins: origins}}, arrived: time.Now(), call: Call{ID: "r2"},
+			route: &routetable.Route{Timeout: time.Hour, Streaming: true, Resumable: true}, service: &routetable.Service{Name: "s"}, instance: &backend.Instance{},
+		}
+	})
+
+	// Guards against long streams whose origin is lost with the daemons that were told at their start.
+	It("is recorded when the stream begins, and again while it lasts", func() {
+		streaming.recordOrigin(reply)
+		streaming.recordOrigin(reply)
+		Expect(origins.recorded).To(Equal([]origin.Stream{origin.StreamOf("r2")}))
+		streaming.originRecordedAt = time.Now().Add(-originInterval)
+		streaming.recordOrigin(reply)
+		Expect(origins.recorded).To(HaveLen(2))
+	})
+
+	It("is recorded under the attempt that began the stream when it goes on", func() {
+		streaming.call.ResumeFrom, streaming.call.Origin = "4", "r1"
+		streaming.recordOrigin(reply)
+		Expect(origins.recorded).To(Equal([]origin.Stream{origin.StreamOf("r1")}))
+	})
+
+	DescribeTable("is not recorded", func(change func()) {
+		change()
+		streaming.recordOrigin(reply)
+		Expect(origins.recorded).To(BeEmpty())
+	},
+		Entry("if the caller does not name the attempt that began the stream", func() { streaming.call.ResumeFrom = "4" }),
+		Entry("on a route whose streams must not be continued", func() { streaming.route.Resumable = false }),
+	)
+})
+
 var _ = Describe("a request at a daemon that is cut off", func() {
 	// cutOff returns a gateway that reaches neither the other zones nor the store.
 	cutOff := func(ctx context.Context) *Gateway {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,6 +22,7 @@
 // turn before it returns, and so before the caller sees the end of the stream. The error is an
 // *AbortedError.
 func (e *execution) relay(ctx context.Context, reply *startedReply) error {
+	e.recordOrigin(reply)
 	e.writeHead(reply)
 	if err := e.writeBody(ctx, reply); err != nil {
 		return err
@@ -126,6 +127,7 @@
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		count, err := reply.Body.Read(buffer)
+		e.recordOrigin(reply)
 		if passErr := e.writeChunk(buffer[:count]); passErr != nil {
 			return passErr
 		}
--- a/internal/gateway/resumption.go
+++ b/internal/gateway/resumption.go
@@ -95,17 +95,21 @@
 	return nil
 }
 
-// recordOrigin records the service and the software version that began the stream. It is called once
-// the engine has sent the first bytes and before they are relayed.
+// originInterval is the time between two records of the origin of a stream that goes on for long. The
+// daemons that were told may be replaced meanwhile.
+const originInterval = 10 * time.Second
+
+// recordOrigin records the service and the software version that began the stream, unless that was done
+// less than originInterval ago. It is called before bytes of the stream are relayed, first when the
+// engine has sent some.
 func (e *execution) recordOrigin(reply *startedReply) {
-	if !e.route.Resumable || !e.isStream(reply) {
+	isAnonymous := e.isResumption() && e.call.Origin == ""
+	if !e.route.Resumable || !e.isStream(reply) || isAnonymous || time.Since(e.originRecordedAt) < originInterval {
 		return
 	}
+	e.originRecordedAt = time.Now()
 	stream := origin.StreamOf(e.tenantScoped(e.call.ID))
 	if e.isResumption() {
-		if e.call.Origin == "" {
-			return
-		}
 		stream = e.originStream()
 	}
 	began := origin.Origin{Service: e.service.Name, Version: e.instance.SoftwareVersion}
