Explain: the attempt that began a stream, and the version that it is bound to

The output left out the new fields, and the origin's line where it lay more than 5 s back or in another program's window.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -38,6 +38,7 @@
 	fieldProgram     = "program"
 	fieldTenant      = "tenant"
 	fieldPrevious    = "previous"
+	fieldOrigin      = "origin"
 	fieldReservation = "reservation"
 	fieldKey         = "key"
 	fieldEngine      = "engine"
@@ -145,8 +146,8 @@
 func (l LogLine) isOutcome() bool { return l.Message == messageAnswered || l.Message == messageFailed }
 
 // isRelated reports whether a line belongs to the explanation of a request. It does if
-// its field for the request, the reservation or the store key names the request or the
-// request's previous turn. From contextWindow before the arrival of the request until
+// its field for the request, the reservation or the store key names the request, the
+// request's previous turn or the attempt that began its stream. From contextWindow before the arrival of the request until
 // its end, a line also belongs if it names the program; if it is from another daemon,
 // names the engine and is not about a request; or if it is from the request's own
 // daemon and describes that daemon's state.
@@ -157,7 +158,7 @@
 		if name == request || name == scope(request) || strings.HasPrefix(name, scope(request)+repeatSeparator) {
 			return true
 		}
-		if name != "" && (name == previous || name == scope(previous)) {
+		if name != "" && (name == previous || name == scope(previous) || name == outcome.stringField(fieldOrigin)) {
 			return true
 		}
 	}
@@ -238,8 +239,8 @@
 
 // printedFields are the names of the fields that are printed with a line, in this order.
 var printedFields = []string{
-	"request", "route", "status", "reason", "took", "storeWait", "firstByte", "tries", "searches", "events", "tenant", "program", "programLeft", "previous",
-	"reservation", "budget", "most", "attained", "lent", "limit", "holder", "engine", "revision", "configurationAge", "enginesAge", "call", "table",
+	"request", "route", "status", "reason", "took", "storeWait", "firstByte", "tries", "searches", "events", "tenant", "program", "programLeft", "previous", "resumeFrom", "origin", "boundVersion",
+	"reservation", "budget", "most", "attained", "lent", "limit", "holder", "engine", "engineVersion", "revision", "configurationAge", "enginesAge", "call", "table",
 	"partition", "key", "for", "after", "underWay", "cause",
 }
 
