Soak: streams of an earlier build count once versions have been recorded for as long as a stream lasts

The check reads the row's time from the store and counts such streams from then on; new specs show both sides.

--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -79,6 +79,7 @@
 	configurations   []configuration
 	departures       map[string]departure
 	lifetimes        map[string]*lifetime // of instances
+	versionsSince    time.Time            // from when the recorded versions of the model's engines are complete; zero: there are none
 	findings         []string
 	calm             *calmTracker
 	skipTimingChecks bool
--- a/internal/lab/soak/resumption_checks_test.go
+++ b/internal/lab/soak/resumption_checks_test.go
@@ -83,6 +83,15 @@
 		e.refuse(e.attemptOf("t0"), reasonUnknownOrigin)
 	}, "refusals: t0"),
 	Entry("a final refusal for another reason", func(e *evidence) { e.refuse(e.attemptOf("t0"), "engines-full") }, "refusals: t0"),
+	Entry("more than half of the streams without a known origin refused, though there is one version alone", func(e *evidence) {
+		delete(e.lifetimes, "e2")
+		e.versionsSince = time.Now().Add(-time.Hour)
+		for index := range minResumptions/2 + 1 {
+			a := e.attemptOf(fmt.Sprint("t", index))
+			e.refuse(a, reasonUnknownOrigin)
+			a.retryAfter, a.namesOrigin, a.began.toPreviousBuild = time.Second, false, true
+		}
+	}, "resumption: 5 of 12"),
 	Entry("more than half of the streams refused", func(e *evidence) {
 		for index := range minResumptions/2 + 1 {
 			e.refuse(e.attemptOf(fmt.Sprint("t", index)), reasonUnknownOrigin)
@@ -90,6 +99,25 @@
 	}, "resumption: 5 of 12"),
 )
 
+var _ = DescribeTable("allows that streams whose origin nobody told are refused",
+	func(versionsSince time.Time, versions ...string) {
+		e := resumptionEvidence()
+		delete(e.lifetimes, "e2")
+		for index, version := range versions {
+			e.lifetimes[fmt.Sprint("v", index)] = &lifetime{service: serviceModel, version: version, from: time.Now().Add(-time.Hour)}
+		}
+		e.versionsSince = versionsSince
+		for index := range minResumptions {
+			a := e.attemptOf(fmt.Sprint("t", index))
+			e.refuse(a, reasonUnknownOrigin)
+			a.retryAfter, a.began.toPreviousBuild = time.Second, true
+		}
+		Expect(e.check()).To(BeEmpty())
+	},
+	Entry("while several versions serve", time.Now().Add(-time.Hour), "v2"),
+	Entry("while the versions have not been recorded for as long as a stream lasts", time.Now().Add(-time.Second)),
+)
+
 var _ = It("allows a final refusal if no engine of the version is left", func() {
 	e := resumptionEvidence()
 	for _, id := range []string{"e0", "e1"} {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -96,6 +96,7 @@
 		return nil, err
 	}
 	run.runCallersAndFaults(ctx)
+	run.evidence.versionsSince = run.store.versionsSince()
 	verdict := &Verdict{
 		Seed: options.Seed, Findings: run.evidence.check(), AttemptCounts: run.evidence.countOutcomes(),
 		Faults: run.faults, Directory: options.Directory,
--- a/internal/lab/soak/store.go
+++ b/internal/lab/soak/store.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -10,8 +11,11 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/thymeloft/thymeloft/internal/lab/memorystore"
 	"github.com/thymeloft/thymeloft/internal/lab/platformstore"
+	"github.com/thymeloft/thymeloft/internal/softwareversion"
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
@@ -252,6 +256,23 @@
 	observed.recordConfiguration(moving, sent)
 }
 
+// versionsSince returns the time from which the versions of the model's engines that the gateways have
+// recorded are complete; zero if there is no such row.
+func (s *store) versionsSince() time.Time {
+	s.memory.SetFaultFunc(nil)
+	page, err := s.memory.Read(context.Background(), state.KeyRange(state.Key{Table: softwareversion.Table, Name: serviceModel}))
+	if err != nil || len(page.Rows) == 0 {
+		return time.Time{}
+	}
+	var row struct {
+		Since int64 `cbor:"s"`
+	}
+	if err := cbor.Unmarshal(page.Rows[0].Value, &row); err != nil {
+		return time.Time{}
+	}
+	return time.UnixMilli(row.Since)
+}
+
 // writeAsOperator writes a row regardless of faults: the store serves operators and
 // engines also while it refuses gateways.
 func (s *store) writeAsOperator(put state.Put) {
