Gateway: without a timeout of the route, one version alone proves nothing of a stream's start

By review: a route without a timeout asked whether one version alone had served streams of age 0, so an older version that had been removed, or a row that was seconds old, did not count. Such a stream is now refused if its origin is not known. No deployment declares such a route. Names in resumption.go: lifetimeInTimeouts, lacksOrigin.

--- a/internal/gateway/resumption.go
+++ b/internal/gateway/resumption.go
@@ -35,9 +35,9 @@
 // instance of a version is left. It exceeds the time between two confirmations.
 const maxConfirmedInstancesAge = 2500 * time.Millisecond
 
-// attemptsPerStream is the number of times the route's timeout for which a stream may be continued. A
-// stream whose first attempt lasts until the timeout can still be continued once.
-const attemptsPerStream = 2
+// lifetimeInTimeouts is how long after its start a stream may be continued, in timeouts of its route:
+// one for the attempt that began it, and one for an attempt that continues it.
+const lifetimeInTimeouts = 2
 
 // isResumption reports whether the request continues a stream that may be continued at another
 // instance.
@@ -81,10 +81,13 @@
 	if e.route.ServiceCount() > 1 {
 		return notRunRefusal(ReasonUnknownOrigin, 0, eris.New("the route has several services"))
 	}
+	if e.route.Timeout <= 0 {
+		return notRunRefusal(ReasonUnknownOrigin, 0, eris.New("the route has no timeout, so the stream may be of any age"))
+	}
 	if !e.gateway.Availability.Available() {
 		return notRunRefusal(ReasonUnknownOrigin, storeRetryAfter, eris.New("the store does not answer"))
 	}
-	version, err := e.gateway.SoftwareVersions.Only(ctx, e.service.Name, attemptsPerStream*e.route.Timeout)
+	version, err := e.gateway.SoftwareVersions.Only(ctx, e.service.Name, lifetimeInTimeouts*e.route.Timeout)
 	switch {
 	case errors.Is(err, softwareversion.ErrSeveral):
 		return notRunRefusal(ReasonUnknownOrigin, 0, err)
@@ -103,8 +106,8 @@
 // less than originInterval ago. It is called before bytes of the stream are relayed, first when the
 // engine has sent some.
 func (e *execution) recordOrigin(reply *startedReply) {
-	isAnonymous := e.isResumption() && e.call.Origin == ""
-	if !e.route.Resumable || !e.isStream(reply) || isAnonymous || time.Since(e.originRecordedAt) < originInterval {
+	lacksOrigin := e.isResumption() && e.call.Origin == ""
+	if !e.route.Resumable || !e.isStream(reply) || lacksOrigin || time.Since(e.originRecordedAt) < originInterval {
 		return
 	}
 	e.originRecordedAt = time.Now()
@@ -113,7 +116,7 @@
 		stream = e.originStream()
 	}
 	began := origin.Origin{Service: e.service.Name, Version: e.instance.SoftwareVersion}
-	e.gateway.Origins.Record(stream, began, attemptsPerStream*e.timeLimit())
+	e.gateway.Origins.Record(stream, began, lifetimeInTimeouts*e.timeLimit())
 }
 
 // candidates returns the instances that may get the request. A request that continues a stream goes
--- a/internal/server/resumption.go
+++ b/internal/server/resumption.go
@@ -11,7 +11,7 @@
 	"github.com/thymeloft/thymeloft/internal/state"
 )
 
-// maxStreamOrigins is the maximum number of origins of streams that this daemon holds, about 200 bytes
+// maxStreamOrigins is the maximum number of origins of streams that this daemon holds, about 250 bytes
 // each.
 const maxStreamOrigins = 1 << 14
 
