Gateway: that no engine of a version is left rests on a confirmed list, whose age is asked first

What callers could see: a stream told that it can't go on (origin-gone) though engines of its version serve. Found by review. Now an age comes with whether there is one, the log leaves enginesAge out if there is none, and the age is asked for before the list is taken.

Checks: the spec of denials gives the age in the new form.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,6 +130,7 @@
 			return nil, e.endedError(eris.New("no time left to run"))
 		}
 		request.Now = time.Now()
+		isListConfirmed := e.isInstanceListConfirmed() // asked first, since it must hold for the list that is used
 		if instance := backend.Choose(e.candidates(request), request); instance != nil {
 			e.placement = placement{load: instance.Load(request.Now), missingTokens: backend.MissingTokens(instance, request), slots: backend.SlotsOf(instance, request)}
 			return instance, nil
@@ -138,7 +139,7 @@
 			return nil, e.exhaustedError(last)
 		}
 		if e.boundVersion != nil {
-			return nil, e.noInstanceOfVersion()
+			return nil, e.noInstanceOfVersion(isListConfirmed)
 		}
 		if time.Since(e.arrived) > e.maxPreparationWait() || !pause.Sleep(ctx, instancePollInterval) {
 			return nil, notRunRefusal(ReasonNoEngine, storeRetryAfter, eris.Errorf("no instance of %s", e.service.Name))
--- a/internal/gateway/denial_test.go
+++ b/internal/gateway/denial_test.go
@@ -26,10 +26,10 @@
 		routes := &routetable.Holder{}
 		routes.Replace(routetable.New(1, routetable.Limits{}, nil, nil))
 		routes.Confirm(time.Now().Add(-time.Hour))
-		confirmNewer := func() time.Duration { // called after the request has taken its table
+		confirmNewer := func() (time.Duration, bool) { // called after the request has taken its table
 			routes.Replace(routetable.New(2, routetable.Limits{}, []*routetable.Route{{Host: "added.example", Prefix: "/"}}, nil))
 			routes.Confirm(time.Now())
-			return 0
+			return 0, true
 		}
 		handler := New(Options{
 			Routes: routes, HeaderCodec: noHeaders{}, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -31,6 +31,7 @@
 	tableAge          time.Duration // time since the store confirmed the table, when it was taken
 	isTableConfirmed  bool          // whether the store had confirmed the table at all
 	instancesAge      time.Duration // time since the store last confirmed the list of instances, when the table was taken
+	hasInstancesAge   bool          // whether the store had confirmed that list at all
 	route             *routetable.Route
 	service           *routetable.Service
 	tenant            *tenant.Tenant // nil if the request belongs to no tenant
@@ -150,7 +151,7 @@
 	view := e.gateway.Routes.View()
 	e.table = view.Table
 	e.tableAge, e.isTableConfirmed = view.Age()
-	e.instancesAge = e.gateway.InstancesAge()
+	e.instancesAge, e.hasInstancesAge = e.gateway.InstancesAge()
 }
 
 // timeLimit returns how long the request may take from its arrival: the shorter of the route's
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,8 +55,9 @@
 	// MaxConfigurationAge is the maximum age of the configuration for denying what it does not
 	// contain: an unknown route with status 404, or an unknown key with status 401.
 	MaxConfigurationAge time.Duration
-	// InstancesAge returns how long ago the list of instances was last confirmed by the store.
-	InstancesAge func() time.Duration
+	// InstancesAge returns how long ago the list of instances was last confirmed by the store, and
+	// whether it has been at all.
+	InstancesAge func() (age time.Duration, isConfirmed bool)
 }
 
 // Budgets reserves tokens for a turn from the budget of its program.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -109,7 +109,10 @@
 	if e.isTableConfirmed {
 		fields = append(fields, zap.Duration("configurationAge", e.tableAge))
 	}
-	return append(fields, zap.Uint64("revision", e.table.Revision), zap.Duration("enginesAge", e.instancesAge))
+	if e.hasInstancesAge {
+		fields = append(fields, zap.Duration("enginesAge", e.instancesAge))
+	}
+	return append(fields, zap.Uint64("revision", e.table.Revision))
 }
 
 // addProgressFields adds what happened while the request was served, and leaves out what did
--- a/internal/gateway/resumption.go
+++ b/internal/gateway/resumption.go
@@ -149,12 +149,19 @@
 	return slices.DeleteFunc(slices.Clone(instances), differs)
 }
 
-// noInstanceOfVersion returns the refusal of a request that continues a stream of whose version no
-// instance is usable. The caller gets no time to retry if that is certain, since it should start anew.
-func (e *execution) noInstanceOfVersion() error {
+// isInstanceListConfirmed reports whether the store has confirmed the list of instances recently.
+func (e *execution) isInstanceListConfirmed() bool {
+	age, isConfirmed := e.gateway.InstancesAge()
+	return isConfirmed && age <= maxConfirmedInstancesAge
+}
+
+// noInstanceOfVersion returns the refusal of a request that continues a stream of whose version the
+// list has no usable instance. If the list is confirmed, the caller gets no time to retry, since it
+// should start anew.
+func (e *execution) noInstanceOfVersion(isListConfirmed bool) error {
 	cause := eris.Errorf("no instance of %s with software version %q", e.service.Name, *e.boundVersion)
-	if age := e.gateway.InstancesAge(); age > maxConfirmedInstancesAge {
-		return notRunRefusal(ReasonNoEngine, storeRetryAfter, eris.Wrapf(cause, "the list of instances is %s old", age))
+	if !isListConfirmed {
+		return notRunRefusal(ReasonNoEngine, storeRetryAfter, eris.Wrap(cause, "the list of instances is not confirmed"))
 	}
 	return notRunRefusal(ReasonOriginGone, 0, cause)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -191,10 +191,7 @@
 		InstanceGrace:       s.instanceGrace(),
 		DisabledMechanisms:  s.Settings.Disabled,
 		MaxConfigurationAge: s.Settings.maxConfigurationAge(),
-		InstancesAge: func() time.Duration {
-			age, _ := s.lastInstancesAnswer.Age()
-			return age
-		},
+		InstancesAge:        s.lastInstancesAnswer.Age,
 	}
 }
 
