--- a/internal/lab/soak/resumption.go
+++ b/internal/lab/soak/resumption.go
@@ -76,9 +76,8 @@
 
 // Shares of the streams on the resumable route that an engine breaks off although it has no fault.
 const (
-	cutStreamShare    = 0.3 // of those that start from the beginning
-	cutResumedShare   = 0.1
-	maxEventsToResume = maxEvents
+	cutStreamShare  = 0.3 // of those that start from the beginning
+	cutResumedShare = 0.1
 )
 
 // streamResumable sends the events that the caller does not have yet.
@@ -91,7 +90,7 @@
 	}
 	cutAt := len(events)
 	if rand.Float64() < share {
-		cutAt = received + 1 + rand.IntN(maxEventsToResume)
+		cutAt = received + 1 + rand.IntN(maxEvents)
 	}
 	for index := received; index < len(events); index++ {
 		waitForEvent(request)
