--- a/internal/softwareversion/recording.go
+++ b/internal/softwareversion/recording.go
@@ -57,8 +57,8 @@
 	return nil
 }
 
-// noteSeen notes the time at which engines were known. If a version is back after so long that another daemon may have
-// removed it, the row is read again.
+// noteSeen notes the time at which engines were known. If a version is back after so long that another
+// daemon may have removed it, the row is read again.
 func (h *History) noteSeen(engines []Engine) {
 	now := h.options.Now()
 	h.mutex.Lock()
--- a/internal/softwareversion/softwareversion.go
+++ b/internal/softwareversion/softwareversion.go
@@ -6,11 +6,11 @@
 // it, and until then the daemon prefers engines of recorded versions for streams that may be continued
 // elsewhere. A version is removed once no engine of it has been declared for Retention.
 //
-// Guarantee: if Only returns a version, no stream of the given age or younger can have begun at another
-// one, provided that an unrecorded version was used only by daemons to which no recorded one was
-// available. Only rests on a condition that the store checked, and on a feed of engines that the store
-// answered, both after it was called. So it holds for daemons that have just started, and whatever the
-// age of their lists.
+// Guarantee: if Only returns a version, no stream of the given age or younger began at another one,
+// provided that the versions at which streams began were recorded while an engine of them was declared.
+// Only rests on a condition that the store checked, and on a feed of engines that the store answered,
+// both after it was called. So it holds for daemons that have just started, and whatever the age of
+// their lists.
 package softwareversion
 
 import (
