--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -14,25 +14,23 @@
 
 // Reasons for refusing or cutting a request; ReasonNone means that it was answered.
 const (
-	ReasonNone            Reason = ""
-	ReasonNoConfiguration Reason = "no-configuration"
-	ReasonNoRoute         Reason = "no-route"
-	ReasonUncertainRoute  Reason = "unsure-route"
-	ReasonUnknownKey      Reason = "unknown-key"
-	ReasonUncertainKey    Reason = "unsure-key"
-	ReasonQuotaExceeded   Reason = "quota-exceeded"
-	ReasonQuotaUnknown    Reason = "quota-unknown"
-	ReasonMalformed       Reason = "malformed"
-	ReasonTooLarge        Reason = "too-large"
-	ReasonNoMemory        Reason = "memory"
-	ReasonSlowBody        Reason = "body-slow"
-	ReasonSlowCaller      Reason = "caller-slow"
-	ReasonUnknownTurn     Reason = "unknown-turn"
-	ReasonUncertainTurn   Reason = "unsure-turn"
-	// ReasonUnknownOrigin means that it is not known which engines may continue a stream, and
-	// ReasonOriginGone that none of these is left.
-	ReasonUnknownOrigin      Reason = "unknown-origin"
-	ReasonOriginGone         Reason = "origin-gone"
+	ReasonNone               Reason = ""
+	ReasonNoConfiguration    Reason = "no-configuration"
+	ReasonNoRoute            Reason = "no-route"
+	ReasonUncertainRoute     Reason = "unsure-route"
+	ReasonUnknownKey         Reason = "unknown-key"
+	ReasonUncertainKey       Reason = "unsure-key"
+	ReasonQuotaExceeded      Reason = "quota-exceeded"
+	ReasonQuotaUnknown       Reason = "quota-unknown"
+	ReasonMalformed          Reason = "malformed"
+	ReasonTooLarge           Reason = "too-large"
+	ReasonNoMemory           Reason = "memory"
+	ReasonSlowBody           Reason = "body-slow"
+	ReasonSlowCaller         Reason = "caller-slow"
+	ReasonUnknownTurn        Reason = "unknown-turn"
+	ReasonUncertainTurn      Reason = "unsure-turn"
+	ReasonUnknownOrigin      Reason = "unknown-origin" // it is not known which engines may continue the stream
+	ReasonOriginGone         Reason = "origin-gone"    // no engine that may continue the stream is left
 	ReasonStoreUnavailable   Reason = "store-unavailable"
 	ReasonCutOff             Reason = "cut-off"
 	ReasonStoreFull          Reason = "store-full"
--- a/internal/lab/soak/resumption_checks.go
+++ b/internal/lab/soak/resumption_checks.go
@@ -89,9 +89,9 @@
 
 // Bounds of checkResumedShare, as the users state them.
 const (
-	minResumptions     = 12
-	minEnginesToGoOn   = 2
-	resumedShareOfOwed = 0.5
+	minResumptions   = 12
+	minEnginesToGoOn = 2
+	minResumedShare  = 0.5 // of the share of new streams that begin
 )
 
 // shareCount counts attempts and those of them that got a stream.
@@ -136,7 +136,7 @@
 			resumed.add(a)
 		}
 	}
-	if resumed.all >= minResumptions && resumed.share() < resumedShareOfOwed*begun.share() {
+	if resumed.all >= minResumptions && resumed.share() < minResumedShare*begun.share() {
 		return []string{fmt.Sprintf("resumption: %d of %d streams went on, but %d of %d new ones began", resumed.served, resumed.all, begun.served, begun.all)}
 	}
 	return nil
--- a/internal/softwareversion/recording.go
+++ b/internal/softwareversion/recording.go
@@ -87,7 +87,7 @@
 		if len(missing) == 0 {
 			return nil
 		}
-		next := record{Versions: append(slices.Clone(known.Versions), missing...), Since: known.Since}
+		next := rowContent{Versions: append(slices.Clone(known.Versions), missing...), Since: known.Since}
 		if known.version == 0 {
 			next.Since = h.options.Now().UnixMilli()
 		}
@@ -117,9 +117,9 @@
 	return nil
 }
 
-// replace replaces the known row by the record. It returns false if the store had another row, which
+// replace replaces the known row by next. It returns false if the store had another row, which
 // is then the known one.
-func (h *History) replace(ctx context.Context, service string, known knownRow, next record) (bool, error) {
+func (h *History) replace(ctx context.Context, service string, known knownRow, next rowContent) (bool, error) {
 	commit, err := known.commitOf(service, next)
 	if err != nil {
 		return false, err
@@ -129,7 +129,7 @@
 		_, err = h.resolveConflict(service, err)
 		return false, err
 	}
-	h.adopt(service, knownRow{record: next, version: version})
+	h.adopt(service, knownRow{rowContent: next, version: version})
 	return true, nil
 }
 
@@ -147,7 +147,7 @@
 	if !h.options.IsResponsible(service) {
 		return h.read(ctx, service)
 	}
-	next := record{Versions: knownRow{record: record{Versions: old}}.missing(known.Versions), Since: known.Since}
+	next := rowContent{Versions: knownRow{rowContent: rowContent{Versions: old}}.missing(known.Versions), Since: known.Since}
 	isReplaced, err := h.replace(ctx, service, known, next)
 	if isReplaced {
 		h.options.Log.Info("software versions: removed.", zap.String("service", service), zap.Strings("versions", old))
--- a/internal/softwareversion/softwareversion.go
+++ b/internal/softwareversion/softwareversion.go
@@ -48,30 +48,30 @@
 // Engine is a declared engine.
 type Engine struct{ Service, Version string }
 
-// record is the value of a row.
-type record struct {
+// rowContent is the value of a row.
+type rowContent struct {
 	Versions []string `cbor:"v"`
 	Since    int64    `cbor:"s"` // Unix time in milliseconds from which on no version is missing
 }
 
 // knownRow is a row as this daemon last saw it. The zero value means that there is none.
 type knownRow struct {
-	record
+	rowContent
 	version state.Version
 }
 
 func keyOf(service string) state.Key { return state.Key{Table: Table, Name: service} }
 
 func decodeRow(row state.Row) (knownRow, error) {
-	var content record
+	var content rowContent
 	if err := cbor.Unmarshal(row.Value, &content); err != nil {
 		return knownRow{}, eris.Wrapf(err, "decode the software versions of %s", row.Key.Name)
 	}
-	return knownRow{record: content, version: row.Version}, nil
+	return knownRow{rowContent: content, version: row.Version}, nil
 }
 
-// commitOf returns the commit that replaces the known row of the service by the record.
-func (k knownRow) commitOf(service string, next record) (state.Commit, error) {
+// commitOf returns the commit that replaces the known row of the service by next.
+func (k knownRow) commitOf(service string, next rowContent) (state.Commit, error) {
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		return state.Commit{}, eris.Wrapf(err, "encode the software versions of %s", service)
