Software versions: complete from the start in a system whose daemons have all recorded them

What callers could see: in a system that has just been started, a stream without a known origin was refused until the row of its service's versions was older than any stream, 10 s on a route of 4 s and 42 s on one of 20 s, though engines of one version alone had served.

Now the row is complete from its start if every daemon that ever ran in the system records versions. A member's row says that of its process and of all before it on its machine, so an earlier build is not forgotten when its machine is upgraded; rows of the landing before say nothing, which counts as no. It takes the machinery of founders: no row of this machine before, no member's row ever removed, a list that the store has confirmed.

--- a/internal/members/lease.go
+++ b/internal/members/lease.go
@@ -64,14 +64,15 @@
 	// renewal writes it to the lease.
 	ConfigRevision atomic.Uint64
 
-	mutex         sync.Mutex // guards the fields below
-	isRegistered  bool
-	version       state.Version // of this daemon's row in LeaseTable, as last written by this process
-	claimZone     identity.Zone // ClaimZone of this daemon's row in MemberTable
-	isLeaving     bool          // set by Leave
-	isSuperseded  bool          // a later process of this machine has registered
-	hasEnded      bool          // set by WriteEnded
-	watchedLeases watchedLeases
+	mutex           sync.Mutex // guards the fields below
+	isRegistered    bool
+	version         state.Version // of this daemon's row in LeaseTable, as last written by this process
+	claimZone       identity.Zone // ClaimZone of this daemon's row in MemberTable
+	recordsVersions bool          // RecordsVersions of that row
+	isLeaving       bool          // set by Leave
+	isSuperseded    bool          // a later process of this machine has registered
+	hasEnded        bool          // set by WriteEnded
+	watchedLeases   watchedLeases
 }
 
 // leaseRow is the encoded value of a row in LeaseTable.
@@ -161,7 +162,7 @@
 		return err
 	}
 	l.isRegistered = true
-	l.List.recordRegistration(attempt.isNewcomer && l.FirstStart)
+	l.List.recordRegistration(attempt.isNewcomer, l.FirstStart)
 	l.claimZone = attempt.claimZone
 	l.List.recordStanding(attempt.standing, l.claimZone)
 	l.Log.Info("members: registered.", zap.Uint64("version", uint64(l.version)), zap.Bool("newcomer", attempt.isNewcomer),
@@ -232,6 +233,7 @@
 func (l *Lease) member(standing Standing) Member {
 	member := l.List.self
 	member.Standing, member.ClaimZone = standing, l.claimZone
+	member.RecordsVersions = l.recordsVersions
 	if l.isLeaving {
 		member.State = StateLeaving
 	}
--- a/internal/members/lender.go
+++ b/internal/members/lender.go
@@ -46,6 +46,7 @@
 	registeredAt   atomic.Int64 // when this process's registration was acknowledged; 0: not registered
 	lastConfirmed  atomic.Int64 // when the store last confirmed the list; 0: never
 	isFounder      atomic.Bool
+	isNewcomer     atomic.Bool   // as given to recordRegistration
 	isBootstrapped atomic.Bool   // the list has shown the end of the bootstrap
 	standing       atomic.Uint32 // Standing in this process's row; before registration StandingJoined, or as inherited
 	standingSince  atomic.Int64  // when standing was set; 0: never
@@ -97,10 +98,13 @@
 	return s.isFounder.Load() || elapsed-registered > int64(programReuseWindow)
 }
 
-// recordRegistration records that this process has registered. mayBeFounder reports that the system
-// is being started for the first time and that no process of this machine existed before. The
-// process is a founder if this holds and founderRegistrationWindow hasn't passed yet.
-func (l *List) recordRegistration(mayBeFounder bool) {
+// recordRegistration records that this process has registered. isNewcomer reports that no process of
+// this machine existed before and that no member's row was ever removed. The process is a founder if
+// this holds, the system is being started for the first time and founderRegistrationWindow hasn't
+// passed yet.
+func (l *List) recordRegistration(isNewcomer, isFirstStart bool) {
+	mayBeFounder := isNewcomer && isFirstStart
+	l.localStatus.isNewcomer.Store(isNewcomer)
 	elapsed := l.localStatus.elapsed(l.now())
 	l.localStatus.isFounder.Store(mayBeFounder && elapsed < int64(founderRegistrationWindow))
 	l.localStatus.registeredAt.Store(elapsed)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -47,6 +47,9 @@
 	// machine moves to another zone, it owns shards of the previous zone until its claims are
 	// released.
 	ClaimZone identity.Zone
+	// RecordsVersions reports that this process and all earlier ones of its machine belong to builds
+	// that record the software versions of engines (see package softwareversion).
+	RecordsVersions bool
 }
 
 // claimZone returns the zone in which shards are assigned to the member.
@@ -78,15 +81,16 @@
 
 // memberRow is the encoded value of a row in MemberTable.
 type memberRow struct {
-	Address       string               `cbor:"a"` // for calls between daemons, "ip:port"
-	Zone          identity.Zone        `cbor:"z"`
-	Region        identity.Region      `cbor:"r"`
-	Incarnation   identity.Incarnation `cbor:"i"`
-	CallerAddress string               `cbor:"c,omitempty"`
-	Capacity      float64              `cbor:"p,omitempty"`
-	State         State                `cbor:"s"`
-	Standing      Standing             `cbor:"k,omitempty"`
-	ClaimZone     identity.Zone        `cbor:"w,omitempty"`
+	Address         string               `cbor:"a"` // for calls between daemons, "ip:port"
+	Zone            identity.Zone        `cbor:"z"`
+	Region          identity.Region      `cbor:"r"`
+	Incarnation     identity.Incarnation `cbor:"i"`
+	CallerAddress   string               `cbor:"c,omitempty"`
+	Capacity        float64              `cbor:"p,omitempty"`
+	State           State                `cbor:"s"`
+	Standing        Standing             `cbor:"k,omitempty"`
+	ClaimZone       identity.Zone        `cbor:"w,omitempty"`
+	RecordsVersions bool                 `cbor:"v,omitempty"`
 }
 
 // Encode returns the value of the member's row in MemberTable.
@@ -94,7 +98,7 @@
 	row := memberRow{
 		Address: member.Process.Address, Zone: member.Process.Zone, Region: member.Process.Region,
 		Incarnation: member.Process.Incarnation, CallerAddress: member.CallerAddress, Capacity: member.Capacity, State: member.State,
-		Standing: member.Standing, ClaimZone: member.ClaimZone,
+		Standing: member.Standing, ClaimZone: member.ClaimZone, RecordsVersions: member.RecordsVersions,
 	}
 	value, err := cbor.Marshal(row)
 	return value, eris.Wrap(err, "encode member")
@@ -110,11 +114,12 @@
 			Machine: identity.Machine(machine), Incarnation: row.Incarnation,
 			Address: row.Address, Zone: row.Zone, Region: row.Region,
 		},
-		CallerAddress: row.CallerAddress,
-		Capacity:      row.Capacity,
-		State:         row.State,
-		Standing:      row.Standing,
-		ClaimZone:     row.ClaimZone,
+		CallerAddress:   row.CallerAddress,
+		Capacity:        row.Capacity,
+		State:           row.State,
+		Standing:        row.Standing,
+		ClaimZone:       row.ClaimZone,
+		RecordsVersions: row.RecordsVersions,
 	}
 	return member, nil
 }
--- a/internal/members/registration.go
+++ b/internal/members/registration.go
@@ -60,6 +60,7 @@
 	if r.existing != nil && r.standing.hasClaims() && r.existing.claimZone() != r.lease.List.self.Process.Zone {
 		r.claimZone = r.existing.claimZone()
 	}
+	r.lease.recordsVersions = r.existing == nil || r.existing.RecordsVersions
 	member := r.lease.member(r.standing)
 	member.ClaimZone = r.claimZone
 	value, err := Encode(member)
@@ -99,6 +100,7 @@
 	}
 	if found.Process == r.lease.List.self.Process && found.State != StateDead {
 		r.lease.version, r.standing, r.claimZone = row.Version, found.Standing, found.ClaimZone
+		r.lease.recordsVersions = found.RecordsVersions
 		return true, nil
 	}
 	r.isNewcomer, r.seenVersion, r.existing = false, row.Version, &found
--- a/internal/server/resumption.go
+++ b/internal/server/resumption.go
@@ -32,15 +32,16 @@
 // run.
 func (s *Server) newSoftwareVersions(c *components) {
 	c.softwareVersions = softwareversion.New(softwareversion.Options{
-		Store:          c.client,
-		Services:       func() []string { return s.routes.Current().ResumableServices() },
-		Engines:        s.resumableEngines,
-		ChangedEngines: func(ctx context.Context) ([]softwareversion.Engine, error) { return s.changedEngines(ctx, c.client) },
-		EnginesAge:     s.lastInstancesAnswer.Age,
-		IsResponsible:  c.members.HasHighestScore,
-		MemberCount:    c.members.Count,
-		Now:            time.Now,
-		Log:            s.Log,
+		Store:            c.client,
+		Services:         func() []string { return s.routes.Current().ResumableServices() },
+		Engines:          s.resumableEngines,
+		ChangedEngines:   func(ctx context.Context) ([]softwareversion.Engine, error) { return s.changedEngines(ctx, c.client) },
+		EnginesAge:       s.lastInstancesAnswer.Age,
+		IsResponsible:    c.members.HasHighestScore,
+		AllDaemonsRecord: c.members.AllRecordVersions,
+		MemberCount:      c.members.Count,
+		Now:              time.Now,
+		Log:              s.Log,
 	})
 }
 
--- a/internal/softwareversion/history.go
+++ b/internal/softwareversion/history.go
@@ -30,6 +30,9 @@
 	// IsResponsible reports whether this daemon removes the old versions of a service. It should be
 	// true at one daemon.
 	IsResponsible func(service string) bool
+	// AllDaemonsRecord reports whether every daemon that has ever run in the system records versions,
+	// once that is known.
+	AllDaemonsRecord func() (all, isKnown bool)
 	// MemberCount returns the number of daemons.
 	MemberCount func() int
 	Now         func() time.Time
@@ -41,6 +44,9 @@
 	options  Options
 	changed  chan struct{}
 	recorded atomic.Pointer[map[Engine]bool] // immutable; replaced on change
+	// firstServices are the first services that this daemon recorded. A later one may have had streams
+	// before its versions were recorded. It is used by Run alone.
+	firstServices []string
 
 	mutex    sync.Mutex
 	rows     map[string]knownRow  // by service
--- a/internal/softwareversion/recording.go
+++ b/internal/softwareversion/recording.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -46,7 +47,11 @@
 func (h *History) check(ctx context.Context) error {
 	engines := h.options.Engines()
 	h.noteSeen(engines)
-	for _, service := range h.options.Services() {
+	services := h.options.Services()
+	if len(h.firstServices) == 0 {
+		h.firstServices = services
+	}
+	for _, service := range services {
 		if err := h.record(ctx, service, versionsOf(engines, service)); err != nil {
 			return err
 		}
@@ -87,10 +92,14 @@
 		if len(missing) == 0 {
 			return nil
 		}
-		next := rowContent{Versions: append(slices.Clone(known.Versions), missing...), Since: known.Since}
+		next := known.rowContent
 		if known.version == 0 {
-			next.Since = h.options.Now().UnixMilli()
+			var err error
+			if next, err = h.newRow(service); err != nil {
+				return err
+			}
 		}
+		next.Versions = append(slices.Clone(known.Versions), missing...)
 		isReplaced, err := h.replace(ctx, service, known, next)
 		if err != nil {
 			return err
@@ -101,6 +110,19 @@
 	}
 }
 
+// errDaemonsUnknown means that the row of a service is not created yet.
+var errDaemonsUnknown = errors.New("it is not known yet which daemons have run in the system")
+
+// newRow returns the content of a new row, without versions. The row is complete if the daemons have
+// recorded the service's versions from the start.
+func (h *History) newRow(service string) (rowContent, error) {
+	allRecord, isKnown := h.options.AllDaemonsRecord()
+	if !isKnown {
+		return rowContent{}, errDaemonsUnknown
+	}
+	return rowContent{Since: h.options.Now().UnixMilli(), IsComplete: allRecord && slices.Contains(h.firstServices, service)}, nil
+}
+
 // read reads the row of the service.
 func (h *History) read(ctx context.Context, service string) error {
 	selected := state.KeyRange(keyOf(service))
@@ -147,7 +169,8 @@
 	if !h.options.IsResponsible(service) {
 		return h.read(ctx, service)
 	}
-	next := rowContent{Versions: knownRow{rowContent: rowContent{Versions: old}}.missing(known.Versions), Since: known.Since}
+	next := known.rowContent
+	next.Versions = knownRow{rowContent: rowContent{Versions: old}}.missing(known.Versions)
 	isReplaced, err := h.replace(ctx, service, known, next)
 	if isReplaced {
 		h.options.Log.Info("software versions: removed.", zap.String("service", service), zap.Strings("versions", old))
--- a/internal/softwareversion/softwareversion.go
+++ b/internal/softwareversion/softwareversion.go
@@ -8,6 +8,8 @@
 //
 // Guarantee: if Only returns a version, no stream of the given age or younger began at another one,
 // provided that the versions at which streams began were recorded while an engine of them was declared.
+// A row says from when on no version is missing from it; in a system in which every daemon has always
+// recorded versions, none is.
 // Only rests on a condition that the store checked, and on a feed of engines that the store answered,
 // both after it was called. So it holds for daemons that have just started, and whatever the age of
 // their lists.
@@ -52,6 +54,9 @@
 type rowContent struct {
 	Versions []string `cbor:"v"`
 	Since    int64    `cbor:"s"` // Unix time in milliseconds from which on no version is missing
+	// IsComplete means that no version is missing whatever the time: the row was created in a system
+	// in which every daemon records versions.
+	IsComplete bool `cbor:"c,omitempty"`
 }
 
 // knownRow is a row as this daemon last saw it. The zero value means that there is none.
@@ -104,7 +109,7 @@
 	if k.showsSeveral(declared) {
 		return "", ErrSeveral
 	}
-	if now.Sub(time.UnixMilli(k.Since)) < age+maxClockDifference {
+	if !k.IsComplete && now.Sub(time.UnixMilli(k.Since)) < age+maxClockDifference {
 		return "", ErrUncertain
 	}
 	return k.Versions[0], nil
--- a/internal/softwareversion/softwareversion_test.go
+++ b/internal/softwareversion/softwareversion_test.go
@@ -48,6 +48,8 @@
 	afterFeed   func() // called after the store was asked for changes
 	age         time.Duration
 	responsible bool
+	// allRecord and isFleetKnown are what it knows of the daemons that have run in the system.
+	allRecord, isFleetKnown bool
 }
 
 const service = "s"
@@ -60,7 +62,7 @@
 }
 
 func newDaemon(store state.Store, clock *clock) *daemon {
-	d := &daemon{responsible: true, afterFeed: func() {}}
+	d := &daemon{responsible: true, afterFeed: func() {}, isFleetKnown: true}
 	d.History = New(Options{
 		Store:    store,
 		Services: func() []string { return []string{service} },
@@ -69,11 +71,12 @@
 			defer d.afterFeed()
 			return slices.Clone(d.changed), d.changedErr
 		},
-		EnginesAge:    func() (time.Duration, bool) { return d.age, true },
-		IsResponsible: func(string) bool { return d.responsible },
-		MemberCount:   func() int { return 1 },
-		Now:           clock.read,
-		Log:           zap.NewNop(),
+		EnginesAge:       func() (time.Duration, bool) { return d.age, true },
+		IsResponsible:    func(string) bool { return d.responsible },
+		AllDaemonsRecord: func() (bool, bool) { return d.allRecord, d.isFleetKnown },
+		MemberCount:      func() int { return 1 },
+		Now:              clock.read,
+		Log:              zap.NewNop(),
 	})
 	return d
 }
@@ -155,6 +158,31 @@
 		Expect(err).To(MatchError(ErrUncertain), "versions are not kept for that long")
 	})
 
+	It("is certain at once in a system in which every daemon has recorded versions", func(ctx SpecContext) {
+		other := newDaemon(memorystore.New(), at)
+		other.engines, other.isFleetKnown = engines("v1"), false
+		Expect(other.check(ctx)).To(MatchError(errDaemonsUnknown))
+		other.allRecord, other.isFleetKnown = true, true
+		check(ctx, other)
+		Expect(other.Only(ctx, service, streamAge)).To(Equal("v1"))
+		other.engines = engines("v1", "v2")
+		check(ctx, other)
+		Expect(other.row(service).IsComplete).To(BeTrue())
+	})
+
+	// Guards against a service whose streams were not resumable, and its versions not recorded, before.
+	It("is uncertain about a service that gets its first resumable route later", func(ctx SpecContext) {
+		other := newDaemon(memorystore.New(), at)
+		other.allRecord, other.engines = true, engines("v1")
+		services := []string{"another"}
+		other.options.Services = func() []string { return services }
+		check(ctx, other)
+		services = []string{"another", service}
+		check(ctx, other)
+		_, err := other.Only(ctx, service, streamAge)
+		Expect(err).To(MatchError(ErrUncertain))
+	})
+
 	It("is uncertain while the store refuses the condition or the feed", func(ctx SpecContext) {
 		store.SetFaultFunc(func(memorystore.Call) memorystore.Fault { return memorystore.FaultRefused })
 		_, err := first.Only(ctx, service, streamAge)
