--- a/internal/softwareversion/softwareversion.go
+++ b/internal/softwareversion/softwareversion.go
@@ -4,12 +4,11 @@
 //
 // A row for each service lists its versions. A version is added when a daemon first sees an engine of
 // it, and until then the daemon prefers engines of recorded versions for streams that may be continued
-// elsewhere. A version is removed once no engine of it has been declared for Retention.
+// elsewhere. A version is removed once no engine of it has been declared for Retention. The row says
+// from when on no version is missing; in a system whose daemons have always recorded versions, none is.
 //
 // Guarantee: if Only returns a version, no stream of the given age or younger began at another one,
 // provided that the versions at which streams began were recorded while an engine of them was declared.
-// A row says from when on no version is missing from it; in a system in which every daemon has always
-// recorded versions, none is.
 // Only rests on a condition that the store checked, and on a feed of engines that the store answered,
 // both after it was called. So it holds for daemons that have just started, and whatever the age of
 // their lists.
