Origins: three other daemons are told, also if the serving one is a home itself

Now the place of a home that is the daemon itself goes to a further daemon at which Find looks anyway.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -230,6 +230,7 @@
 	defer cancel()
 	a.err = c.exchange(ctx, a)
 	a.ended = time.Now()
+	a.inTouch = c.run.gateways[a.gateway].isInTouch(a.sent)
 	c.run.evidence.recordAttempt(a)
 }
 
--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -34,6 +34,7 @@
 	gateway   int
 	// toPreviousBuild means that a process of the previous build may have answered the request.
 	toPreviousBuild bool
+	inTouch         bool     // the gateway was in touch from contactTimeout before the attempt until its end
 	began           *attempt // the attempt that began the stream which this one takes up; nil: none
 	resumeFrom      int      // number of events that the caller has
 	namesOrigin     bool     // the attempt names began
--- a/internal/lab/soak/gateway.go
+++ b/internal/lab/soak/gateway.go
@@ -35,7 +35,14 @@
 	isPreviousBuild atomic.Bool // a process of the previous build may be running
 	command         *exec.Cmd
 	exited          chan struct{}
-	exitExpected    bool // the soak sent the process a signal to end
+	exitExpected    bool         // the soak sent the process a signal to end
+	disturbedAt     atomic.Int64 // unix nanoseconds of the last start, or signal that ends or stops the process
+}
+
+// isInTouch reports whether the process was neither started, ended nor stopped within contactTimeout
+// before the given time, or since.
+func (g *gateway) isInTouch(at time.Time) bool {
+	return at.Sub(time.Unix(0, g.disturbedAt.Load())) >= contactTimeout
 }
 
 // Ports of a gateway. Each gateway has a loopback address of its own.
@@ -119,6 +126,7 @@
 	if g.isRunning() {
 		return nil
 	}
+	g.disturbedAt.Store(time.Now().UnixNano())
 	output, err := os.OpenFile(g.run.logFile(g.name), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return eris.Wrap(err, "open log")
@@ -189,6 +197,9 @@
 	if sent == syscall.SIGKILL || sent == syscall.SIGTERM {
 		g.exitExpected = true
 	}
+	if sent != syscall.SIGHUP {
+		g.disturbedAt.Store(time.Now().UnixNano())
+	}
 	_ = g.command.Process.Signal(sent) // fails if the process has ended
 	return g.exited
 }
--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -17,8 +17,11 @@
 	keepTimeout = 500 * time.Millisecond
 	// findTimeout bounds a search. A daemon that can be reached answers several times faster.
 	findTimeout = 150 * time.Millisecond
-	// minReplicas is the number of other daemons that must have a record. If fewer homes confirm it,
-	// further daemons are told.
+	// maxReplicas is the number of other daemons that are told: the homes, and a further daemon in place
+	// of this one if it is a home itself.
+	maxReplicas = 3
+	// minReplicas is the number of other daemons that must confirm a record. If fewer do, further ones
+	// are told.
 	minReplicas = 2
 	// maxTelling is the maximum number of records that are being told. Beyond it a record stays at
 	// this daemon alone, so that daemons that do not answer cannot use up the memory.
@@ -57,13 +60,13 @@
 	}()
 }
 
-// tell sends the record to the homes of its stream, and to further daemons if fewer than minReplicas
-// homes confirm it.
+// tell sends the record to maxReplicas daemons, and to further ones if fewer than minReplicas confirm
+// it.
 func (e *Exchange) tell(record Record) {
-	homes := e.otherHomes(record.Stream)
-	confirmed := e.sendAll(homes, record)
-	if confirmed < minReplicas {
-		further := e.furtherMembers(record.Stream, homes)
+	likely := e.likelyMembers(record.Stream)
+	first := likely[:min(len(likely), maxReplicas)]
+	confirmed := e.sendAll(first, record)
+	if further := likely[len(first):]; confirmed < minReplicas {
 		confirmed += e.sendAll(further[:min(len(further), minReplicas)], record)
 	}
 	if confirmed == 0 {
@@ -73,30 +76,10 @@
 	e.metrics.countTold(resultConfirmed)
 }
 
-// otherHomes returns the homes of the stream in this daemon's region, except this daemon.
-func (e *Exchange) otherHomes(stream Stream) []members.Member {
-	homes := e.list.Homes(stream.key())
-	var others []members.Member
-	for order := range homes.Len() {
-		if home := homes.At(order); home.Process != e.list.Self() {
-			others = append(others, home)
-		}
-	}
-	return others
-}
-
-// furtherMembers returns the members besides the homes at which Find looks for the stream.
-func (e *Exchange) furtherMembers(stream Stream, homes []members.Member) (further []members.Member) {
-	isHome := map[string]bool{}
-	for _, home := range homes {
-		isHome[home.Process.Address] = true
-	}
-	for _, member := range e.list.LikelyHomes(stream.key()) {
-		if !isHome[member.Process.Address] {
-			further = append(further, member)
-		}
-	}
-	return further
+// likelyMembers returns the members, except this daemon, at which Find looks for the stream: first its
+// homes in this daemon's region, then those in each other region and in each zone.
+func (e *Exchange) likelyMembers(stream Stream) []members.Member {
+	return e.list.LikelyHomes(stream.key())
 }
 
 // sendAll sends the record to all targets at the same time, and returns how many confirmed it.
@@ -139,7 +122,7 @@
 func (e *Exchange) ask(ctx context.Context, stream Stream) (Record, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	asked := e.list.LikelyHomes(stream.key())
+	asked := e.likelyMembers(stream)
 	replies := make(chan FindReply, len(asked))
 	for _, member := range asked {
 		go func() {
