--- a/internal/softwareversion/recording.go
+++ b/internal/softwareversion/recording.go
@@ -30,7 +30,7 @@
 	schedule := pause.NewBackoff(initialRetryDelay, maxRetryDelay)
 	for ctx.Err() == nil {
 		if err := h.check(ctx); err != nil {
-			h.options.Log.Info("software versions: not recorded yet.", zap.String("cause", err.Error()))
+			h.options.Log.Info("versions: not recorded yet.", zap.String("cause", err.Error()))
 			pause.Sleep(ctx, schedule.NextBackOff())
 			continue
 		}
@@ -105,7 +105,7 @@
 			return err
 		}
 		if isReplaced {
-			h.options.Log.Info("software versions: recorded.", zap.String("service", service), zap.Strings("versions", missing))
+			h.options.Log.Info("versions: recorded.", zap.String("service", service), zap.Strings("versions", missing))
 		}
 	}
 }
@@ -173,7 +173,7 @@
 	next.Versions = knownRow{rowContent: rowContent{Versions: old}}.missing(known.Versions)
 	isReplaced, err := h.replace(ctx, service, known, next)
 	if isReplaced {
-		h.options.Log.Info("software versions: removed.", zap.String("service", service), zap.Strings("versions", old))
+		h.options.Log.Info("versions: removed.", zap.String("service", service), zap.Strings("versions", old))
 	}
 	return err
 }
