Gateway: time to ask for the origin though the caller has little left

Cause: the questions to other daemons and the store ended with the time for preparation, which leaves 250 ms for the answer; these callers had waited 3 s for a gateway and had less left, so the questions ended before they were sent. The same would have refused streams whose origin is told.

Now there are up to 100 ms for it, several times what the answers take, as long as the request can still be sent. The new spec got a wait of 0 with maxPreparationWait, as it still shows.

--- a/internal/gateway/execution_test.go
+++ b/internal/gateway/execution_test.go
@@ -77,6 +77,16 @@
 		Expect(origins.recorded).To(Equal([]origin.Stream{origin.StreamOf("r1")}))
 	})
 
+	// Guards against streams that are refused because their callers have little time left.
+	It("is asked for though the caller has little time left", func() {
+		streaming.call.Deadline = 240 * time.Millisecond
+		Expect(streaming.maxPreparationWait()).To(BeZero())
+		Eventually(func() time.Duration {
+			streaming.arrived = time.Now()
+			return streaming.bindingWait()
+		}).Should(And(BeNumerically(">", 0), BeNumerically("<=", minBindingWait)))
+	})
+
 	DescribeTable("is not recorded", func(change func()) {
 		change()
 		streaming.recordOrigin(reply)
--- a/internal/gateway/resumption.go
+++ b/internal/gateway/resumption.go
@@ -50,7 +50,7 @@
 	if !e.isResumption() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, e.maxPreparationWait())
+	ctx, cancel := context.WithTimeout(ctx, e.bindingWait())
 	defer cancel()
 	if e.call.Origin != "" {
 		if found, isKnown := e.gateway.Origins.Find(ctx, e.originStream()); isKnown {
@@ -60,6 +60,16 @@
 	return e.bindToOnlyOrigin(ctx)
 }
 
+// minBindingWait is several times what other daemons and the store need to answer.
+const minBindingWait = 100 * time.Millisecond
+
+// bindingWait returns how long the request may wait for answers about the origin of its stream. Unlike
+// maxPreparationWait it leaves time for them while the request has time to be sent, since the caller
+// of a broken stream often has little left.
+func (e *execution) bindingWait() time.Duration {
+	return max(e.maxPreparationWait(), min(minBindingWait, e.remaining()-minTimeToSend))
+}
+
 // originStream returns the identity of the stream that the request continues.
 func (e *execution) originStream() origin.Stream {
 	return origin.StreamOf(e.tenantScoped(e.call.Origin))
