--- a/internal/lab/platformengine/platformengine.go
+++ b/internal/lab/platformengine/platformengine.go
@@ -41,6 +41,11 @@
 	// BlockStreamUntil blocks a stream after its first event until the channel is
 	// closed; nil means no wait.
 	BlockStreamUntil chan struct{}
+	// Framing marks the end of a successful answer. If it is not FramingAutomatic, the
+	// answer is sent in one piece and ends its connection.
+	Framing Framing
+	// Cut breaks the answer off, if Framing is not FramingAutomatic; nil means never.
+	Cut *Cut
 }
 
 // Engine is one running engine instance. Safe for concurrent use; the exported
@@ -136,6 +141,8 @@
 	case behaviour.FailStatus != 0:
 		e.setServerStamp(writer)
 		writer.WriteHeader(behaviour.FailStatus)
+	case behaviour.Framing != FramingAutomatic:
+		e.sendRaw(writer, request, behaviour)
 	case len(e.Events) > 0:
 		e.stream(writer, request, run, behaviour)
 	default:
