Gateway: an event begins with its first field, of whatever name

Callers saw: a stream cut after the line 'id: 4' (or a version, or any field but data) ended as complete; on recorded routes the short turn became history. Cause: the reader took a stream to be within an event only from a data field on, or within an unfinished line. The new spec, every byte of a stream with all kinds of lines, failed after byte 6 of 'id: 1'. The parser's state is now what the format says: an event lasts from its first field to its empty line; comments between events belong to none.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -9,12 +9,16 @@
 	line    []byte // current line so far, without its end
 	data    []byte // data of the current event
 	hasData bool   // whether the current event has a data field
+	inEvent bool   // whether the current event has a field of any kind
 	count   int    // complete events that have data
 	output  []byte // data of the complete events, each followed by a line feed
 }
 
 var dataField = []byte("data:")
 
+// commentMark begins a line that belongs to no event.
+const commentMark = ':'
+
 // write parses the next bytes of the stream, which may begin and end anywhere.
 func (e *eventReader) write(chunk []byte) {
 	for len(chunk) > 0 {
@@ -46,6 +50,10 @@
 		e.endEvent()
 		return
 	}
+	if line[0] == commentMark {
+		return
+	}
+	e.inEvent = true
 	value, isData := bytes.CutPrefix(line, dataField)
 	if !isData {
 		return
@@ -60,6 +68,7 @@
 }
 
 func (e *eventReader) endEvent() {
+	e.inEvent = false
 	if !e.hasData {
 		return
 	}
@@ -72,8 +81,8 @@
 	e.hasData = false
 }
 
-// isPartial reports whether the stream so far ends within an event.
-func (e *eventReader) isPartial() bool { return e.hasData || len(e.line) > 0 }
+// isPartial reports whether the stream so far ends within an event or a line.
+func (e *eventReader) isPartial() bool { return e.inEvent || len(e.line) > 0 }
 
 // countWithPartial returns the number of events, including an incomplete last one.
 func (e *eventReader) countWithPartial() int {
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -30,6 +30,19 @@
 		}
 	})
 
+	// Guards against a stream that counts as whole though it ends within an event.
+	It("is within an event from the first byte of its first field to the end of its empty line", func() {
+		const between = "|" // marks each place between two events
+		marked := "|id: 1\ndata: one\n\n|id: 2\r\ndata:two\r\n\r\n|: comment\n|\n|weights-versions: 2\nid: 3\n: within\ndata: a\ndata: b\n\n|retry: 5\n\n|"
+		reader := eventReader{}
+		for position, text := range strings.Split(marked, between) {
+			for index := range len(text) {
+				reader.write([]byte{text[index]})
+				Expect(reader.isPartial()).To(Equal(index < len(text)-1), "part %d, after byte %d of %q", position, index+1, text)
+			}
+		}
+	})
+
 	It("counts events with long lines without collecting their data", func() {
 		reader := eventReader{}
 		long := strings.Repeat("x", 1<<16)
