Server: an answer that only its connection ends is reset unless it is complete

Callers of HTTP/1.0 saw: a stream that was broken off, by its engine, by a deadline or because the gateway was killed, ended like a whole one. Cause: they get no chunks, so the end of the connection is the end of the answer, and http.ErrAbortHandler and the end of a process both close a connection in the ordinary way. Change: before the first byte of such an answer SO_LINGER is set to 0, so that the kernel can end the connection by a reset only, whoever closes it. It is taken back when the handler has returned and all bytes are with the kernel. The socket then sends its end at once and reads on for up to 0.5 s, since closing with unread input would reset a whole answer (spec with a pipelined request). Ruled out: taking it back before buffered bytes are written; a kill in between would end a part like the whole.

--- a/internal/server/caller_connections.go
+++ b/internal/server/caller_connections.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"github.com/thymeloft/thymeloft/internal/answer"
 )
 
 // callerConnection is a caller's connection that records whether a request may
@@ -16,6 +18,7 @@
 // the server. It is retired only if no byte was read since it became idle.
 type callerConnection struct {
 	net.Conn
+	socket       *callerSocket // below Conn; nil if the connection is not TCP
 	mutex        sync.Mutex
 	requestBegun bool // whether bytes were read since the connection was accepted or became idle
 	retired      bool
@@ -131,9 +134,11 @@
 }
 
 // responseWriter adds the header "Connection: close" to each response whose header
-// is written while callerConnections.isClosing returns true.
+// is written while callerConnections.isClosing returns true. It tells the socket of
+// each response that ends with its connection.
 type responseWriter struct {
 	http.ResponseWriter
+	request       *http.Request
 	connections   *callerConnections
 	headerWritten bool
 }
@@ -144,9 +149,35 @@
 	if w.connections.isClosing() {
 		w.Header().Set("Connection", "close")
 	}
+	if socket := w.socket(); socket != nil && w.endsWithConnection(status) {
+		socket.expectAnswer()
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// endsWithConnection reports whether the response has a body whose end neither a length
+// nor chunks mark. Callers of HTTP/1.0 get no chunks.
+func (w *responseWriter) endsWithConnection(status int) bool {
+	header := w.Header()
+	if w.request.Method == http.MethodHead || !answer.AllowsBody(status) || header.Get("Content-Length") != "" {
+		return false
+	}
+	return !w.request.ProtoAtLeast(1, 1) || header.Get("Transfer-Encoding") == "identity"
+}
+
+// complete records that the handler has written the whole response.
+func (w *responseWriter) complete() {
+	if socket := w.socket(); socket != nil {
+		socket.completeAnswer()
+	}
+}
+
+// socket returns the socket of the caller, or nil if the connection is not TCP.
+func (w *responseWriter) socket() *callerSocket {
+	socket, _ := w.request.Context().Value(socketKey{}).(*callerSocket)
+	return socket
+}
+
 // Write implements http.ResponseWriter.
 func (w *responseWriter) Write(content []byte) (int, error) {
 	if !w.headerWritten {
--- a/internal/server/caller_server.go
+++ b/internal/server/caller_server.go
@@ -43,7 +43,9 @@
 func newCallerServer(listener net.Listener, handler http.Handler, buffers *writebehind.Group, errorLog *log.Logger) *callerServer {
 	s := &callerServer{listener: listener, errors: errorLog, connections: newCallerConnections(), buffers: buffers}
 	s.handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		handler.ServeHTTP(&responseWriter{ResponseWriter: writer, connections: s.connections}, request)
+		response := &responseWriter{ResponseWriter: writer, request: request, connections: s.connections}
+		handler.ServeHTTP(response, request)
+		response.complete() // not reached if the handler panics, by which it gives the response up
 	})
 	s.SetLimits(initialLimits)
 	go s.accept()
@@ -69,7 +71,7 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ErrorLog:          s.errors,
 		ConnState:         s.connections.onStateChange,
-		ConnContext:       withBufferedConn,
+		ConnContext:       withCallerConn,
 	}
 	s.acceptQueue = newConnectionQueue(s.listener.Addr())
 	go func(server *http.Server, connections *connectionQueue) {
@@ -79,14 +81,22 @@
 	}(s.server, s.acceptQueue)
 }
 
-// withBufferedConn is the http.Server.ConnContext hook of all servers. If responses
-// on the accepted connection are buffered, it adds the buffering connection to the
-// context of the requests.
-func withBufferedConn(ctx context.Context, accepted net.Conn) context.Context {
-	if connection, ok := accepted.(*callerConnection); ok {
-		if buffered, wrapped := connection.Conn.(*writebehind.Conn); wrapped {
-			return writebehind.WithConn(ctx, buffered)
-		}
+// socketKey is the context key of the callerSocket of a request.
+type socketKey struct{}
+
+// withCallerConn is the http.Server.ConnContext hook of all servers. It adds the
+// socket of the accepted connection to the context of the requests, and, if responses
+// on it are buffered, the buffering connection.
+func withCallerConn(ctx context.Context, accepted net.Conn) context.Context {
+	connection, ok := accepted.(*callerConnection)
+	if !ok {
+		return ctx
+	}
+	if connection.socket != nil {
+		ctx = context.WithValue(ctx, socketKey{}, connection.socket)
+	}
+	if buffered, wrapped := connection.Conn.(*writebehind.Conn); wrapped {
+		ctx = writebehind.WithConn(ctx, buffered)
 	}
 	return ctx
 }
@@ -113,7 +123,7 @@
 		s.mutex.Lock()
 		current := s.acceptQueue
 		s.mutex.Unlock()
-		current.deliver(&callerConnection{Conn: s.buffers.Wrap(accepted)})
+		current.deliver(newCallerConnection(accepted, s.buffers))
 	}
 }
 
--- a/internal/writebehind/drain.go
+++ b/internal/writebehind/drain.go
@@ -100,11 +100,20 @@
 	if errors.Is(err, ErrSlowPeer) {
 		c.group.recordSlow(c.RemoteAddr(), err)
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	c.reset()
+	c.changed.Broadcast()
+}
+
+// reset closes the connection with a reset, if it supports that.
+func (c *Conn) reset() {
+	switch connection := c.Conn.(type) {
+	case interface{ Abort() error }:
+		_ = connection.Abort() // fails only if the connection is closed already
+		return
+	case *net.TCPConn:
+		_ = connection.SetLinger(0)
 	}
 	_ = c.Conn.Close()
-	c.changed.Broadcast()
 }
 
 // release gives the memory of all blocks back to the account. The caller holds the mutex.
