Gateway: an answer claims no more about its end than the engine's does

Callers saw: an answer without a length or chunks, broken off by the crash of its engine, came in chunks with the last one, or with a length of its own. Cause: body.Read turns the end of such a connection into io.EOF like any other end, and from there on nobody knew that the end was never stated. writeHead and net/http then stated one. HEAD was given 'Content-Length: 0' in the same way. Class: a claim that is passed on is stronger than the one received. Change: package answer tells framing and ending. What follows from the end asks one type: the framing, the record of a turn, the outcome for the engine (a stream that ended within an event counted as a success), log and metrics. A stream without framing and without a byte is a lost answer: nothing was claimed, and routes that allow it try again. Ruled out: to show a crash by a new connection to the engine. A refusal is no proof (engines refuse beyond their limit of connections, and leaving ones are gone after their last whole answer), nor is an accepted one; it would break whole answers off under load. A turn whose end is unproven is recorded with just what the caller got: the caller decides with the same proof, and if it takes the turn for whole, it must be there.

--- a/internal/backend/quality.go
+++ b/internal/backend/quality.go
@@ -8,8 +8,9 @@
 
 // Outcome is what one request revealed about an instance.
 type Outcome struct {
-	// Failed is set if the instance was unreachable, broke the connection, sent nothing before
-	// the caller left, or sent an unusable answer.
+	// Failed is set if the instance was unreachable, broke its answer off, sent nothing before
+	// the caller left, or sent an unusable answer. An answer whose end is unproven is no failure;
+	// the times that it shows were seen, whether or not it is whole.
 	Failed           bool
 	TimeToFirstByte  time.Duration // time until the response began; 0 if it did not
 	EventInterval    time.Duration // mean time between events of a stream; 0 if there were too few
--- a/internal/gateway/examine.go
+++ b/internal/gateway/examine.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thymeloft/thymeloft/internal/answer"
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/routetable"
@@ -24,16 +25,16 @@
 // *rejectedError if the instance promised not to run the request, and otherwise a
 // *backend.LostError.
 func (e *execution) examine(instance *backend.Instance, reply *backend.Reply) (*startedReply, error) {
-	answer := e.gateway.HeaderCodec.ParseAnswer(reply.Status, reply.Header)
-	if answer.NotRun {
-		if answer.WrongInstance {
+	parsed := e.gateway.HeaderCodec.ParseAnswer(reply.Status, reply.Header)
+	if parsed.NotRun {
+		if parsed.WrongInstance {
 			e.gateway.Fleet.Remove(instance)
 		}
 		_, _ = io.CopyN(io.Discard, reply.Body, maxBufferedBytes) // drains the body so that the connection can be reused
 		return nil, &rejectedError{status: reply.Status}
 	}
 	e.runs++
-	if err := e.checkAnswer(answer, reply); err != nil {
+	if err := e.checkAnswer(parsed, reply); err != nil {
 		return nil, &backend.LostError{Peer: instance.Address, Op: "examine answer", Err: err}
 	}
 	if e.route.Streaming && reply.Status == http.StatusOK {
@@ -43,9 +44,9 @@
 }
 
 // checkAnswer returns an error if the answer must not be relayed to the caller.
-func (e *execution) checkAnswer(answer Answer, reply *backend.Reply) error {
+func (e *execution) checkAnswer(parsed Answer, reply *backend.Reply) error {
 	switch {
-	case !answer.Signed || reply.Header.Get("Content-Encoding") != "":
+	case !parsed.Signed || reply.Header.Get("Content-Encoding") != "":
 		return eris.New("the answer is unsigned or encoded, so it is not the instance's own")
 	case reply.Status >= http.StatusInternalServerError && e.route.Repeat == routetable.RepeatAllowed && e.runs < e.route.MaxAttempts:
 		return eris.Errorf("the instance failed with status %d", reply.Status)
@@ -75,6 +76,9 @@
 	for count == 0 && err == nil {
 		count, err = reply.Body.Read(buffer)
 	}
+	if err == io.EOF && count == 0 && reply.Framing == answer.FramingConnection {
+		err = eris.New("the connection ended before the first event")
+	}
 	if err != nil && err != io.EOF {
 		return nil, &backend.LostError{Peer: instance.Address, Op: "read first event", Err: err}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,8 +37,8 @@
 			Name: "thymeloft_record_seconds", Help: "Time to record a turn.", Buckets: buckets,
 		}, []string{"result"}),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "thymeloft_answers_total", Help: "Answers of engines that were relayed, by how they mark their end, and by the reason for which they were cut.",
-		}, []string{"framing", "reason"}),
+			Name: "thymeloft_answers_total", Help: "Answers of engines that were relayed, by how they mark their end, and by what is known about it.",
+		}, []string{"framing", "ending"}),
 	}
 	registry.MustRegister(metrics.inFlight, metrics.requests, metrics.duration, metrics.record, metrics.answers)
 	return metrics
@@ -50,9 +50,9 @@
 	m.duration.WithLabelValues(string(reason)).Observe(took.Seconds())
 }
 
-// observeAnswer counts an answer that was relayed, or cut for the reason.
-func (m *Metrics) observeAnswer(framing answer.Framing, reason Reason) {
-	m.answers.WithLabelValues(framing.String(), string(reason)).Inc()
+// observeAnswer counts an answer that was relayed, whole or in part.
+func (m *Metrics) observeAnswer(framing answer.Framing, ending answer.Ending) {
+	m.answers.WithLabelValues(framing.String(), ending.String()).Inc()
 }
 
 // observeRecord notes how long it took to record a turn, and whether it failed.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thymeloft/thymeloft/internal/answer"
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/turn"
 )
@@ -28,19 +29,24 @@
 	if err := e.writeBody(ctx, reply); err != nil {
 		return err
 	}
-	e.instance.RecordOutcome(e.outcome(reply), time.Now())
-	if !e.isStream(reply) {
-		return nil
-	}
-	if e.events.isPartial() {
+	e.ending = reply.Framing.EndingAt(e.isStream(reply) && e.events.isPartial())
+	if !e.ending.MayBeWhole() {
+		e.recordBrokenAnswer()
 		return &AbortedError{Reason: ReasonStreamBroken, Err: eris.New("the stream ended within an event")}
 	}
-	if e.route.Recorded {
+	e.instance.RecordOutcome(e.outcome(reply), time.Now())
+	if e.isStream(reply) && e.route.Recorded {
 		return e.recordTurn(ctx)
 	}
 	return nil
 }
 
+// recordBrokenAnswer records that the instance broke its answer off.
+func (e *execution) recordBrokenAnswer() {
+	e.instance.RecordFailure(time.Now())
+	e.instance.RecordOutcome(backend.Outcome{Failed: true}, time.Now())
+}
+
 // writeBody writes the body of the answer to the caller. The error is an *AbortedError.
 func (e *execution) writeBody(ctx context.Context, reply *startedReply) error {
 	if err := e.writeChunk(reply.firstBytes); err != nil || reply.isComplete {
@@ -49,8 +55,9 @@
 	return e.relayRest(ctx, reply)
 }
 
-// outcome returns the speed of the instance that a complete answer shows, and the load at which it
-// was measured. For an error status it is empty, since the instance did not do the work.
+// outcome returns the speed of the instance that an answer shows which is not known to be broken, and
+// the load at which it was measured. For an error status it is empty, since the instance did not do the
+// work.
 func (e *execution) outcome(reply *startedReply) backend.Outcome {
 	if reply.Status/100 != http.StatusOK/100 {
 		return backend.Outcome{}
@@ -75,29 +82,34 @@
 	return e.route.Streaming && reply.Status == http.StatusOK
 }
 
-// writeHead writes the status and headers of the answer to the caller. It omits the Content-Length
-// of a stream, by which the caller could notice the end before the turn is recorded.
+// writeHead writes the status and headers of the answer to the caller.
 func (e *execution) writeHead(reply *startedReply) {
 	header := e.writer.Header()
 	for name, values := range reply.Header {
 		header[name] = slices.Clone(values)
 	}
 	dropConnectionHeaders(header)
-	if !e.isStream(reply) {
-		if reply.isComplete {
-			header.Set("Content-Length", strconv.Itoa(len(reply.firstBytes)))
-		} else if reply.Length >= 0 {
-			header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
-		}
-		if e.request.Method == http.MethodHead && reply.Length >= 0 {
-			header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
-		}
-	}
+	e.setFraming(header, reply)
 	e.headSent = true
 	e.status = reply.Status
 	e.writer.WriteHeader(reply.Status)
 }
 
+// setFraming frames the answer to the caller such that it claims no more about its end than the engine's
+// does. A stream gets no Content-Length, by which the caller could notice the end before the turn is
+// recorded.
+func (e *execution) setFraming(header http.Header, reply *startedReply) {
+	switch {
+	case reply.Framing == answer.FramingConnection:
+		header.Set("Transfer-Encoding", "identity") // makes net/http end the answer with the connection
+	case e.isStream(reply):
+	case reply.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
+	case reply.isComplete && reply.Framing == answer.FramingChunks:
+		header.Set("Content-Length", strconv.Itoa(len(reply.firstBytes)))
+	}
+}
+
 // writeChunk writes bytes of the body to the caller; on streaming routes it also counts their
 // events and flushes them. The error is an *AbortedError.
 func (e *execution) writeChunk(chunk []byte) error {
@@ -141,13 +153,13 @@
 		if ctx.Err() != nil {
 			return &AbortedError{Reason: contextEndReason(ctx), Err: err}
 		}
-		e.instance.RecordFailure(time.Now())
-		e.instance.RecordOutcome(backend.Outcome{Failed: true}, time.Now())
+		e.recordBrokenAnswer()
 		return &AbortedError{Reason: ReasonStreamBroken, Err: eris.Wrap(err, "read stream")}
 	}
 }
 
-// recordTurn saves the turn. It must succeed before the end of the stream is sent. If the store
+// recordTurn saves the turn, with the events that the caller has got. If their end is unproven, a caller
+// that continues the turn has taken it for whole. recordTurn must succeed before the end of the stream is sent. If the store
 // does not answer in time, it returns an *AbortedError, and the caller is expected to repeat the
 // turn.
 func (e *execution) recordTurn(ctx context.Context) error {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -13,7 +13,7 @@
 	reason, status := reasonOf(err), e.callerStatus(err)
 	e.gateway.Metrics.observeRequest(e.routeName(), status, reason, took)
 	if e.hasReply {
-		e.gateway.Metrics.observeAnswer(e.framing, reason)
+		e.gateway.Metrics.observeAnswer(e.framing, e.ending)
 	}
 	fields := []zap.Field{
 		zap.String("request", e.call.ID),
@@ -119,11 +119,11 @@
 	return append(fields, zap.Uint64("revision", e.table.Revision))
 }
 
-// addAnswerFields adds how the engine marked the end of its answer, whether a stream ended within an
+// addAnswerFields adds how the engine marks the end of its answer and how the answer ended, whether a stream ended within an
 // event, and the protocol of a caller that cannot read chunks.
 func (e *execution) addAnswerFields(fields []zap.Field) []zap.Field {
 	if e.hasReply {
-		fields = append(fields, zap.Stringer("framing", e.framing))
+		fields = append(fields, zap.Stringer("framing", e.framing), zap.Stringer("ending", e.ending))
 	}
 	if e.events.isPartial() {
 		fields = append(fields, zap.Bool("partialEvent", true))
