Soak: answers that end with their connection, callers of HTTP/1.0

One caller in four speaks HTTP/1.0. The bytes of the caller's answer decide what it claims: whole by a length or chunks, ended with its connection, or broken off. What is not whole must be broken off for its caller, unless the instance itself has closed the connection after this content; what an instance has sent whole arrives whole in calm times. A caller takes an answer for complete if it claims so and has the expected content. Before, it was enough that it ended without an error after a line; the new check reports what that one reported, and answers that end within an event.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -20,6 +19,7 @@
 	random        *rand.Rand
 	mutex         sync.Mutex // protects random, requests and retainedTurns, which sub-agents share
 	clients       []*http.Client
+	protocol      string // empty: HTTP/1.1
 	requests      int
 	programs      int
 	retainedTurns []*attempt // completely answered turns that later programs may continue
@@ -28,12 +28,18 @@
 func newCaller(r *soakRun, index int, random *rand.Rand) *caller {
 	c := &caller{run: r, name: fmt.Sprintf("c%d", index), random: random}
 	for range r.gateways {
-		transport := &http.Transport{DisableKeepAlives: index%2 == 1, DisableCompression: true}
+		var transport http.RoundTripper = &http.Transport{DisableKeepAlives: index%2 == 1, DisableCompression: true}
+		if index%http10Period == http10Period-1 {
+			transport, c.protocol = http10Transport{}, "HTTP/1.0"
+		}
 		c.clients = append(c.clients, &http.Client{Transport: transport})
 	}
 	return c
 }
 
+// http10Period is the number of callers of which one speaks HTTP/1.0.
+const http10Period = 4
+
 // runPrograms runs programs until ctx is done. Requests that are in progress then end
 // by themselves.
 func (c *caller) runPrograms(ctx context.Context) {
@@ -220,7 +226,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.requests++
-	return &attempt{id: fmt.Sprintf("%s-r%d", c.name, c.requests), kind: k, gateway: c.random.IntN(len(c.run.gateways))}
+	return &attempt{id: fmt.Sprintf("%s-r%d", c.name, c.requests), kind: k, protocol: c.protocol, gateway: c.random.IntN(len(c.run.gateways))}
 }
 
 // send sends one request and records the attempt.
@@ -264,10 +270,11 @@
 		return a.readRefusal(response.Body)
 	}
 	if a.kind == kindRecorded || a.kind == kindPlain || a.kind == kindResumable {
-		return a.readStream(response.Body)
+		return a.readStream(response)
 	}
 	content, err := io.ReadAll(response.Body)
-	a.content, a.complete = string(content), err == nil
+	a.content = string(content)
+	a.setClaim(response, err, false)
 	return err
 }
 
@@ -293,19 +300,16 @@
 	}
 }
 
-// readStream collects the data of the events. The answer is complete if the status is
-// 200 and the stream ends with EOF after a whole line.
-func (a *attempt) readStream(body io.Reader) error {
-	reader := bufio.NewReader(body)
-	for {
-		line, err := reader.ReadString('\n')
-		if data, found := strings.CutPrefix(line, "data: "); found && strings.HasSuffix(line, "\n") {
-			a.content += data
-			a.events++
-		}
-		if err != nil {
-			a.complete = err == io.EOF && a.status == http.StatusOK && line == ""
-			return err
-		}
-	}
+// readStream collects the data of the events.
+func (a *attempt) readStream(response *http.Response) error {
+	content, end := readEvents(response.Body)
+	a.content, a.events = content, end.events
+	a.setClaim(response, end.err, end.withinPart)
+	return end.err
+}
+
+// setClaim records what the response says about its end, and whether its caller takes it for complete.
+func (a *attempt) setClaim(response *http.Response, err error, endsWithinPart bool) {
+	a.claim = claimOf(response, err, endsWithinPart)
+	a.complete = a.claim != claimBroken && a.hasExpectedContent()
 }
--- a/internal/lab/soak/checks.go
+++ b/internal/lab/soak/checks.go
@@ -17,9 +17,11 @@
 		known[a.id] = a
 		findings = append(findings, e.checkAnswer(a)...)
 		findings = append(findings, e.checkExecutions(a)...)
+		findings = append(findings, e.checkEnd(a)...)
 		if !e.skipTimingChecks {
 			findings = append(findings, e.checkConfigurationBound(a)...)
 			findings = append(findings, e.checkAddition(a)...)
+			findings = append(findings, e.checkWholeArrives(a)...)
 		}
 		findings = append(findings, checkDenial(a)...)
 		findings = append(findings, e.checkDenialAge(a)...)
--- a/internal/lab/soak/checks_test.go
+++ b/internal/lab/soak/checks_test.go
@@ -63,6 +63,21 @@
 	Entry("a truncated stream that ends without an error", func(_ *evidence, all map[string]*attempt) {
 		all["r1"].content = all["r1"].content[:5]
 	}, "answers:"),
+	Entry("a part of an answer that claims to be whole", func(_ *evidence, all map[string]*attempt) {
+		all["r1"].content, all["r1"].claim, all["r1"].complete = "", claimWhole, false
+	}, "ends:"),
+	Entry("a part of an answer that ends with its connection, though its instance has reset it", func(e *evidence, all map[string]*attempt) {
+		all["r1"].content, all["r1"].claim, all["r1"].complete = "", claimEnded, false
+		e.deliveries["r1"] = []delivery{{content: "", reset: true}}
+	}, "ends:"),
+	Entry("a part of an answer that ends earlier than that of its instance", func(e *evidence, all map[string]*attempt) {
+		all["r1"].content, all["r1"].claim, all["r1"].complete = "", claimEnded, false
+		e.deliveries["r1"] = []delivery{{content: all["r1"].expectedContent()}}
+	}, "ends:"),
+	Entry("a whole answer that is broken off", func(e *evidence, all map[string]*attempt) {
+		all["r1"].content, all["r1"].complete = "", false
+		e.deliveries["r1"] = []delivery{{content: all["r1"].expectedContent(), whole: true}}
+	}, "ends:"),
 	Entry("a cut response that is not the start of the answer", func(_ *evidence, all map[string]*attempt) {
 		all["r1"].complete, all["r1"].content = false, "x"
 	}, "answers:"),
--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -41,9 +41,11 @@
 	sent            time.Time
 	ended           time.Time
 
-	status     int  // HTTP status; 0: no response
-	hasStamp   bool // the response has the Server-Stamp header, which only instances set
-	complete   bool // the response ended without an error
+	status     int    // HTTP status; 0: no response
+	hasStamp   bool   // the response has the Server-Stamp header, which only instances set
+	claim      claim  // what the response says about its end
+	protocol   string // that the caller speaks; empty: HTTP/1.1
+	complete   bool   // the response is not broken off, and its content is that of a whole answer
 	content    string
 	events     int // number of complete data lines received
 	retryAfter time.Duration
@@ -77,6 +79,7 @@
 	mutex            sync.Mutex
 	attempts         []*attempt
 	executions       map[string][]execution
+	deliveries       map[string][]delivery
 	configurations   []configuration
 	departures       map[string]departure
 	lifetimes        map[string]*lifetime // of instances
@@ -87,7 +90,7 @@
 }
 
 func newEvidence(calm *calmTracker) *evidence {
-	return &evidence{executions: map[string][]execution{}, departures: map[string]departure{}, lifetimes: map[string]*lifetime{}, calm: calm}
+	return &evidence{executions: map[string][]execution{}, deliveries: map[string][]delivery{}, departures: map[string]departure{}, lifetimes: map[string]*lifetime{}, calm: calm}
 }
 
 func (e *evidence) recordAttempt(a *attempt) {
@@ -102,6 +105,12 @@
 	e.executions[id] = append(e.executions[id], executed)
 }
 
+func (e *evidence) recordDelivery(id string, sent delivery) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.deliveries[id] = append(e.deliveries[id], sent)
+}
+
 // recordConfiguration records the write of a configuration that the store has just acknowledged.
 func (e *evidence) recordConfiguration(moving string, sent time.Time) {
 	e.mutex.Lock()
--- a/internal/lab/soak/instance.go
+++ b/internal/lab/soak/instance.go
@@ -35,7 +35,7 @@
 	}
 	writer.Header().Set("Server-Stamp", "stamp."+i.id)
 	if i.service == serviceModel {
-		writer.Header().Set("Content-Type", "text/event-stream")
+		writer.Header().Set("Content-Type", mediaTypeEvents)
 		if request.URL.Path == pathResumable {
 			i.streamResumable(writer, request, string(body))
 			return
@@ -44,6 +44,10 @@
 		return
 	}
 	answer := expectedAnswer(kindUnsafe, id)
+	if rand.Float64() < unframedShare {
+		i.sendUnframed(writer, id, "text/plain", []string{answer}, cutUnframedShare+behavior.cutShare)
+		return
+	}
 	if rand.Float64() < behavior.cutShare {
 		writer.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 		_, _ = io.WriteString(writer, answer[:len(answer)/2])
@@ -74,6 +78,10 @@
 const eventInterval = 4 * time.Millisecond
 
 func (i *instance) stream(writer http.ResponseWriter, request *http.Request, id string, behavior instanceBehavior) {
+	if rand.Float64() < unframedShare {
+		i.sendUnframed(writer, id, mediaTypeEvents, eventTexts(eventsOf(id), 0, ""), cutUnframedShare+behavior.cutShare)
+		return
+	}
 	cut := rand.Float64() < behavior.cutShare
 	for index, event := range eventsOf(id) {
 		waitForEvent(request)
@@ -97,7 +105,7 @@
 }
 
 func writeEvent(writer http.ResponseWriter, index int, data string) {
-	_, _ = fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", index+1, data)
+	_, _ = io.WriteString(writer, eventText(index, data))
 	_ = http.NewResponseController(writer).Flush()
 }
 
--- a/internal/lab/soak/resumption.go
+++ b/internal/lab/soak/resumption.go
@@ -88,6 +88,10 @@
 	if received > 0 {
 		share = cutResumedShare
 	}
+	if rand.Float64() < unframedShare {
+		i.sendUnframed(writer, request.Header.Get("Request-Id"), mediaTypeEvents, eventTexts(events, received, versionSeparator+i.version), share)
+		return
+	}
 	cutAt := len(events)
 	if rand.Float64() < share {
 		cutAt = received + 1 + rand.IntN(maxEvents)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,7 +35,7 @@
 })
 
 // previousCommit is the landing before this one, from which fleets are upgraded.
-const previousCommit = "0a27dff1cc07ea11d30b8bb574d4eef4800f3ee9"
+const previousCommit = "b011fe81b3747277151eec24e35b28bf8bfb1b0b"
 
 // buildPrevious builds the gateway of previousCommit from the repository's history and returns the
 // path of the binary. In a shallow clone, which lacks that history, it returns the present gateway.
