Soak: a turn that an earlier build gave up may be unknown, if only its connection ended it

Traced: c3-r804, of a caller of HTTP/1.0, was served at g1 while that still ran (its line has no framing). Its turn was not recorded, the gateway gave the answer up, and the caller saw the end of the connection, the fault of HTTP/1.0 callers that keeps until it is replaced. Only that is allowed now: an answer of an earlier build that nothing but the connection ended. Specs: the same with chunks, and the same at this build, are still found.

--- a/internal/lab/soak/checks_test.go
+++ b/internal/lab/soak/checks_test.go
@@ -100,6 +100,14 @@
 	Entry("a completely answered turn that is unknown later", func(_ *evidence, all map[string]*attempt) {
 		all["r2"].status, all["r2"].hasStamp, all["r2"].complete = 404, false, false
 	}, "lost:"),
+	Entry("a turn that an earlier build has told to be whole, and that is unknown later", func(_ *evidence, all map[string]*attempt) {
+		all["r1"].toPreviousBuild, all["r1"].claim = true, claimWhole
+		all["r2"].status, all["r2"].hasStamp, all["r2"].complete = 404, false, false
+	}, "lost:"),
+	Entry("a turn that ended with its connection, and that is unknown later", func(_ *evidence, all map[string]*attempt) {
+		all["r1"].claim = claimEnded
+		all["r2"].status, all["r2"].hasStamp, all["r2"].complete = 404, false, false
+	}, "lost:"),
 	Entry("a turn that continues an unknown turn", func(_ *evidence, all map[string]*attempt) { all["r2"].previous = "r9" }, "lost:"),
 	Entry("a budget exceeded", func(_ *evidence, all map[string]*attempt) { all["r1"].events = 100 }, "budget:"),
 	Entry("a budget and a turn exceeded by one event", func(_ *evidence, all map[string]*attempt) {
@@ -167,6 +175,24 @@
 	Expect(e.check()).To(BeEmpty())
 })
 
+// Guards against findings for answers that a gateway of an earlier build gave up, which ends them like
+// whole ones for callers of HTTP/1.0.
+var _ = It("allows that an earlier build has lost a turn whose answer only its connection ended", func() {
+	e, all := validEvidence()
+	all["r1"].toPreviousBuild, all["r1"].claim = true, claimEnded
+	all["r2"].status, all["r2"].hasStamp, all["r2"].complete, all["r2"].content, all["r2"].events = 404, false, false, "", 0
+	delete(e.executions, "r2")
+	Expect(e.check()).To(BeEmpty())
+})
+
+var _ = It("allows a part of an answer that its instance has ended in the same way", func() {
+	e, all := validEvidence()
+	all["r1"].content, all["r1"].claim, all["r1"].complete = "", claimEnded, false
+	all["r2"].status, all["r2"].hasStamp, all["r2"].complete, all["r2"].content, all["r2"].events = 0, false, false, "", 0
+	e.deliveries["r1"] = []delivery{{content: ""}}
+	Expect(e.check()).To(BeEmpty())
+})
+
 var _ = It("draws the same faults from the same seed", func() {
 	r := &soakRun{gateways: make([]*gateway, 4)}
 	for seed := range uint64(5) {
