--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thymeloft/thymeloft/internal/answer"
 	"github.com/thymeloft/thymeloft/internal/identity"
 	"github.com/thymeloft/thymeloft/internal/tenant"
 )
@@ -42,6 +43,7 @@
 	fieldReservation = "reservation"
 	fieldKey         = "key"
 	fieldEngine      = "engine"
+	fieldEnding      = "ending"
 	fieldReason      = "reason"
 	fieldStatus      = "status"
 	fieldTook        = "took"
@@ -225,7 +227,11 @@
 func outcomeCause(outcome LogLine) string {
 	reason := outcome.stringField(fieldReason)
 	if outcome.Message == messageAnswered {
-		return fmt.Sprintf("answered with status %v by engine %s", outcome.Fields[fieldStatus], outcome.stringField(fieldEngine))
+		cause := fmt.Sprintf("answered with status %v by engine %s", outcome.Fields[fieldStatus], outcome.stringField(fieldEngine))
+		if outcome.stringField(fieldEnding) == answer.EndingUnproven.String() {
+			cause += "; that the answer is whole is not proven, since only its connection marked the end"
+		}
+		return cause
 	}
 	return reasonCause(reason)
 }
@@ -240,7 +246,7 @@
 // printedFields are the names of the fields that are printed with a line, in this order.
 var printedFields = []string{
 	"request", "route", "status", "reason", "took", "storeWait", "firstByte", "tries", "searches", "events", "tenant", "program", "programLeft", "previous", "resumeFrom", "origin", "boundVersion",
-	"reservation", "budget", "most", "attained", "lent", "limit", "holder", "engine", "engineVersion", "revision", "configurationAge", "enginesAge", "call", "table",
+	"reservation", "budget", "most", "attained", "lent", "limit", "holder", "engine", "engineVersion", "framing", "ending", "partialEvent", "protocol", "revision", "configurationAge", "enginesAge", "call", "table",
 	"partition", "key", "for", "after", "underWay", "cause",
 }
 
