--- a/internal/lab/platformengine/rawanswer.go
+++ b/internal/lab/platformengine/rawanswer.go
@@ -31,7 +31,7 @@
 func (e *Engine) Answer(requestID string, framing Framing) (answer []byte, headBytes int) {
 	parts := e.bodyParts()
 	var head bytes.Buffer
-	_, _ = fmt.Fprintf(&head, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp-of-%s\r\n", requestID, e.ID)
+	_, _ = fmt.Fprintf(&head, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp-of-%s\r\nConnection: close\r\n", requestID, e.ID)
 	if len(e.Events) > 0 {
 		head.WriteString("Content-Type: text/event-stream\r\n")
 	}
