--- a/cmd/thymeloft-gateway/killed_test.go
+++ b/cmd/thymeloft-gateway/killed_test.go
@@ -67,13 +67,13 @@
 		path = GinkgoT().TempDir() + "/settings.yaml"
 	})
 
-	for _, framing := range []platformengine.Framing{platformengine.FramingConnection, platformengine.FramingChunks} {
+	for name, framing := range map[string]platformengine.Framing{"its connection alone": platformengine.FramingConnection, "chunks": platformengine.FramingChunks} {
 		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
 			if protocol == "HTTP/1.1" && framing == platformengine.FramingChunks {
 				continue // the missing last chunk shows that the answer is broken
 			}
 			// Guards against a stream that ends like a whole one because its gateway was killed.
-			It(fmt.Sprintf("resets a stream that only its connection ends: %s, framing %d of the engine", protocol, framing), func(ctx SpecContext) {
+			It(fmt.Sprintf("resets a stream that only the connection ends: %s, engine with %s", protocol, name), func(ctx SpecContext) {
 				hold := make(chan struct{})
 				DeferCleanup(func() { close(hold) })
 				engine := platformengine.New("i-1", "llm", "one", "two")
--- a/internal/answer/ending.go
+++ b/internal/answer/ending.go
@@ -2,8 +2,8 @@
 
 // Ending is what is known about the end of an answer that is no longer read. The zero value claims least.
 //
-// What follows from the end of an answer (its framing for the caller, the record of a turn, the outcome for
-// the engine) asks an Ending, so that no claim is stronger than the engine's.
+// All that follows from the end of an answer, such as the record of a turn or the outcome for the engine,
+// depends on its Ending, so that no claim is stronger than the engine's.
 type Ending uint8
 
 // The endings.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,7 +30,7 @@
 type startedReply struct {
 	*backend.Reply
 	firstBytes []byte // the bytes of the body that have been read
-	isComplete bool   // whether firstBytes is the whole body
+	bodyEnded  bool   // whether the body ended with firstBytes
 	release    func() // cancels the request's context and stops counting the request at the instance
 }
 
--- a/internal/gateway/examine.go
+++ b/internal/gateway/examine.go
@@ -82,7 +82,7 @@
 	if err != nil && err != io.EOF {
 		return nil, &backend.LostError{Peer: instance.Address, Op: "read first event", Err: err}
 	}
-	return &startedReply{Reply: reply, firstBytes: buffer[:count], isComplete: err == io.EOF}, nil
+	return &startedReply{Reply: reply, firstBytes: buffer[:count], bodyEnded: err == io.EOF}, nil
 }
 
 // readPlainAnswer reads the beginning of an answer that is not a stream. It reads at most
@@ -102,5 +102,5 @@
 	if err != nil {
 		return nil, &backend.LostError{Peer: instance.Address, Op: "read answer", Err: err}
 	}
-	return &startedReply{Reply: reply, firstBytes: content, isComplete: int64(len(content)) < limit}, nil
+	return &startedReply{Reply: reply, firstBytes: content, bodyEnded: int64(len(content)) < limit}, nil
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -61,7 +61,7 @@
 	events           eventReader       // events relayed to the caller
 	hasReply         bool              // whether an engine began to answer
 	framing          answer.Framing    // how the engine marks the end of its answer, if hasReply is set
-	ending           answer.Ending     // how the engine's answer ended
+	ending           answer.Ending     // what is known about the end of the engine's answer
 }
 
 const (
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,7 @@
 }
 
 // ServeHTTP implements http.Handler. If an answer cannot be completed, it panics with
-// http.ErrAbortHandler, so that the server closes the caller's connection.
+// http.ErrAbortHandler, so that the server breaks the answer off.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	current := &execution{
 		gateway: g,
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -49,7 +49,7 @@
 
 // writeBody writes the body of the answer to the caller. The error is an *AbortedError.
 func (e *execution) writeBody(ctx context.Context, reply *startedReply) error {
-	if err := e.writeChunk(reply.firstBytes); err != nil || reply.isComplete {
+	if err := e.writeChunk(reply.firstBytes); err != nil || reply.bodyEnded {
 		return err
 	}
 	return e.relayRest(ctx, reply)
@@ -105,7 +105,7 @@
 	case e.isStream(reply):
 	case reply.Length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
-	case reply.isComplete && reply.Framing == answer.FramingChunks:
+	case reply.bodyEnded && reply.Framing == answer.FramingChunks:
 		header.Set("Content-Length", strconv.Itoa(len(reply.firstBytes)))
 	}
 }
@@ -159,9 +159,9 @@
 }
 
 // recordTurn saves the turn, with the events that the caller has got. If their end is unproven, a caller
-// that continues the turn has taken it for whole. recordTurn must succeed before the end of the stream is sent. If the store
-// does not answer in time, it returns an *AbortedError, and the caller is expected to repeat the
-// turn.
+// that continues the turn has taken it for whole. recordTurn must succeed before the end of the stream is
+// sent. If the store does not answer in time, it returns an *AbortedError, and the caller is expected to
+// repeat the turn.
 func (e *execution) recordTurn(ctx context.Context) error {
 	recordCtx, cancel := context.WithTimeout(ctx, max(e.route.MaxStreamGap-answerMargin, answerMargin))
 	defer cancel()
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -119,8 +119,8 @@
 	return append(fields, zap.Uint64("revision", e.table.Revision))
 }
 
-// addAnswerFields adds how the engine marks the end of its answer and how the answer ended, whether a stream ended within an
-// event, and the protocol of a caller that cannot read chunks.
+// addAnswerFields adds how the engine marks the end of its answer, how the answer ended, whether a
+// stream ended within an event, and the protocol of a caller that cannot read chunks.
 func (e *execution) addAnswerFields(fields []zap.Field) []zap.Field {
 	if e.hasReply {
 		fields = append(fields, zap.Stringer("framing", e.framing), zap.Stringer("ending", e.ending))
--- a/internal/server/caller_socket.go
+++ b/internal/server/caller_socket.go
@@ -26,8 +26,8 @@
 
 const (
 	answerNone     answerState = iota // no such answer was begun
-	answerBegun                       // incomplete: the connection must not be closed in the ordinary way
-	answerComplete                    // handed over completely, to the socket or to a buffer above it
+	answerBegun                       // incomplete: the connection must end with a reset
+	answerComplete                    // the handler has written all of it, perhaps to a buffer
 )
 
 // newCallerConnection wraps an accepted connection, whose responses the group buffers.
@@ -48,8 +48,8 @@
 	_ = s.SetLinger(0) // fails only if the connection is closed already
 }
 
-// completeAnswer records that the answer is complete. The connection may still be reset until all of it
-// was written: the caller calls Close after that.
+// completeAnswer records that the answer is complete. The connection still ends with a reset until Close
+// or CloseWrite is called, which must be after the last byte was written.
 func (s *callerSocket) completeAnswer() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
