--- a/internal/gateway/examine.go
+++ b/internal/gateway/examine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 
@@ -76,13 +77,14 @@
 	for count == 0 && err == nil {
 		count, err = reply.Body.Read(buffer)
 	}
-	if err == io.EOF && count == 0 && reply.Framing == answer.FramingConnection {
-		err = eris.New("the connection ended before the first event")
+	bodyEnded := errors.Is(err, io.EOF)
+	if bodyEnded && count == 0 && reply.Framing == answer.FramingConnection {
+		bodyEnded, err = false, eris.New("the connection ended before the first event")
 	}
-	if err != nil && err != io.EOF {
+	if err != nil && !bodyEnded {
 		return nil, &backend.LostError{Peer: instance.Address, Op: "read first event", Err: err}
 	}
-	return &startedReply{Reply: reply, firstBytes: buffer[:count], bodyEnded: err == io.EOF}, nil
+	return &startedReply{Reply: reply, firstBytes: buffer[:count], bodyEnded: bodyEnded}, nil
 }
 
 // readPlainAnswer reads the beginning of an answer that is not a stream. It reads at most
--- a/internal/lab/platformengine/rawanswer.go
+++ b/internal/lab/platformengine/rawanswer.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer connection.Close()
+	defer func() { _ = connection.Close() }()
 	if _, err := connection.Write(answer); err != nil {
 		return
 	}
--- a/internal/lab/soak/checks.go
+++ b/internal/lab/soak/checks.go
@@ -133,7 +133,8 @@
 // isAnsweredWhole reports whether the caller can rely on having got the whole answer. An earlier build ends
 // an answer that it gives up like a whole one, if only the connection marks its end.
 func (a *attempt) isAnsweredWhole() bool {
-	return a.complete && !(a.toPreviousBuild && a.claim == claimEnded)
+	isReliable := !a.toPreviousBuild || a.claim != claimEnded
+	return a.complete && isReliable
 }
 
 // checkBudgets checks that the tokens that callers of a program received do not exceed
--- a/internal/lab/soak/unframed.go
+++ b/internal/lab/soak/unframed.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	defer connection.Close()
+	defer func() { _ = connection.Close() }()
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: stamp.%s\r\nContent-Type: %s\r\n\r\n", id, i.id, contentType)
 	length := len(head) + len(strings.Join(parts, ""))
 	isCut := rand.Float64() < cutShare
