--- a/internal/lab/platformengine/platformengine.go
+++ b/internal/lab/platformengine/platformengine.go
@@ -59,6 +59,8 @@
 	// Events are the data of the events that each run streams. If empty, the
 	// response is plain text.
 	Events []string
+	// Text is the plain text of each response, if there are no events; empty: one with the ID.
+	Text string
 
 	server    *httptest.Server
 	mutex     sync.Mutex
@@ -147,10 +149,17 @@
 		e.stream(writer, request, run, behaviour)
 	default:
 		e.setServerStamp(writer)
-		_, _ = io.WriteString(writer, "from "+e.ID)
+		_, _ = io.WriteString(writer, e.text())
 	}
 }
 
+func (e *Engine) text() string {
+	if e.Text != "" {
+		return e.Text
+	}
+	return "from " + e.ID
+}
+
 func (e *Engine) behaviourFor(request *http.Request) Behaviour {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/internal/lab/platformengine/rawanswer.go
+++ b/internal/lab/platformengine/rawanswer.go
@@ -49,7 +49,7 @@
 // bodyParts returns the parts of the body of a successful answer.
 func (e *Engine) bodyParts() []string {
 	if len(e.Events) == 0 {
-		return []string{"from " + e.ID}
+		return []string{e.text()}
 	}
 	var parts []string
 	for index, data := range e.Events {
