Gateway: tokens are charged for events of which data may have been relayed

With 'an event begins with its first field' a stream cut after the line of an identifier was charged for one event more than on, of which its caller had got no data. The spec counted 2 before and counts 1. What may be broken and what was handed on are two questions.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -84,9 +84,10 @@
 // isPartial reports whether the stream so far ends within an event or a line.
 func (e *eventReader) isPartial() bool { return e.inEvent || len(e.line) > 0 }
 
-// countWithPartial returns the number of events, including an incomplete last one.
+// countWithPartial returns the number of events, including an incomplete last one of which data may have
+// been relayed.
 func (e *eventReader) countWithPartial() int {
-	if e.isPartial() {
+	if e.hasData || len(e.line) > 0 {
 		return e.count + 1
 	}
 	return e.count
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -56,6 +56,14 @@
 		Expect(reader.isPartial()).To(BeFalse())
 	})
 
+	// Guards against tokens that are charged for an event of which the caller got no data.
+	It("does not count an event without data", func() {
+		reader := eventReader{}
+		reader.write([]byte("id: 1\ndata: one\n\nid: 2\n"))
+		Expect(reader.isPartial()).To(BeTrue())
+		Expect(reader.countWithPartial()).To(Equal(1))
+	})
+
 	It("includes an incomplete event in countWithPartial", func() {
 		reader := eventReader{}
 		reader.write([]byte("id: 1\ndata: one\n\nid: 2\nda"))
