--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -279,6 +279,9 @@
 // Now returns the time since Open.
 func (b *Bed) Now() time.Duration { return time.Since(b.start) }
 
+// SignalStore sends a signal to the store.
+func (b *Bed) SignalStore(sent syscall.Signal) error { return b.store.command.Process.Signal(sent) }
+
 // Close ends all processes and removes the files that were made, but for the record.
 func (b *Bed) Close() {
 	processes := []*process{b.store}
