--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -305,3 +305,18 @@
 	_, _ = io.Copy(io.Discard, body) // the content does not matter
 	_ = body.Close()                 // nothing follows
 }
+
+// Memory returns the lines of the process's status that tell of its memory.
+func (g *Gateway) Memory() string {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.running.command.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	var found []string
+	for line := range strings.Lines(string(content)) {
+		if strings.HasPrefix(line, "VmHWM") || strings.HasPrefix(line, "VmRSS") {
+			found = append(found, strings.Join(strings.Fields(line), " "))
+		}
+	}
+	return strings.Join(found, ", ")
+}
