--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,38 +1,46 @@
-// Command 2 is a case of the review: a turn whose stream a client took up again is kept without the part
-// that came before.
+// Command 2 is a case of the review: open connections go silent, and gateways go on with an old
+// configuration.
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"hash/fnv"
+	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/thymeloft/thymeloft/review/bed"
 )
 
-// The deployment and the load.
+// The bounds of the site file.
 const (
-	gateways = 3
-	programs = 12
-	turns    = 8
-	events   = 8
-	gap      = 40 * time.Millisecond
-	darkFor  = 3 * time.Second // the killed process is away for that long
-	killAt   = 1500 * time.Millisecond
-	attempts = 3 // of one turn, the first one included
+	contact     = 3 * time.Second
+	configApply = 2 * time.Second
 )
 
-const configuration = `{"version":1,"routes":[
- {"name":"chat","host":"app.example","path_prefix":"/chat/","type":"streaming","timeout_ms":4000,"target_latency_ms":200,"target_gap_ms":200,"service":"assess-models","max_attempts":1,"retained":true,"retention_s":60,"resumable":true,"sticky":true}],
- "services":[{"name":"assess-models","engine":{"slots":12,"stride_tokens":8,"kv_capacity_tokens":127559}}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+// The deployment and the load: programs for a while, as many as a site has at a time, then calls of tools
+// alone.
+const (
+	gateways           = 3
+	programsPerGateway = 20
+	programsFor        = 7 * time.Second
+	callsPerSecond     = 10 // at each gateway
+	calmFor            = 3 * time.Second
+	changeAfter        = 200 * time.Millisecond // from the silence to the change of the configuration
+	watchFor           = 9 * time.Second        // from the silence on
+	rounds             = 4
+)
+
+// configurationOf leads the calls to the service.
+func configurationOf(version int, service string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[
+ {"name":"chat","host":"app.example","path_prefix":"/chat/","type":"streaming","timeout_ms":4000,"target_latency_ms":200,"target_gap_ms":200,"service":"assess-models","max_attempts":1,"retained":true,"retention_s":60,"resumable":false,"sticky":true},
+ {"name":"call","host":"app.example","path_prefix":"/call/","type":"safe","timeout_ms":1200,"target_latency_ms":150,"service":%q,"max_attempts":2}],
+ "services":[{"name":"assess-models","engine":{"slots":12,"stride_tokens":8,"kv_capacity_tokens":127559}},{"name":"factor-app"},{"name":"factor-app-2"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, service)
+}
 
 // Exit codes of a case.
 const (
@@ -50,195 +58,231 @@
 		return impossible
 	}
 	defer b.Close()
-	result, err := play(b, os.Getenv("TROUBLE") != "0")
-	if err != nil {
+	c := &scene{bed: b, services: map[string]string{}}
+	if err := c.start(); err != nil {
 		fmt.Println("the case can't run:", err)
 		return impossible
 	}
-	return result
+	return c.play(os.Getenv("TROUBLE") != "0")
 }
 
-// journal notes the bodies that engines ran.
-type journal struct {
-	bed    *bed.Bed
-	mutex  sync.Mutex
-	bodies map[string][]string // by the request's id
-	whole  int                 // turns that clients got whole
-	resent int                 // streams that clients took up
-	wrong  int                 // turns that an engine ran with another body than the chain
-}
+// scene is the deployment and what was seen in it.
+type scene struct {
+	bed   *bed.Bed
+	links []*bed.Link
 
-func (j *journal) ran(engine, id, body string, after int) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	j.bodies[id] = append(j.bodies[id], body)
-	j.bed.Log("%s ran at %s behind event %d with the body %q", id, engine, after, body)
+	mutex    sync.Mutex
+	services map[string]string // by the id of a call: the service that ran it
+	calls    []call
+	turns    int
 }
 
-// data is what an engine makes of a prompt.
-func data(body string, number int) string {
-	digest := fnv.New32a()
-	_, _ = digest.Write([]byte(body)) // never fails
-	return fmt.Sprintf("%08x.%d", digest.Sum32(), number)
+// call is a call of a client.
+type call struct {
+	id, gateway string
+	sent        time.Duration
+	status      int
 }
 
-func play(b *bed.Bed, trouble bool) (int, error) {
-	j := &journal{bed: b, bodies: map[string][]string{}}
-	rows := []bed.Row{{Table: "op", Key: "config", Value: []byte(configuration)}}
+func (c *scene) start() error {
+	rows := []bed.Row{{Table: "op", Key: "config", Value: []byte(configurationOf(1, "factor-app"))}}
 	for number := range 2 {
-		engine := &bed.ModelEngine{ID: fmt.Sprintf("i-%d", number+1), Service: "assess-models", Events: events, Gap: gap, Data: data, Ran: j.ran}
+		engine := &bed.ModelEngine{ID: fmt.Sprintf("m-%d", number+1), Service: "assess-models", Events: 8, Gap: 20 * time.Millisecond, Data: func(_ string, event int) string { return fmt.Sprint(event) }, Ran: func(string, string, string, int) {}}
 		if err := engine.Listen(); err != nil {
-			return impossible, err
+			return err
+		}
+		rows = append(rows, engine.Row("ready"))
+	}
+	for number, service := range []string{"factor-app", "factor-app", "factor-app-2", "factor-app-2"} {
+		engine := &bed.Engine{ID: fmt.Sprintf("a-%d", number+1), Service: service, Slots: 6, Queue: 24, Work: func() time.Duration { return 20 * time.Millisecond }}
+		engine.Ran = func(_, id string) { c.ran(id, service) }
+		if err := engine.Listen(); err != nil {
+			return err
+		}
+		link, err := engine.Link()
+		if err != nil {
+			return err
 		}
-		defer engine.Close()
+		c.links = append(c.links, link)
 		rows = append(rows, engine.Row("ready"))
 	}
-	if err := b.Put(rows...); err != nil {
-		return impossible, err
+	if err := c.bed.Put(rows...); err != nil {
+		return err
 	}
 	for number := range gateways {
-		if _, err := b.AddGateway(fmt.Sprintf("front-leith-a-%d", number+1), "leith-a"); err != nil {
-			return impossible, err
+		gateway, err := c.bed.AddLinkedGateway(fmt.Sprintf("front-leith-a-%d", number+1), "leith-a")
+		if err != nil {
+			return err
 		}
+		c.links = append(c.links, gateway.Links...)
 	}
-	for _, gateway := range b.Gateways {
+	for _, gateway := range c.bed.Gateways {
 		if err := gateway.AwaitReady(); err != nil {
-			return impossible, err
+			return err
 		}
 	}
-	time.Sleep(6 * time.Second) // the gateways have met
-	var clients sync.WaitGroup
-	for number := range programs {
-		clients.Go(func() { converse(b, j, number) })
-	}
-	if trouble {
-		clients.Go(func() { killOne(b) })
-	}
-	clients.Wait()
-	return judge(b, j), nil
+	time.Sleep(8 * time.Second) // the gateways have met, and the first start is over
+	return nil
 }
 
-// killOne kills one gateway while it relays streams, and starts it again.
-func killOne(b *bed.Bed) {
-	victim := b.Gateways[0]
-	time.Sleep(killAt)
-	b.Log("node_kill of %s", victim.Machine)
-	_ = victim.Signal(syscall.SIGKILL) // the process runs
-	victim.AwaitEnd(darkFor)
-	time.Sleep(darkFor)
-	if err := victim.Start(); err != nil {
-		b.Log("%s did not start: %v", victim.Machine, err)
-	}
+func (c *scene) ran(id, service string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.services[id] = service
 }
 
-// converse plays a program: a chain of turns, each at the next gateway. A broken stream is taken up at
-// another gateway, behind the last event that came whole.
-func converse(b *bed.Bed, j *journal, program int) {
-	previous, chain := "", ""
-	for turn := range turns {
-		input := fmt.Sprintf("input %d of program %d\n", turn+1, program)
-		var got []string
-		id, complete := "", false
-		for attempt := 0; attempt < attempts && !complete; attempt++ {
-			id = fmt.Sprintf("%04d%04d%08d", program, turn, attempt)
-			gateway := b.Gateways[(program+turn+attempt)%gateways]
-			request := newRequest(gateway, id, program, previous, input)
-			if len(got) > 0 {
-				request.Header.Set("Last-Event-Id", strconv.Itoa(len(got)))
-				j.noteResumed()
-			}
-			b.Log("%s sent to %s, previous turn %q, behind event %d", id, gateway.Machine, previous, len(got))
-			var status int
-			got, status, complete = receive(request, got)
-			b.Log("%s answered %d, %d events so far, whole: %t", id, status, len(got), complete)
-		}
-		if !complete {
-			return // the program fails; it says nothing of the rule
+// round is one silence and the change of the configuration that follows it. Times are since the start.
+type round struct {
+	silent, acknowledged, end time.Duration
+	service                   string // to which the change leads the calls
+}
+
+func (c *scene) play(trouble bool) int {
+	b := c.bed
+	var callers sync.WaitGroup
+	stop := b.Now() + rounds*(programsFor+calmFor+watchFor) + time.Second
+	for index, gateway := range b.Gateways {
+		callers.Go(func() { c.callUntil(gateway, index, stop) })
+	}
+	var played []round
+	for number := range rounds {
+		one, err := c.playRound(number, trouble)
+		if err != nil {
+			fmt.Println("the case can't run:", err)
+			return impossible
 		}
-		output := strings.Join(got, "\n") + "\n"
-		j.check(id, chain+input)
-		previous, chain = id, chain+input+output
-		j.noteWhole()
-		time.Sleep(50 * time.Millisecond)
+		played = append(played, one)
 	}
+	callers.Wait()
+	time.Sleep(2 * time.Second)
+	return c.judge(played)
 }
 
-func newRequest(gateway *bed.Gateway, id string, program int, previous, input string) *http.Request {
-	request, err := http.NewRequest(http.MethodPost, "http://"+gateway.Callers+"/chat/2f", strings.NewReader(input))
-	if err != nil {
-		panic(err) // happens only for an address that can't be parsed
+// playRound plays programs, then lets the connections go silent and changes the configuration.
+func (c *scene) playRound(number int, trouble bool) (round, error) {
+	b := c.bed
+	var programs sync.WaitGroup
+	end := b.Now() + programsFor
+	for index := range b.Gateways {
+		for program := range programsPerGateway {
+			programs.Go(func() { c.converse(index, fmt.Sprintf("p%d-%d-%d", number, index, program), end) })
+		}
 	}
-	request.GetBody = nil // the client sends nothing twice by itself
-	request.Host = "app.example"
-	for name, value := range map[string]string{
-		"Request-Id": id, "Deadline-Ms": "4000", "Program-Id": fmt.Sprintf("p%d", program), "Session-Id": fmt.Sprintf("s%d", program),
-		"Program-Deadline-Ms": "60000", "Token-Budget": "100000", "Token-Usage": fmt.Sprintf("200,%d", 8*events),
-	} {
-		request.Header.Set(name, value)
+	programs.Wait()
+	time.Sleep(calmFor)
+	one := round{silent: b.Now(), service: []string{"factor-app-2", "factor-app"}[number%2]}
+	if trouble {
+		open := 0
+		for _, link := range c.links {
+			open += link.Silence()
+		}
+		b.Log("%d open connections go silent: between gateways, to the store and to engines", open)
 	}
-	if previous != "" {
-		request.Header.Set("Previous-Turn", previous)
+	time.Sleep(changeAfter)
+	version := number + 2
+	if err := b.Configure(configurationOf(version, one.service)); err != nil {
+		return one, err
 	}
-	return request
+	one.acknowledged = b.Now()
+	b.Log("the store has acknowledged version %d, which leads the calls to %s", version, one.service)
+	time.Sleep(watchFor)
+	one.end = b.Now()
+	return one, nil
 }
 
-// receive sends the request and adds the data of the events that come whole to got.
-func receive(request *http.Request, got []string) (events []string, status int, complete bool) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
-	response, err := client.Do(request)
-	if err != nil {
-		return got, 0, false
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return got, response.StatusCode, false
-	}
-	lines := bufio.NewScanner(response.Body)
-	pending := ""
-	for lines.Scan() {
-		if value, isData := strings.CutPrefix(lines.Text(), "data: "); isData {
-			pending = value
+// converse plays turns of a program, one after the other, each at the next gateway.
+func (c *scene) converse(index int, name string, end time.Duration) {
+	client := &http.Client{Timeout: 5 * time.Second}
+	previous := ""
+	for turn := 0; c.bed.Now() < end; turn++ {
+		id := fmt.Sprintf("%s-%d", name, turn)
+		gateway := c.bed.Gateways[(index+turn)%gateways]
+		headers := map[string]string{
+			"Program-Id": name, "Session-Id": name, "Program-Deadline-Ms": "20000", "Token-Budget": "4000", "Token-Usage": "200,64", "Deadline-Ms": "4000",
+		}
+		if previous != "" {
+			headers["Previous-Turn"] = previous
 		}
-		if lines.Text() == "" && pending != "" {
-			got, pending = append(got, pending), ""
+		response, err := send(client, gateway, http.MethodPost, "/chat/2f", id, headers)
+		if err != nil {
+			continue
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close() // nothing follows
+		if err == nil && response.StatusCode == http.StatusOK {
+			previous = id
+			c.mutex.Lock()
+			c.turns++
+			c.mutex.Unlock()
 		}
 	}
-	return got, response.StatusCode, lines.Err() == nil
 }
 
-func (j *journal) noteResumed() {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	j.resent++
+func send(client *http.Client, gateway *bed.Gateway, method, path, id string, headers map[string]string) (*http.Response, error) {
+	request, err := http.NewRequest(method, "http://"+gateway.Callers+path, strings.NewReader("input of "+id))
+	if err != nil {
+		return nil, err
+	}
+	request.Host = "app.example"
+	request.Header.Set("Request-Id", id)
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	return client.Do(request)
 }
 
-func (j *journal) noteWhole() {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	j.whole++
+// callUntil sends calls at a steady rate, each on a connection of its own.
+func (c *scene) callUntil(gateway *bed.Gateway, index int, end time.Duration) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 3 * time.Second}
+	var sending sync.WaitGroup
+	for number := 0; c.bed.Now() < end; number++ {
+		id := fmt.Sprintf("c%d%06d", index, number)
+		sending.Go(func() {
+			sent := c.bed.Now()
+			response, err := send(client, gateway, http.MethodPost, "/call/2f", id, map[string]string{"Deadline-Ms": "1200"})
+			status := 0
+			if err == nil {
+				status = response.StatusCode
+				bed.Discard(response.Body)
+			}
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			c.calls = append(c.calls, call{id: id, gateway: gateway.Machine, sent: sent, status: status})
+		})
+		time.Sleep(time.Second / callsPerSecond)
+	}
+	sending.Wait()
 }
 
-// check compares the bodies with which engines ran a turn with the chain's inputs and outputs, followed by
-// the turn's input.
-func (j *journal) check(id, expected string) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	for _, body := range j.bodies[id] {
-		if body != expected {
-			j.wrong++
-			j.bed.Log("BROKEN: UNASKED: %s ran with the body %q; the chain and its input are %q", id, body, expected)
+// judge counts the calls that the former service ran although they were sent later than the bound, at
+// machines in touch.
+func (c *scene) judge(played []round) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	late, after := 0, 0
+	for _, each := range c.calls {
+		service := c.services[each.id]
+		c.bed.Log("%s sent to %s at %.3f: %d, run by %q", each.id, each.gateway, each.sent.Seconds(), each.status, service)
+		for _, one := range played {
+			due := max(one.acknowledged+configApply, one.silent+contact)
+			if each.sent <= due || each.sent > one.end || service == "" {
+				continue
+			}
+			after++
+			if service != one.service {
+				late++
+				c.bed.Log("BROKEN: CONFIG: %s was sent to %s %.3f s after the acknowledgement and %.3f s after the silence, and the former service ran it",
+					each.id, each.gateway, (each.sent - one.acknowledged).Seconds(), (each.sent - one.silent).Seconds())
+			}
 		}
 	}
-}
-
-func judge(b *bed.Bed, j *journal) int {
-	summary := fmt.Sprintf("turns answered whole: %d; streams taken up: %d; turns run with another body than their chain: %d", j.whole, j.resent, j.wrong)
-	b.Log("%s", summary)
+	summary := fmt.Sprintf("turns: %d; calls run that were sent after the bound: %d, %d of them by the former service", c.turns, after, late)
+	c.bed.Log("%s", summary)
 	fmt.Println(summary)
-	if j.whole == 0 {
+	if after == 0 {
 		return impossible
 	}
-	if j.wrong > 0 {
+	if late > 0 {
 		return broken
 	}
 	return held
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -49,6 +49,8 @@
 	Machine string
 	// Callers and Ready are the addresses for clients and for the platform's question.
 	Callers, Ready string
+	// Links are the links to the store and from the other gateways, if the gateway has any.
+	Links []*Link
 
 	bed      *Bed
 	settings string
@@ -168,7 +170,7 @@
   ready: %q
   peers: %q
   metrics: %q
-seeds: [%q]
+%sseeds: [%q]
 store:
   address: %q
   row_bytes: 65536
@@ -185,6 +187,16 @@
 
 // AddGateway starts a gateway of the first start of the system.
 func (b *Bed) AddGateway(machine, zone string) (*Gateway, error) {
+	return b.addGateway(machine, zone, false)
+}
+
+// AddLinkedGateway is like AddGateway, but the gateway reaches the store, and is reached by the other
+// gateways, through links.
+func (b *Bed) AddLinkedGateway(machine, zone string) (*Gateway, error) {
+	return b.addGateway(machine, zone, true)
+}
+
+func (b *Bed) addGateway(machine, zone string, linked bool) (*Gateway, error) {
 	var addresses [4]string
 	for index := range addresses {
 		address, err := FreeAddress()
@@ -194,8 +206,20 @@
 		addresses[index] = address
 	}
 	g := &Gateway{Machine: machine, Callers: addresses[0], Ready: addresses[1], bed: b, settings: filepath.Join(b.directory, machine+".yaml")}
+	storeAddress, peers, advertise := b.StoreAddress, addresses[2], ""
+	if linked {
+		for _, target := range []string{storeAddress, peers} {
+			link, err := NewLink(target)
+			if err != nil {
+				return nil, err
+			}
+			g.Links = append(g.Links, link)
+		}
+		storeAddress, peers = g.Links[0].Address(), g.Links[1].Address()
+		advertise = fmt.Sprintf("  advertise: %q\n", peers)
+	}
 	content := func(first bool) string {
-		return fmt.Sprintf(settingsTemplate, machine, zone, addresses[0], addresses[1], addresses[2], addresses[3], addresses[2], b.StoreAddress, first)
+		return fmt.Sprintf(settingsTemplate, machine, zone, addresses[0], addresses[1], addresses[2], addresses[3], advertise, peers, storeAddress, first)
 	}
 	if err := os.WriteFile(g.settings, []byte(content(true)), 0o600); err != nil {
 		return nil, err
--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -33,6 +33,7 @@
 	Answered func(engine, request string, status int, extra bool)
 
 	listener net.Listener
+	link     *Link
 	slots    chan struct{}
 	mutex    sync.Mutex
 	inside   int
@@ -66,10 +67,24 @@
 // Close stops accepting connections.
 func (e *Engine) Close() { _ = e.listener.Close() }
 
+// Link puts a link in front of the engine, whose address its row then tells.
+func (e *Engine) Link() (*Link, error) {
+	var err error
+	e.link, err = NewLink(e.listener.Addr().String())
+	return e.link, err
+}
+
+func (e *Engine) address() string {
+	if e.link != nil {
+		return e.link.Address()
+	}
+	return e.listener.Addr().String()
+}
+
 // Row returns the row by which the engine keeps itself in the store.
 func (e *Engine) Row(state string) Row {
 	value := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"leith-a","version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1}`,
-		e.Service, e.listener.Addr().String(), e.Slots, state)
+		e.Service, e.address(), e.Slots, state)
 	return Row{Table: "servers", Key: e.ID, Value: []byte(value)}
 }
 
