--- a/review/1/main.go
+++ b/review/1/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -170,7 +171,8 @@
 			b.Log("%s has no answer: %v", id, err)
 			continue
 		}
-		bed.Discard(response.Body)
+		_, _ = io.Copy(io.Discard, response.Body) // the content does not matter
+		_ = response.Body.Close()                 // nothing follows
 		j.answered(id, response.StatusCode)
 		time.Sleep(rand.N(40 * time.Millisecond))
 	}
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -243,7 +243,8 @@
 			status := 0
 			if err == nil {
 				status = response.StatusCode
-				bed.Discard(response.Body)
+				_, _ = io.Copy(io.Discard, response.Body) // the content does not matter
+				_ = response.Body.Close()                 // nothing follows
 			}
 			c.mutex.Lock()
 			defer c.mutex.Unlock()
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -24,7 +24,8 @@
 	turns    = 8
 	events   = 8
 	gap      = 40 * time.Millisecond
-	darkFor  = 3 * time.Second // the killed process is away for that long
+	stagger  = 30 * time.Millisecond // between the starts of two programs
+	darkFor  = 3 * time.Second       // the killed process is away for that long
 	killAt   = 1500 * time.Millisecond
 	attempts = 3 // of one turn, the first one included
 )
@@ -135,6 +136,7 @@
 // another gateway, behind the last event that came whole.
 func converse(b *bed.Bed, j *journal, program int) {
 	previous, chain := "", ""
+	time.Sleep(time.Duration(program) * stagger) // so that streams are under way at any moment
 	for turn := range turns {
 		input := fmt.Sprintf("input %d of program %d\n", turn+1, program)
 		var got []string
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -92,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }() // the process has its own copy
 	command := exec.Command(filepath.Join(b.Root, program), arguments...)
 	command.Dir = b.Root
 	command.Stdout, command.Stderr = file, file
@@ -134,12 +133,6 @@
 	return b.transact(map[string]any{"expected_revision": []Row{}, "put": rows, "remove": []Row{}})
 }
 
-// Remove removes a row.
-func (b *Bed) Remove(table, key string) error {
-	removed := []map[string]string{{"table": table, "part": "", "key_file": key}}
-	return b.transact(map[string]any{"expected_revision": []Row{}, "put": []Row{}, "remove": removed})
-}
-
 func (b *Bed) transact(transaction map[string]any) error {
 	body, err := json.Marshal(transaction)
 	if err != nil {
@@ -278,21 +271,6 @@
 	}
 }
 
-// Log returns the lines that the gateway has logged and that contain the text.
-func (g *Gateway) Log(text string) []string {
-	content, err := os.ReadFile(filepath.Join(g.bed.directory, g.Machine+".log"))
-	if err != nil {
-		return nil
-	}
-	var found []string
-	for line := range strings.Lines(string(content)) {
-		if strings.Contains(line, text) {
-			found = append(found, strings.TrimSpace(line))
-		}
-	}
-	return found
-}
-
 // Log writes a line to the record, with the time since Open in seconds.
 func (b *Bed) Log(format string, arguments ...any) {
 	b.mutex.Lock()
@@ -303,9 +281,6 @@
 // Now returns the time since Open.
 func (b *Bed) Now() time.Duration { return time.Since(b.start) }
 
-// SignalStore sends a signal to the store.
-func (b *Bed) SignalStore(sent syscall.Signal) error { return b.store.command.Process.Signal(sent) }
-
 // Close ends all processes and removes the files that were made, but for the record.
 func (b *Bed) Close() {
 	processes := []*process{b.store}
@@ -323,24 +298,3 @@
 	_ = os.RemoveAll(b.directory) // files in a temporary folder
 	_ = b.record.Close()          // nothing is written after this
 }
-
-// Discard reads and closes the body of an answer.
-func Discard(body io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, body) // the content does not matter
-	_ = body.Close()                 // nothing follows
-}
-
-// Memory returns the lines of the process's status that tell of its memory.
-func (g *Gateway) Memory() string {
-	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.running.command.Process.Pid))
-	if err != nil {
-		return err.Error()
-	}
-	var found []string
-	for line := range strings.Lines(string(content)) {
-		if strings.HasPrefix(line, "VmHWM") || strings.HasPrefix(line, "VmRSS") {
-			found = append(found, strings.Join(strings.Fields(line), " "))
-		}
-	}
-	return strings.Join(found, ", ")
-}
--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -97,7 +97,7 @@
 
 // serve serves the requests of one connection in turn.
 func (e *Engine) serve(connection net.Conn) {
-	defer connection.Close()
+	defer func() { _ = connection.Close() }() // nothing follows
 	reader := bufio.NewReader(connection)
 	var extra []byte // copy of the last answer, if it is sent again
 	for {
--- a/review/bed/link.go
+++ b/review/bed/link.go
@@ -62,12 +62,12 @@
 }
 
 func (l *Link) pass(accepted net.Conn) {
-	defer accepted.Close()
+	defer func() { _ = accepted.Close() }() // nothing follows
 	dialed, err := net.Dial("tcp", l.target)
 	if err != nil {
 		return
 	}
-	defer dialed.Close()
+	defer func() { _ = dialed.Close() }() // nothing follows
 	current := &passage{}
 	l.mutex.Lock()
 	l.open = append(l.open, current)
--- a/review/bed/model.go
+++ b/review/bed/model.go
@@ -63,7 +63,7 @@
 }
 
 func (e *ModelEngine) serve(connection net.Conn) {
-	defer connection.Close()
+	defer func() { _ = connection.Close() }() // nothing follows
 	reader := bufio.NewReader(connection)
 	for {
 		request, err := http.ReadRequest(reader)
