--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -72,9 +73,20 @@
 	if b.store, err = b.run("store.log", "review/bin/thymeloft-lab", "store", "--listen", b.StoreAddress); err != nil {
 		return nil, err
 	}
+	go b.closeOnSignal()
 	return b, b.await("store", func() bool { return b.Put() == nil })
 }
 
+// closeOnSignal ends all processes if the case itself is told to end.
+func (b *Bed) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	b.Close()
+	const impossible = 2
+	os.Exit(impossible)
+}
+
 // FreeAddress returns a loopback address at which nothing listens.
 func FreeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -219,6 +231,7 @@
 	if err := g.Start(); err != nil {
 		return nil, err
 	}
+	b.Gateways = append(b.Gateways, g)
 	// The platform tells of the first start at the first start alone.
 	if err := b.await(machine, g.listens); err != nil {
 		return nil, err
@@ -226,7 +239,6 @@
 	if err := os.WriteFile(g.settings, []byte(content(false)), 0o600); err != nil {
 		return nil, err
 	}
-	b.Gateways = append(b.Gateways, g)
 	return g, nil
 }
 
