--- a/review/1/main.go
+++ b/review/1/main.go
@@ -19,12 +19,12 @@
 // The deployment and the load. Both engines together serve 40 requests a second, and the clients would
 // send a few more, so that an engine is often full for a short time.
 const (
-	gateways          = 3
-	clientsPerGateway = 4
+	gateways          = 6
+	clientsPerGateway = 2
 	slots             = 2
 	queue             = 2
 	work              = 100 * time.Millisecond
-	duration          = 60 * time.Second
+	duration          = 80 * time.Second
 	settle            = 4 * time.Second // from the last request until all runs have ended
 )
 
@@ -33,7 +33,7 @@
 const (
 	extraShare  = 0.03
 	extraFor    = 5 * time.Second
-	extraPeriod = 8 * time.Second
+	extraPeriod = 6 * time.Second
 	extraFrom   = 3 * time.Second
 )
 
