Store, peers and engines: connections as old as one that went silent are given up

Cause: a connection whose death only a timeout shows said nothing about the others of its age. - The store's client kept up to 16 idle connections. All three attempts of a feed took silent ones (or a relay, to which the connection was silent too), the feed failed after 2.3 s, the direct route counted as unhealthy, and then one call a second tested it, on the next silent connection. Relays refused meanwhile, being in the same state ("the relaying daemon cannot reach the store either"). - Calls between daemons with deadlines under 500 ms never retired their connection: Load.Report and EngineLosses.Begin went on timing out on the same one for the 4 s that the log shows. - A pool of engine connections lost one request for each silent connection, and a request that may be repeated went over an equally old one at the next engine.

Ruled out: the wait of the feed (1.2 s, kept to), the rate limit (no wait recorded), the proxy of the case (new connections worked throughout).

A feed's attempts come at equal intervals once its wait is over: wait + 2 x 600 ms + answer at most, where the bound allows contact_ms. - peer: the silence is reckoned from the first unanswered call since the last reply, so short calls count together; connections of the other classes to the address that have shown nothing since go with it. A peer that replies late keeps its connection. - backend: a request that got nothing for 500 ms on a reused connection closes the idle ones that have received nothing since it began; a repeated request uses none of these at the next engine either.

The lab's proxy can silence open connections.

Open: feeds of members under way on a silent connection are asked again after their own wait of up to 15 s; requests that must not be repeated are still lost on silent connections to engines until one of them has waited for 500 ms and run out of time.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -26,6 +26,8 @@
 	Body   [][]byte // chunks, written in this order
 	// MatchesResponse reports whether a response with this header answers this request.
 	MatchesResponse func(header http.Header) bool
+	// ReceivedSince, if set, excludes open connections that have received nothing since then.
+	ReceivedSince time.Time
 }
 
 // Reply is an instance's response. The caller must read Body to the end or close it.
@@ -68,20 +70,34 @@
 // connection is closed so that the instance can stop its work. The error is a *NotSentError or a
 // *LostError.
 func (i *Instance) Exchange(ctx context.Context, outgoing *OutgoingRequest) (*Reply, error) {
-	conn, err := i.pool.get(ctx)
+	conn, err := i.pool.get(ctx, outgoing.ReceivedSince)
 	if err != nil {
 		return nil, &NotSentError{Peer: i.Address, Err: err}
 	}
 	current := &exchange{instance: i, connection: conn, writeResult: make(chan error, 1)}
 	current.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	sent := time.Now()
 	reply, err := current.run(outgoing)
 	if err != nil {
 		current.abandon()
+		if ctx.Err() != nil && conn.isSilentSince(sent) {
+			i.pool.closeIdleBefore(sent)
+		}
 		return nil, err
 	}
 	return reply, nil
 }
 
+// minSilence is the shortest time without a byte of an answer after which a reused connection may have gone
+// silent for good, and with it others that were open then.
+const minSilence = 500 * time.Millisecond
+
+// isSilentSince reports whether the connection, which was reused for an exchange that began at the given
+// time and has failed, may have gone silent for good.
+func (c *connection) isSilentSince(sent time.Time) bool {
+	return c.completedExchanges > 0 && time.Since(sent) >= minSilence
+}
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	instance        *Instance
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,7 +27,7 @@
 	net.Conn
 	reader             *bufio.Reader
 	completedExchanges int
-	idleSince          time.Time
+	idleSince          time.Time // when the last exchange ended, and so bytes were received last
 	idleTimeout        time.Duration
 }
 
@@ -44,8 +45,10 @@
 
 func newPool(address string) *pool { return &pool{address: address} }
 
-// get returns an idle connection that is still usable, or opens a new one.
-func (p *pool) get(ctx context.Context) (*connection, error) {
+// get returns an idle connection that is still usable and has received bytes since the given time, or
+// opens a new one.
+func (p *pool) get(ctx context.Context, receivedSince time.Time) (*connection, error) {
+	p.closeIdleBefore(receivedSince)
 	for {
 		idle := p.pop()
 		if idle == nil {
@@ -86,6 +89,26 @@
 	p.warmUntil.Store(used.idleSince.Add(used.idleTimeout).UnixNano())
 }
 
+// closeIdleBefore closes the connections that have received nothing since the given time. It does nothing
+// for the zero time.
+func (p *pool) closeIdleBefore(receivedSince time.Time) {
+	if receivedSince.IsZero() {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle = slices.DeleteFunc(p.idle, func(idle *connection) bool {
+		isSilent := idle.idleSince.Before(receivedSince)
+		if isSilent {
+			_ = idle.Close()
+		}
+		return isSilent
+	})
+	if len(p.idle) == 0 {
+		p.warmUntil.Store(0)
+	}
+}
+
 // isWarm reports whether a usable idle connection is likely to exist. It takes no lock.
 func (p *pool) isWarm(now time.Time) bool { return now.UnixNano() < p.warmUntil.Load() }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -184,6 +184,9 @@
 	e.instance = instance
 	reply, err := instance.Exchange(attemptCtx, e.outgoingRequest(instance))
 	if err != nil {
+		if attemptCtx.Err() == context.DeadlineExceeded && ctx.Err() == nil {
+			e.silentSince = sent
+		}
 		release()
 		e.noteFailure(instance, err, time.Since(sent))
 		e.noteLoss(ctx, instance, err, time.Since(sent))
@@ -234,6 +237,7 @@
 		MatchesResponse: func(answer http.Header) bool {
 			return e.gateway.HeaderCodec.ParseAnswer(0, answer).ID == e.call.ID
 		},
+		ReceivedSince: e.silentSince,
 	}
 	outgoing.Body = append(outgoing.Body, e.history.Segments()...)
 	if len(e.input) > 0 {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -54,6 +54,7 @@
 	tries            int               // attempts to send the request, in all searches
 	repeatedSearches int               // searches after the first one; each was needed because all instances were full
 	runs             int               // attempts in which the instance may have run the request
+	silentSince      time.Time         // when the last attempt began that ended without an answer within its time; zero if none did
 	timeToFirstByte  time.Duration     // from sending the request to the first byte of its answer
 	firstByteAt      time.Time         // when the first byte of the answer arrived
 	lastReadAt       time.Time         // when bytes of the answer arrived last
--- a/internal/lab/faultproxy/faultproxy.go
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -1,6 +1,6 @@
 // Package faultproxy forwards TCP connections to one target and injects network
-// faults: delays, resets, and bytes that are held back in one direction or both
-// and delivered later.
+// faults: delays, resets, bytes that are held back in one direction or both and
+// delivered later, and connections that stay open and deliver nothing any more.
 package faultproxy
 
 import (
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,10 +38,13 @@
 	mutex       sync.Mutex
 	condition   Condition
 	changed     chan struct{} // closed and replaced by SetCondition
-	connections map[net.Conn]struct{}
+	connections map[net.Conn]*passage
 	closed      bool
 }
 
+// passage is one forwarded connection, which consists of an incoming and an outgoing one.
+type passage struct{ isSilent atomic.Bool }
+
 // Listen opens a link at the address that forwards to the target. Both are
 // "ip:port"; port 0 in the address selects a free port.
 func Listen(address, target string) (*Link, error) {
@@ -48,7 +52,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for a link to %s", target)
 	}
-	link := &Link{target: target, listener: listener, changed: make(chan struct{}), connections: map[net.Conn]struct{}{}}
+	link := &Link{target: target, listener: listener, changed: make(chan struct{}), connections: map[net.Conn]*passage{}}
 	go link.accept()
 	return link, nil
 }
@@ -74,6 +78,21 @@
 	}
 }
 
+// SilenceConnections drops everything that is sent on the open connections from now on, in both
+// directions, their ends included. Neither side is told. New connections work. It returns the number of
+// connections.
+func (l *Link) SilenceConnections() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	silenced := 0
+	for _, forwarded := range l.connections {
+		if !forwarded.isSilent.Swap(true) {
+			silenced++
+		}
+	}
+	return silenced
+}
+
 // Close stops listening and resets all connections.
 func (l *Link) Close() error {
 	l.mutex.Lock()
@@ -111,14 +130,14 @@
 
 // track registers an open connection. If the link is closed or refuses
 // connections, it resets the connection and returns false.
-func (l *Link) track(connection net.Conn) bool {
+func (l *Link) track(connection net.Conn, forwarded *passage) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.condition.Refuse || l.closed {
 		reset(connection)
 		return false
 	}
-	l.connections[connection] = struct{}{}
+	l.connections[connection] = forwarded
 	return true
 }
 
@@ -130,32 +149,44 @@
 
 // forward forwards one connection until both directions have ended.
 func (l *Link) forward(incoming net.Conn) {
-	if !l.track(incoming) {
+	forwarded := &passage{}
+	if !l.track(incoming, forwarded) {
 		return
 	}
 	defer l.untrack(incoming)
 	outgoing, err := net.Dial("tcp4", l.target)
-	if err != nil || !l.track(outgoing) {
+	if err != nil || !l.track(outgoing, forwarded) {
 		reset(incoming)
 		return
 	}
 	defer l.untrack(outgoing)
 	var directions sync.WaitGroup
-	directions.Go(func() { l.copyOneWay(incoming, outgoing, func(c Condition) bool { return c.HoldRequests }) })
-	directions.Go(func() { l.copyOneWay(outgoing, incoming, func(c Condition) bool { return c.HoldResponses }) })
+	directions.Go(func() {
+		l.copyOneWay(forwarded, incoming, outgoing, func(c Condition) bool { return c.HoldRequests })
+	})
+	directions.Go(func() {
+		l.copyOneWay(forwarded, outgoing, incoming, func(c Condition) bool { return c.HoldResponses })
+	})
 	directions.Wait()
 	_ = incoming.Close()
 	_ = outgoing.Close()
 }
 
 // copyOneWay forwards one direction. It passes on an end of the stream with
-// CloseWrite, and resets the other connection after any other error.
-func (l *Link) copyOneWay(from, to net.Conn, isHeld func(Condition) bool) {
+// CloseWrite, and resets the other connection after any other error. Once the passage is silent, it
+// passes nothing on.
+func (l *Link) copyOneWay(forwarded *passage, from, to net.Conn, isHeld func(Condition) bool) {
 	const bufferBytes = 16 << 10
 	buffer := make([]byte, bufferBytes)
 	for {
 		count, err := from.Read(buffer)
 		l.waitWhileHeld(isHeld)
+		if forwarded.isSilent.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if count > 0 {
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
 				reset(from)
--- a/internal/lab/faultproxy/faultproxy_test.go
+++ b/internal/lab/faultproxy/faultproxy_test.go
@@ -91,6 +91,24 @@
 		Entry("both", faultproxy.Condition{HoldRequests: true, HoldResponses: true}),
 	)
 
+	It("silences open connections, tells neither side, and serves new ones", func() {
+		send("d")
+		Eventually(read).Should(Receive())
+		Expect(link.SilenceConnections()).To(Equal(1))
+		Expect(link.SilenceConnections()).To(BeZero())
+		send("e")
+		Expect(connection.(*net.TCPConn).CloseWrite()).To(Succeed())
+		Consistently(read, "30ms").ShouldNot(Receive())
+		Expect(ended).NotTo(Receive())
+		again, err := net.Dial("tcp4", link.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(again.Close)
+		_, err = again.Write([]byte("f"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(again, make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("resets open connections, and new ones while it refuses them", func() {
 		send("c")
 		Eventually(read).Should(Receive())
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -30,6 +30,9 @@
 	lastUse   atomic.Int64
 	lastReply atomic.Int64
 	retired   atomic.Bool // if true, new calls use another connection
+	// unansweredSince is when the first of the calls started that reached their deadlines without any
+	// reply on the connection since, in nanoseconds since Pool.startTime; 0 if there is none.
+	unansweredSince atomic.Int64
 }
 
 // dial opens a connection to the address and sends the preamble, which contains the
@@ -98,6 +101,7 @@
 	}
 	c.openCalls.Add(-1)
 	c.lastReply.Store(c.pool.elapsed())
+	c.unansweredSince.Store(0)
 	c.replyMethod = response.ServiceMethod
 	return nil
 }
@@ -112,6 +116,17 @@
 	return err
 }
 
+// noteUnanswered records that a call reached its deadline without any reply on the connection since its
+// start. It returns the start of the first such call since the last reply. Times are in nanoseconds since
+// Pool.startTime.
+func (c *connection) noteUnanswered(start int64) (first int64) {
+	c.unansweredSince.CompareAndSwap(0, start)
+	if first = c.unansweredSince.Load(); first > 0 {
+		return first
+	}
+	return start // a reply has arrived just now
+}
+
 // failRead closes the connection after a read error.
 func (c *connection) failRead(err error) {
 	c.retired.Store(true)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -15,10 +15,11 @@
 	// sweepInterval is the time between two runs of the search for connections that
 	// can be closed.
 	sweepInterval = 5 * time.Second
-	// minSilenceBeforeRetire is the shortest time without a reply after which a
-	// call that reaches its deadline retires its connection. After a network
-	// partition TCP may retransmit only minutes later, whereas a new connection
-	// works at once.
+	// minSilenceBeforeRetire is the shortest time without a reply, since the start of
+	// a call that was not answered, after which calls that reach their deadlines
+	// retire their connection. After a network partition TCP may retransmit only
+	// minutes later, and a connection may have gone silent for good, whereas a new
+	// connection works at once.
 	minSilenceBeforeRetire = 500 * time.Millisecond
 )
 
@@ -76,7 +77,7 @@
 	if connection.openCalls.Load() >= int64(p.options.MaxCallsPerConnection) {
 		return newError(stepSend, true, ErrCongested)
 	}
-	return p.roundTrip(ctx, connection, method, arguments, reply, newError)
+	return p.roundTrip(ctx, address, connection, method, arguments, reply, newError)
 }
 
 // roundTrip sends a request over a connection and waits until the reply arrives or
@@ -84,7 +85,7 @@
 // a separate value, which roundTrip copies to the caller's reply on success. The
 // function newError creates the error for a step, with CallError.NotSent and
 // CallError.Cause.
-func (p *Pool) roundTrip(ctx context.Context, c *connection, method string, arguments, reply any, newError func(string, bool, error) error) error {
+func (p *Pool) roundTrip(ctx context.Context, address string, c *connection, method string, arguments, reply any, newError func(string, bool, error) error) error {
 	start := p.elapsed()
 	c.lastUse.Store(start)
 	received := reflect.New(reflect.TypeOf(reply).Elem())
@@ -92,7 +93,7 @@
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
-		p.retireIfSilent(c, start)
+		p.retireIfSilent(address, c, start)
 		return newError(stepReply, false, ctx.Err())
 	}
 	if call.Error == nil {
@@ -106,13 +107,22 @@
 	return newError(stepReply, false, call.Error)
 }
 
-// retireIfSilent retires a connection on which no reply has arrived since the start
-// of a call, if the call started more than minSilenceBeforeRetire ago. The start is
-// given in nanoseconds since p.startTime.
-func (p *Pool) retireIfSilent(c *connection, start int64) {
-	silence := p.elapsed() - start
-	if c.lastReply.Load() < start && silence > int64(minSilenceBeforeRetire) {
-		c.retired.Store(true)
+// retireIfSilent is called for a call that reached its deadline. If no reply has
+// arrived on its connection for minSilenceBeforeRetire, since the start of the first
+// unanswered call, it retires all connections to the address on which nothing has
+// arrived since then: those of other classes may have gone silent too. The start of
+// the call is given in nanoseconds since p.startTime.
+func (p *Pool) retireIfSilent(address string, c *connection, start int64) {
+	if c.lastReply.Load() >= start {
+		return
+	}
+	first := c.noteUnanswered(start)
+	if p.elapsed()-first <= int64(minSilenceBeforeRetire) {
+		return
+	}
+	c.retired.Store(true)
+	for _, l := range p.linksTo(address) {
+		l.retireSilent(first)
 	}
 }
 
--- a/internal/peer/retire.go
+++ b/internal/peer/retire.go
@@ -42,3 +42,13 @@
 		l.connection.retired.Store(true)
 	}
 }
+
+// retireSilent retires the link's connection if no reply has arrived on it since the given time, which is
+// in nanoseconds since Pool.startTime.
+func (l *link) retireSilent(since int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.connection != nil && l.connection.lastReply.Load() < since {
+		l.connection.retired.Store(true)
+	}
+}
--- a/internal/server/configuration_model_test.go
+++ b/internal/server/configuration_model_test.go
@@ -20,6 +20,8 @@
 type timeBounds struct {
 	contact time.Duration // after it can reach the store again, a daemon must be up to date
 	apply   time.Duration // after it is acknowledged, a change must be in force
+	// feedWait is how long a feed of the table may wait; 0: as long as that of the configuration.
+	feedWait time.Duration
 }
 
 // allTimeBounds are the bounds of the deployments.
@@ -120,11 +122,15 @@
 		Store: direct, Alternative: relay, Probe: state.KeyRange(configurationKey),
 		Availability: state.NewAvailability(time.Now, func(bool, time.Duration) {}),
 	})
+	feedWait := bounds.feedWait
+	if feedWait == 0 {
+		feedWait = server.Settings.configurationFeedTimeout()
+	}
 	applied = &appliedRows{at: map[string]time.Time{}}
 	var running sync.WaitGroup
 	running.Go(func() {
 		watch.Run(ctx, watch.Options{
-			Store: client, Table: configurationKey.Table, MaxWait: server.Settings.configurationFeedTimeout(), Log: zap.NewNop(),
+			Store: client, Table: configurationKey.Table, MaxWait: feedWait, Log: zap.NewNop(),
 		}, applied)
 	})
 	running.Go(func() {
--- a/internal/state/hedge.go
+++ b/internal/state/hedge.go
@@ -107,7 +107,9 @@
 			if rules.takeRetry() {
 				launch()
 			}
-			delay *= 2
+			if rules.quietTime == 0 {
+				delay *= 2 // a feed was quiet for long enough
+			}
 			timer.Reset(delay)
 		}
 	}
--- a/internal/state/routehealth.go
+++ b/internal/state/routehealth.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -98,30 +99,47 @@
 // degraded.
 func (c *Client) isDirectDegraded() bool { return c.alternative != nil && c.directHealth.isDegraded() }
 
+// reconnect makes the direct route use other connections, if it keeps any.
+func (c *Client) reconnect() {
+	if direct, keepsConnections := c.direct.(Reconnector); keepsConnections {
+		direct.Reconnect()
+		c.metrics.reconnections.Inc()
+	}
+}
+
 // routeOrder is the order in which the attempts of one call use the routes. It is fixed when the call
 // begins, so that a further attempt takes the other route whatever happened to the first meanwhile.
 type routeOrder struct {
 	client           *Client
 	kind             CallKind
 	alternativeFirst bool
+	unanswered       *atomic.Int32 // attempts over the direct route that have not ended
 }
 
 // orderRoutes returns the order of the routes for a call that begins now: the direct route first,
 // unless it is unhealthy.
 func (c *Client) orderRoutes(kind CallKind) routeOrder {
-	return routeOrder{client: c, kind: kind, alternativeFirst: c.directHealth.shouldAvoid()}
+	return routeOrder{client: c, kind: kind, alternativeFirst: c.directHealth.shouldAvoid(), unanswered: new(atomic.Int32)}
 }
 
 // forAttempt returns the route of an attempt, and a function that must be called with the context
 // and the error of the attempt. Attempts, counted from 0, take turns between the two routes. A
 // throttled call lowers this process's rate whichever route it took.
+//
+// An attempt that begins while one over the direct route is unanswered makes that route reconnect: the
+// unanswered one may use a connection that delivers nothing any more, and so may the next one.
 func (o routeOrder) forAttempt(attempt int) (Store, func(ctx context.Context, err error)) {
 	c := o.client
+	if o.unanswered.Load() > 0 {
+		c.reconnect()
+	}
 	takesAlternative := (attempt%2 == 0) == o.alternativeFirst
 	if c.alternative != nil && takesAlternative {
 		return c.alternative, func(_ context.Context, err error) { c.limiter.recordResult(o.kind, err) }
 	}
+	o.unanswered.Add(1)
 	return c.direct, func(ctx context.Context, err error) {
+		o.unanswered.Add(-1)
 		c.limiter.recordResult(o.kind, err)
 		if IsTransient(err) && ctx.Err() == context.Canceled {
 			return // hedge canceled the attempt, since another one was answered
