Gateway: a recorded turn whose stream is taken up is recorded whole

Cause: recordTurn saves the events that this attempt relayed, e.events.output. An engine that gets Last-Event-Id sends only the rest, so the record of an attempt that continues a stream holds the rest alone. Nothing knew the events before it: the daemon that relayed them kept them to itself. The same held on recorded routes that aren't resumable, if a caller sent Last-Event-Id all the same.

Change: package beginning. The serving daemon tells the homes of the work what it relays, without waiting; a daemon that gets a request for the rest of a recorded stream first finds the events up to Last-Event-Id, of the same origin, service and version, and records both parts. If no daemon that is asked knows them all, the request is refused with 503 unknown-beginning before it is sent: it has not run, and its caller starts anew.

Why it works: a record is now made of what all attempts relayed, each part confirmed by the event after which the caller goes on; what is not known completely is never recorded.

Routes that don't declare both do nothing new.

Open: events of the last moments before a daemon is killed may be unknown; builds before this one, side by side, still record a part.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -216,6 +216,7 @@
 	"caller-slow":         "the caller did not read its answer, which was cut off to free the engine",
 	"store-rate":          "the calls of all daemons used up the rate limit of the store, so a call that the request needed could not be sent in time; it did not run",
 	"budget-spent":        "the budget of its program was too small for another turn; it did not run",
+	"unknown-beginning":   "it continues a recorded stream, of whose earlier events not all are known; it did not run",
 	"unknown-origin":      "it continues a stream, and which software version began that is not known; it did not run",
 	"origin-gone":         "it continues a stream, and no engine of the software version that began that is left; it did not run",
 	"no-engine":           "no engine of its service was known to be ready; it did not run",
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,20 +1,31 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/thymeloft/thymeloft/internal/beginning"
+)
 
 // eventReader parses a server-sent event stream while it is relayed. It counts the events
 // that have data and, if collect is set, collects their data. It is not safe for concurrent use.
 type eventReader struct {
 	collect bool   // whether to collect the data of events
+	mark    bool   // whether to note where events end in the output; needs collect
 	line    []byte // current line so far, without its end
 	data    []byte // data of the current event
 	hasData bool   // whether the current event has a data field
 	inEvent bool   // whether the current event has a field of any kind
 	count   int    // complete events that have data
 	output  []byte // data of the complete events, each followed by a line feed
+	lastID  string // identifier of the current event, or else of the last one that had one
+	marks   []beginning.Mark
 }
 
-var dataField = []byte("data:")
+// Names of the fields of an event, with the colon behind them.
+var (
+	dataField = []byte("data:")
+	idField   = []byte("id:")
+)
 
 // commentMark begins a line that belongs to no event.
 const commentMark = ':'
@@ -54,6 +65,10 @@
 		return
 	}
 	e.inEvent = true
+	if id, isID := bytes.CutPrefix(line, idField); isID && e.mark {
+		e.lastID = string(bytes.TrimPrefix(id, []byte(" ")))
+		return
+	}
 	value, isData := bytes.CutPrefix(line, dataField)
 	if !isData {
 		return
@@ -77,10 +92,18 @@
 		e.output = append(e.output, e.data...)
 		e.output = append(e.output, '\n')
 	}
+	if e.mark && e.lastID != "" {
+		e.marks = append(e.marks, beginning.Mark{ID: e.lastID, End: len(e.output)})
+	}
 	e.data = e.data[:0]
 	e.hasData = false
 }
 
+// seed adds the events that were relayed by earlier attempts at the stream, which are not counted.
+func (e *eventReader) seed(earlier beginning.Found) {
+	e.output, e.marks = earlier.Output, earlier.Marks
+}
+
 // isPartial reports whether the stream so far ends within an event or a line.
 func (e *eventReader) isPartial() bool { return e.inEvent || len(e.line) > 0 }
 
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -10,6 +10,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/answer"
 	"github.com/thymeloft/thymeloft/internal/backend"
+	"github.com/thymeloft/thymeloft/internal/beginning"
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/engineloss"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
@@ -46,6 +47,8 @@
 	reservation       budget.Settler      // tokens reserved from the program's budget; nil if none
 	originRecordedAt  time.Time           // when the origin of the stream was last recorded; zero if it was not
 	boundVersion      *string             // software version that began the stream which the request continues; nil if it starts one
+	streamOrigin      string              // the attempt that brought the first event of the recorded stream which the request continues; empty if it starts one
+	relayed           *beginning.Relayed  // nil unless what is relayed is kept for whoever continues the stream
 	sharedParts       int                 // number of leading prompt parts assumed to be in the prefix cache of every engine
 	admitted          admittedTurn
 
@@ -109,6 +112,9 @@
 	if err := e.bindToOrigin(ctx); err != nil {
 		return err
 	}
+	if err := e.loadBeginning(ctx); err != nil {
+		return err
+	}
 	if err := e.prepare(ctx); err != nil {
 		return err
 	}
@@ -156,7 +162,7 @@
 	}
 	e.service = e.table.Service(route.NextService())
 	e.sharedParts = e.gateway.Fleet.SharedParts.Record(e.tenantScoped(e.call.Program), e.call.Prefix, e.service.MemoryTokens)
-	e.events.collect = route.Recorded
+	e.events.collect, e.events.mark = route.Recorded, e.keepsBeginning()
 	if err := e.takeQuota(); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// Origins and SoftwareVersions determine which instances may continue a stream.
 	Origins          Origins
 	SoftwareVersions SoftwareVersions
+	// Beginnings keeps what was relayed of streams that are recorded and may be continued.
+	Beginnings Beginnings
 	// EngineLosses limits how many engines may end under one piece of work.
 	EngineLosses EngineLosses
 	// Admission limits the number of programs that run at the same time; nil means no limit.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -29,8 +29,9 @@
 	ReasonSlowCaller         Reason = "caller-slow"
 	ReasonUnknownTurn        Reason = "unknown-turn"
 	ReasonUncertainTurn      Reason = "unsure-turn"
-	ReasonUnknownOrigin      Reason = "unknown-origin" // it is not known which engines may continue the stream
-	ReasonOriginGone         Reason = "origin-gone"    // no engine that may continue the stream is left
+	ReasonUnknownOrigin      Reason = "unknown-origin"    // it is not known which engines may continue the stream
+	ReasonOriginGone         Reason = "origin-gone"       // no engine that may continue the stream is left
+	ReasonUnknownBeginning   Reason = "unknown-beginning" // the events that the caller of a recorded stream has are not known
 	ReasonStoreUnavailable   Reason = "store-unavailable"
 	ReasonCutOff             Reason = "cut-off"
 	ReasonStoreFull          Reason = "store-full"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -25,6 +25,10 @@
 func (e *execution) relay(ctx context.Context, reply *startedReply) error {
 	e.recordOrigin(reply)
 	e.hasReply, e.framing = true, reply.Framing
+	if e.isStream(reply) {
+		e.beginRelay()
+		defer e.endRelay()
+	}
 	e.writeHead(reply)
 	if err := e.writeBody(ctx, reply); err != nil {
 		return err
@@ -123,6 +127,7 @@
 			return &AbortedError{Reason: ReasonNoMemory, Err: err}
 		}
 		e.events.write(chunk)
+		e.extendRelay()
 	}
 	if _, err := e.writer.Write(chunk); err != nil {
 		return &AbortedError{Reason: callerEndReason(e.request.Context()), Err: eris.Wrap(err, "write to caller")}
--- a/internal/server/components.go
+++ b/internal/server/components.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/thymeloft/thymeloft/internal/admission"
+	"github.com/thymeloft/thymeloft/internal/beginning"
 	"github.com/thymeloft/thymeloft/internal/budget"
 	"github.com/thymeloft/thymeloft/internal/engineloss"
 	"github.com/thymeloft/thymeloft/internal/identity"
@@ -41,6 +42,7 @@
 	removalQueue     *retention.Queue
 	loads            *load.Exchange
 	origins          *origin.Exchange
+	beginnings       *beginning.Exchange
 	engineLosses     *engineloss.Exchange
 	softwareVersions *softwareversion.History
 	quotas           *quota.Limiter
@@ -153,6 +155,9 @@
 	if err := s.newOrigins(c); err != nil {
 		return nil, err
 	}
+	if err := s.newBeginnings(c); err != nil {
+		return nil, err
+	}
 	if err := s.newEngineLosses(c); err != nil {
 		return nil, err
 	}
--- a/internal/server/resumption.go
+++ b/internal/server/resumption.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thymeloft/thymeloft/internal/beginning"
 	"github.com/thymeloft/thymeloft/internal/origin"
 	"github.com/thymeloft/thymeloft/internal/softwareversion"
 	"github.com/thymeloft/thymeloft/internal/state"
@@ -28,6 +29,25 @@
 	return eris.Wrap(c.peerServer.Register(origin.ServiceName, origin.NewService(records)), "serve origins of streams")
 }
 
+// Limits of the beginnings of recorded streams that this daemon holds.
+const (
+	maxStreamBeginnings     = 4096
+	maxStreamBeginningBytes = 4 << 20
+)
+
+// newBeginnings creates the exchange of the beginnings of recorded streams and registers its service.
+func (s *Server) newBeginnings(c *components) error {
+	records, err := beginning.NewRecords(maxStreamBeginnings, maxStreamBeginningBytes, time.Now)
+	if err != nil {
+		return err
+	}
+	c.beginnings = beginning.NewExchange(records, c.members, c.peerPool, s.Log)
+	if err := c.beginnings.RegisterMetrics(s.Registry); err != nil {
+		return err
+	}
+	return eris.Wrap(c.peerServer.Register(beginning.ServiceName, beginning.NewService(records)), "serve beginnings of streams")
+}
+
 // newSoftwareVersions creates the history of the software versions that engines of resumable routes
 // run.
 func (s *Server) newSoftwareVersions(c *components) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -180,6 +180,7 @@
 		Budgets:             c.budgets,
 		Quotas:              c.quotas,
 		Origins:             c.origins,
+		Beginnings:          c.beginnings,
 		SoftwareVersions:    c.softwareVersions,
 		EngineLosses:        c.engineLosses,
 		Admission:           c.admission,
