Backend: a request is not sent twice on the same connection

Cause: while all engines are full the search asks them again with the same request, mostly on the connection used last. The identifier in an answer proves to which request it belongs, not to which sending. A second copy of the rejection, which may come late where the next answer is due, was taken for the answer to the second sending: the engine ran that, the gateway believed that it did not, and sent the request on. From then on the connection was one answer behind for this request, so that one extra answer could mislead several sendings.

Request: i-1 answers 503 "and once more later" at 40.878, runs the request at 41.051, and is asked again by the same gateway at 41.083, 32 ms after it began to run it; the caller gets 503 at 42.137. Ruled out: a second gateway or caller attempt (identifiers are sent once each); connections taken with unread bytes (isReusable refuses them; the copy comes after the next request has been written); a request repeated after an unknown outcome (no attempt failed in the trace).

Change: the request remembers the connections on which it was sent, and the pool gives it another one.

Why it works: a copy can only come on a connection on which the request was sent, and none of these carries it again. Copies for other requests are told by the identifier, as before.

Related paths read: 421 and a new instance at the same address (a pool of its own), streams taken up (another identifier), retries after failures (the connection is closed), the store and peers (no identifiers of requests; peers number each sending).

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -26,6 +26,9 @@
 	Body   [][]byte // chunks, written in this order
 	// MatchesResponse reports whether a response with this header answers this request.
 	MatchesResponse func(header http.Header) bool
+	// Sent are the connections on which the request was sent before, to which Exchange adds its own. It must
+	// be set if the request may be sent more than once.
+	Sent *SentConnections
 	// ReceivedSince, if set, excludes open connections that have received nothing since then.
 	ReceivedSince time.Time
 }
@@ -70,10 +73,11 @@
 // connection is closed so that the instance can stop its work. The error is a *NotSentError or a
 // *LostError.
 func (i *Instance) Exchange(ctx context.Context, outgoing *OutgoingRequest) (*Reply, error) {
-	conn, err := i.pool.get(ctx, outgoing.ReceivedSince)
+	conn, err := i.pool.get(ctx, outgoing.Sent, outgoing.ReceivedSince)
 	if err != nil {
 		return nil, &NotSentError{Peer: i.Address, Err: err}
 	}
+	outgoing.Sent.add(conn)
 	current := &exchange{instance: i, connection: conn, writeResult: make(chan error, 1)}
 	current.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sent := time.Now()
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -75,9 +75,15 @@
 }
 
 func send(ctx context.Context, instance *Instance, id string) (string, error) {
+	return sendAgain(ctx, instance, id, nil)
+}
+
+// sendAgain sends a request that was sent on the given connections before.
+func sendAgain(ctx context.Context, instance *Instance, id string, sent *SentConnections) (string, error) {
 	reply, err := instance.Exchange(ctx, &OutgoingRequest{
 		Method: "POST", Target: "/path?q=%2F", Host: "h", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte("ab"), []byte("c")},
 		MatchesResponse: func(header http.Header) bool { return header.Get("Id") == id },
+		Sent:            sent,
 	})
 	if err != nil {
 		return "", err
@@ -133,6 +139,29 @@
 		Expect(server.connections.Load()).To(BeEquivalentTo(2), "a connection with a stray response is not reused")
 	})
 
+	// Guards against the second copy of a late response that is taken for the response to the same request,
+	// sent once more.
+	It("never takes a second response to an earlier sending of the request for that to a later one", func(ctx SpecContext) {
+		var extra sync.Map // the last response, by connection
+		server := newRawServer(func(number int64, id string, connection net.Conn) bool {
+			text := responseText(id, fmt.Sprint("to sending ", number))
+			previous, hasPrevious := extra.Swap(connection, text)
+			if !hasPrevious {
+				previous = ""
+			}
+			_, err := fmt.Fprint(connection, previous, text)
+			return err == nil
+		})
+		instance := server.instance()
+		sent := &SentConnections{}
+		for number := range 5 {
+			Expect(sendAgain(ctx, instance, "1", sent)).To(Equal(fmt.Sprint("to sending ", number+1)))
+		}
+		Expect(server.connections.Load()).To(BeEquivalentTo(5))
+		Expect(send(ctx, instance, "2")).To(Equal("to sending 6"))
+		Expect(server.connections.Load()).To(BeEquivalentTo(5), "the connections serve other requests")
+	})
+
 	It("does not reuse a connection with bytes after the response", func(ctx SpecContext) {
 		server := newRawServer(func(_ int64, id string, connection net.Conn) bool {
 			_, err := io.WriteString(connection, responseText(id, "x")+responseText(id, "x"))
@@ -223,7 +252,7 @@
 		content, err := io.ReadAll(reply.Body)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(content)).To(Equal("early"))
-		Expect(instance.pool.pop()).To(BeNil())
+		Expect(instance.pool.pop(nil)).To(BeNil())
 	})
 
 	It("reports a lost request if the instance stops reading", func(ctx SpecContext) {
@@ -244,7 +273,7 @@
 		var lost *LostError
 		Expect(errors.As(err, &lost)).To(BeTrue())
 		Expect(err).To(MatchError(ErrRequestNotRead))
-		Expect(instance.pool.pop()).To(BeNil())
+		Expect(instance.pool.pop(nil)).To(BeNil())
 		Eventually(accepted).Should(Receive())
 	})
 
--- a/internal/backend/liveness_test.go
+++ b/internal/backend/liveness_test.go
@@ -60,7 +60,7 @@
 	It("tells an instance that listens, and keeps the connection for requests", func(ctx SpecContext) {
 		_, instance := listen()
 		Expect(instance.CheckLiveness(ctx)).To(Equal(LivenessListening))
-		kept, err := instance.pool.get(ctx, time.Time{})
+		kept, err := instance.pool.get(ctx, nil, time.Time{})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(kept.idleSince).NotTo(BeZero(), "the connection is the one that was opened")
 	})
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -45,12 +45,28 @@
 
 func newPool(address string) *pool { return &pool{address: address} }
 
-// get returns an idle connection that is still usable and has received bytes since the given time, or
-// opens a new one.
-func (p *pool) get(ctx context.Context, receivedSince time.Time) (*connection, error) {
+// SentConnections are the connections on which one request was sent. An instance may answer late and twice,
+// and both answers name the request. So the request is not sent a second time on the same connection, where
+// the second answer to the first sending would be taken for the answer to the second one. The zero value
+// is empty. It is used by one goroutine at a time.
+type SentConnections struct{ connections []*connection }
+
+func (s *SentConnections) add(used *connection) {
+	if s != nil {
+		s.connections = append(s.connections, used)
+	}
+}
+
+func (s *SentConnections) contains(candidate *connection) bool {
+	return s != nil && slices.Contains(s.connections, candidate)
+}
+
+// get returns an idle connection that is still usable, or opens a new one. The connection is not one of
+// those in sent, and has received bytes since the given time.
+func (p *pool) get(ctx context.Context, sent *SentConnections, receivedSince time.Time) (*connection, error) {
 	p.closeIdleBefore(receivedSince)
 	for {
-		idle := p.pop()
+		idle := p.pop(sent)
 		if idle == nil {
 			return p.dial(ctx)
 		}
@@ -61,19 +77,22 @@
 	}
 }
 
-func (p *pool) pop() *connection {
+// pop removes and returns the idle connection that was used last and is not in sent. It returns nil if there
+// is none.
+func (p *pool) pop(sent *SentConnections) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
-	}
-	popped := p.idle[last]
-	p.idle = p.idle[:last]
-	if last == 0 {
-		p.warmUntil.Store(0)
+	for index, candidate := range slices.Backward(p.idle) {
+		if sent.contains(candidate) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, index, index+1)
+		if len(p.idle) == 0 {
+			p.warmUntil.Store(0)
+		}
+		return candidate
 	}
-	return popped
+	return nil
 }
 
 // put adds a connection on which no exchange is in progress.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -237,6 +237,7 @@
 		MatchesResponse: func(answer http.Header) bool {
 			return e.gateway.HeaderCodec.ParseAnswer(0, answer).ID == e.call.ID
 		},
+		Sent:          &e.sentConnections,
 		ReceivedSince: e.silentSince,
 	}
 	outgoing.Body = append(outgoing.Body, e.history.Segments()...)
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -52,24 +52,25 @@
 	sharedParts       int                 // number of leading prompt parts assumed to be in the prefix cache of every engine
 	admitted          admittedTurn
 
-	instance         *backend.Instance // the instance that was tried last
-	placement        placement         // state of the instance when it was chosen
-	tries            int               // attempts to send the request, in all searches
-	repeatedSearches int               // searches after the first one; each was needed because all instances were full
-	runs             int               // attempts in which the instance may have run the request
-	silentSince      time.Time         // when the last attempt began that ended without an answer within its time; zero if none did
-	timeToFirstByte  time.Duration     // from sending the request to the first byte of its answer
-	firstByteAt      time.Time         // when the first byte of the answer arrived
-	lastReadAt       time.Time         // when bytes of the answer arrived last
-	storeWait        time.Duration     // time spent in prepare, mostly waiting for the store; 0 if it took 1 ms or less
-	headSent         bool              // whether status and headers were written to the caller
-	status           int               // status written to the caller
-	events           eventReader       // events relayed to the caller
-	hasReply         bool              // whether an engine began to answer
-	framing          answer.Framing    // how the engine marks the end of its answer, if hasReply is set
-	ending           answer.Ending     // what is known about the end of the engine's answer
-	losses           int               // instances whose connections ended while they may have been running the request
-	currentWork      engineloss.Work   // see work; valid if hasWork is set
+	instance         *backend.Instance       // the instance that was tried last
+	placement        placement               // state of the instance when it was chosen
+	tries            int                     // attempts to send the request, in all searches
+	repeatedSearches int                     // searches after the first one; each was needed because all instances were full
+	runs             int                     // attempts in which the instance may have run the request
+	sentConnections  backend.SentConnections // connections to instances on which the request was sent
+	silentSince      time.Time               // when the last attempt began that ended without an answer within its time; zero if none did
+	timeToFirstByte  time.Duration           // from sending the request to the first byte of its answer
+	firstByteAt      time.Time               // when the first byte of the answer arrived
+	lastReadAt       time.Time               // when bytes of the answer arrived last
+	storeWait        time.Duration           // time spent in prepare, mostly waiting for the store; 0 if it took 1 ms or less
+	headSent         bool                    // whether status and headers were written to the caller
+	status           int                     // status written to the caller
+	events           eventReader             // events relayed to the caller
+	hasReply         bool                    // whether an engine began to answer
+	framing          answer.Framing          // how the engine marks the end of its answer, if hasReply is set
+	ending           answer.Ending           // what is known about the end of the engine's answer
+	losses           int                     // instances whose connections ended while they may have been running the request
+	currentWork      engineloss.Work         // see work; valid if hasWork is set
 	hasWork          bool
 	permit           *engineloss.Permit // nil until the attempt at the work has begun
 }
