--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -33,13 +33,29 @@
 	ReceivedSince time.Time
 }
 
-// Reply is an instance's response. The caller must read Body to the end or close it.
+// Reply is an instance's response. The caller must read Body to the end, or close or drain it.
 type Reply struct {
 	Status  int
 	Header  http.Header
 	Length  int64 // length of the body in bytes; -1 if unknown
 	Framing answer.Framing
 	Body    io.ReadCloser
+
+	body *body // the same as Body
+}
+
+// Limits of Drain.
+const (
+	maxDrainedBytes = 64 << 10
+	maxDrainTime    = 100 * time.Millisecond
+)
+
+// Drain reads the rest of the body, so that its connection can be used again. If the body does not end soon,
+// Drain closes the connection.
+func (r *Reply) Drain() {
+	r.body.limitTime(maxDrainTime)
+	_, _ = io.CopyN(io.Discard, r.Body, maxDrainedBytes) // whatever it returns, the body is ended next
+	_ = r.Body.Close()                                   // does nothing if the body was read to its end
 }
 
 // NotSentError means that no byte of the request was sent.
@@ -137,12 +153,14 @@
 	e.responseStarted.Store(true)
 	e.reusable = !response.Close && response.ProtoAtLeast(1, 1)
 	e.connection.idleTimeout = parseIdleTimeout(response.Header)
+	relayed := &body{exchange: e, inner: response.Body}
 	return &Reply{
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Length:  response.ContentLength,
 		Framing: answer.FramingOf(method, response),
-		Body:    &body{exchange: e, inner: response.Body},
+		Body:    relayed,
+		body:    relayed,
 	}
 }
 
@@ -177,6 +195,8 @@
 func (e *exchange) readResponse(request *http.Request, outgoing *OutgoingRequest) (*Reply, error) {
 	const maxStrayBytes = 1 << 20
 	strays := 0
+	e.connection.bounded.limit(maxHeadBytes)
+	defer e.connection.bounded.unlimit()
 	for {
 		response, err := http.ReadResponse(e.connection.reader, request)
 		if err != nil {
@@ -196,6 +216,7 @@
 		if e.connection.completedExchanges == 0 || strays > 1 || response.ContentLength < 0 || response.ContentLength > maxStrayBytes {
 			return nil, eris.New("response belongs to another request")
 		}
+		e.connection.bounded.limit(response.ContentLength + maxHeadBytes)
 		_, err = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
 		if err != nil {
@@ -253,6 +274,21 @@
 type body struct {
 	exchange *exchange
 	inner    io.ReadCloser
+	timer    *time.Timer // closes the connection; nil: the time is not limited
+}
+
+// limitTime closes the connection unless the body is read to its end within the given time.
+func (b *body) limitTime(limit time.Duration) {
+	b.timer = time.AfterFunc(limit, func() { _ = b.exchange.connection.Close() })
+}
+
+// end ends the exchange after the body was read to its end.
+func (b *body) end() {
+	if b.timer != nil && !b.timer.Stop() {
+		b.exchange.abandon() // the connection is being closed
+		return
+	}
+	b.exchange.release()
 }
 
 // Read implements io.Reader.
@@ -261,7 +297,7 @@
 	switch err {
 	case nil:
 	case io.EOF:
-		b.exchange.release()
+		b.end()
 	default:
 		b.exchange.abandon()
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -25,6 +25,7 @@
 // connection is a TCP connection that carries one request at a time.
 type connection struct {
 	net.Conn
+	bounded            *boundedReader // what reader reads from
 	reader             *bufio.Reader
 	completedExchanges int
 	idleSince          time.Time // when the last exchange ended, and so bytes were received last
@@ -148,9 +149,11 @@
 	if err != nil {
 		return nil, err
 	}
+	bounded := &boundedReader{from: opened}
 	return &connection{
 		Conn:        opened,
-		reader:      bufio.NewReaderSize(opened, readBufferBytes),
+		bounded:     bounded,
+		reader:      bufio.NewReaderSize(bounded, readBufferBytes),
 		idleTimeout: defaultIdleTimeout,
 	}, nil
 }
--- a/internal/gateway/examine.go
+++ b/internal/gateway/examine.go
@@ -31,7 +31,7 @@
 		if parsed.WrongInstance {
 			e.gateway.Fleet.Remove(instance)
 		}
-		_, _ = io.CopyN(io.Discard, reply.Body, maxBufferedBytes) // drains the body so that the connection can be reused
+		reply.Drain()
 		return nil, &rejectedError{status: reply.Status}
 	}
 	e.runs++
