Soak: silences, late copies of rejections, recorded streams that are taken up

The soak plays what the review played: all open connections between gateways, to the store and to engines go silent, in series, while the configuration changes; engines of the services are full for a time, and some of their rejections are sent a second time, late; turns of a route that is recorded and resumable are taken up where their streams break.

Callers take a recorded stream up behind the last whole event, and no stream of that route at an earlier build, which records a part.

--- a/internal/lab/soak/engines.go
+++ b/internal/lab/soak/engines.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,6 +38,7 @@
 	server  *http.Server
 	owner   *engines
 
+	isFull   atomic.Bool // rejects most requests, and sends some of the rejections twice
 	mutex    sync.Mutex
 	draining bool
 	stopped  bool // no longer writes its entry
--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -13,12 +13,22 @@
 	kindRecorded  requestKind = "recorded"  // a turn on a route that records histories; it contains only the new input
 	kindPlain     requestKind = "plain"     // a turn that contains the whole prompt
 	kindResumable requestKind = "resumable" // a turn that contains the whole prompt, whose stream may be taken up
+	kindContinued requestKind = "continued" // a turn on a route that records histories, whose stream may be taken up
 	kindSafe      requestKind = "safe"      // a call to a service that may be repeated
 	kindUnsafe    requestKind = "unsafe"    // a call to a service that must not be repeated
 	kindMoving    requestKind = "moving"    // unsafe, on a route whose service changes
 	kindAdded     requestKind = "added"     // unsafe, needs a route or a key that was added
 )
 
+// isTurn reports whether the requests are turns of programs.
+func (k requestKind) isTurn() bool { return k == kindRecorded || k == kindPlain || k.mayBeTakenUp() }
+
+// isRecorded reports whether histories of the turns are recorded.
+func (k requestKind) isRecorded() bool { return k == kindRecorded || k == kindContinued }
+
+// mayBeTakenUp reports whether callers may take up a stream that broke.
+func (k requestKind) mayBeTakenUp() bool { return k == kindResumable || k == kindContinued }
+
 // attempt is one request of a caller, and its result.
 type attempt struct {
 	id        string
@@ -48,7 +58,9 @@
 	protocol   string // that the caller speaks; empty: HTTP/1.1
 	complete   bool   // the response is not broken off, and its content is that of a whole answer
 	content    string
-	events     int // number of complete data lines received
+	whole      string   // the content of the whole stream, over all attempts at it, if this one completed it
+	events     int      // number of complete data lines received
+	wholePart  received // what was received up to the end of the last event
 	retryAfter time.Duration
 	reason     string // reason that a refusal gives
 	err        error
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -169,6 +169,8 @@
 	compactionStream
 	versionStream
 	deadlyStream
+	silenceStream
+	fullStream
 )
 
 // newStream returns a stream of random numbers of a seed.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -165,6 +165,8 @@
 	r.sleep(ctx, firstStartDuration)
 	var background sync.WaitGroup
 	background.Go(func() { r.runSeries(callersCtx, newStream(r.options.Seed, seriesStream)) })
+	background.Go(func() { r.runSilences(callersCtx, newStream(r.options.Seed, silenceStream)) })
+	background.Go(func() { r.runFullEngines(callersCtx, newStream(r.options.Seed, fullStream)) })
 	background.Go(func() { r.runCompactions(callersCtx, newStream(r.options.Seed, compactionStream)) })
 	if r.options.PreviousBinary != "" {
 		background.Go(func() { r.upgradeGateways(callersCtx, newStream(r.options.Seed, upgradeStream)) })
--- a/internal/lab/soak/store.go
+++ b/internal/lab/soak/store.go
@@ -170,6 +170,7 @@
 	pathRecorded   = "/chat/"
 	pathPlain      = "/agent/"
 	pathResumable  = "/resume/"
+	pathContinued  = "/talk/"
 	pathSafe       = "/look/"
 	pathUnsafe     = "/pay/"
 	pathMoving     = "/move/"
@@ -232,8 +233,11 @@
 	}
 	resumable := route("resume", pathResumable, "streaming", serviceModel, 1, false)
 	resumable.Resumable = true
+	continued := route("talk", pathContinued, "streaming", serviceModel, 1, true)
+	continued.Resumable = true
 	routes := []routeRow{
 		resumable,
+		continued,
 		route("chat", pathRecorded, "streaming", serviceModel, 1, true),
 		route("agent", pathPlain, "streaming", serviceModel, 1, false),
 		route("look", pathSafe, "safe", serviceApp, 2, false),
