--- a/internal/lab/soak/resumption_checks_test.go
+++ b/internal/lab/soak/resumption_checks_test.go
@@ -82,6 +82,14 @@
 		delete(e.lifetimes, "e2")
 		e.refuse(e.attemptOf("t0"), reasonUnknownOrigin)
 	}, "refusals: t0"),
+	Entry("a final refusal for an unknown beginning on a route that is not recorded", func(e *evidence) {
+		e.refuse(e.attemptOf("t0"), reasonUnknownBeginning)
+	}, "refusals: t0"),
+	Entry("a final refusal for an unknown beginning although no gateway was disturbed", func(e *evidence) {
+		a := e.attemptOf("t0")
+		a.kind, a.began.sent = kindContinued, time.Now().Add(contactTimeout) // calm since the checks began
+		e.refuse(a, reasonUnknownBeginning)
+	}, "refusals: t0"),
 	Entry("a final refusal for another reason", func(e *evidence) { e.refuse(e.attemptOf("t0"), "engines-full") }, "refusals: t0"),
 	Entry("more than half of the streams without a known origin refused, though there is one version alone", func(e *evidence) {
 		delete(e.lifetimes, "e2")
@@ -127,6 +135,15 @@
 	Entry("while the versions have not been recorded for as long as a stream lasts", time.Now().Add(-time.Second)),
 )
 
+var _ = It("allows a final refusal for an unknown beginning if a gateway was disturbed", func() {
+	e := resumptionEvidence()
+	e.daemonsCalm.beginFault()()
+	a := e.attemptOf("t0")
+	a.kind = kindContinued
+	e.refuse(a, reasonUnknownBeginning)
+	Expect(e.check()).To(BeEmpty())
+})
+
 var _ = It("allows a final refusal if no engine of the version is left", func() {
 	e := resumptionEvidence()
 	for _, id := range []string{"e0", "e1"} {
