Backend: a check of liveness keeps its connection again; one way to ask all homes

A check of liveness waits on its new connection for 5 ms, got an error at once, and took it for one on which bytes had come: it dialed three times and kept none. A new spec sends a request on the connection of a check.

Readers begin without a limit.

--- a/internal/backend/bounded_reader.go
+++ b/internal/backend/bounded_reader.go
@@ -21,10 +21,15 @@
 	left int64 // bytes that may still be read
 }
 
+// newBoundedReader returns a reader without a limit.
+func newBoundedReader(from io.Reader) *boundedReader {
+	return &boundedReader{from: from, left: math.MaxInt64}
+}
+
 // limit sets the number of bytes that may be read from now on.
 func (b *boundedReader) limit(bytes int64) { b.left = bytes }
 
-// unlimit lifts the limit.
+// unlimit lifts the limit for all that is read from now on.
 func (b *boundedReader) unlimit() { b.left = math.MaxInt64 }
 
 // Read implements io.Reader.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -108,16 +108,6 @@
 	return reply, nil
 }
 
-// minSilence is the shortest time without a byte of an answer after which a reused connection may have gone
-// silent for good, and with it others that were open then.
-const minSilence = 500 * time.Millisecond
-
-// isSilentSince reports whether the connection, which was reused for an exchange that began at the given
-// time and has failed, may have gone silent for good.
-func (c *connection) isSilentSince(sent time.Time) bool {
-	return c.completedExchanges > 0 && time.Since(sent) >= minSilence
-}
-
 // exchange is one request and its response on a connection.
 type exchange struct {
 	instance        *Instance
--- a/internal/backend/liveness_test.go
+++ b/internal/backend/liveness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strconv"
 	"syscall"
@@ -110,3 +111,17 @@
 		Expect(instance.CheckLiveness(canceled)).To(Equal(LivenessUnknown))
 	})
 })
+
+var _ = Describe("The connection of a check of liveness", func() {
+	// Guards against a check that closes each connection which it has opened, as if bytes had come on it.
+	It("carries the next request", func(ctx SpecContext) {
+		server := newRawServer(func(_ int64, id string, connection net.Conn) bool {
+			_, err := io.WriteString(connection, responseText(id, "x"))
+			return err == nil
+		})
+		instance := server.instance()
+		Expect(instance.CheckLiveness(ctx)).To(Equal(LivenessListening))
+		Expect(send(ctx, instance, "1")).To(Equal("x"))
+		Expect(server.connections.Load()).To(BeEquivalentTo(1))
+	})
+})
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -32,6 +32,16 @@
 	idleTimeout        time.Duration
 }
 
+// minSilence is the shortest time without a byte of an answer after which a reused connection may have gone
+// silent for good, and with it others that were open then.
+const minSilence = 500 * time.Millisecond
+
+// isSilentSince reports whether the connection, which was reused for an exchange that began at the given
+// time and has failed, may have gone silent for good.
+func (c *connection) isSilentSince(sent time.Time) bool {
+	return c.completedExchanges > 0 && time.Since(sent) >= minSilence
+}
+
 // pool holds idle connections to one address and reuses the most recently used one first. It is
 // safe for concurrent use.
 type pool struct {
@@ -46,22 +56,6 @@
 
 func newPool(address string) *pool { return &pool{address: address} }
 
-// SentConnections are the connections on which one request was sent. An instance may answer late and twice,
-// and both answers name the request. So the request is not sent a second time on the same connection, where
-// the second answer to the first sending would be taken for the answer to the second one. The zero value
-// is empty. It is used by one goroutine at a time.
-type SentConnections struct{ connections []*connection }
-
-func (s *SentConnections) add(used *connection) {
-	if s != nil {
-		s.connections = append(s.connections, used)
-	}
-}
-
-func (s *SentConnections) contains(candidate *connection) bool {
-	return s != nil && slices.Contains(s.connections, candidate)
-}
-
 // get returns an idle connection that is still usable, or opens a new one. The connection is not one of
 // those in sent, and has received bytes since the given time.
 func (p *pool) get(ctx context.Context, sent *SentConnections, receivedSince time.Time) (*connection, error) {
@@ -149,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bounded := &boundedReader{from: opened}
+	bounded := newBoundedReader(opened)
 	return &connection{
 		Conn:        opened,
 		bounded:     bounded,
--- a/internal/beginning/exchange.go
+++ b/internal/beginning/exchange.go
@@ -73,22 +73,10 @@
 func (e *Exchange) ask(ctx context.Context, query Query) (Found, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	asked := e.list.LikelyHomes(query.Work.Key)
-	replies := make(chan FindReply, len(asked))
-	for _, member := range asked {
-		go func() {
-			var reply FindReply
-			err := e.peerClient.Call(ctx, member.Process.Address, peer.ClassData, methodFind, query, &reply)
-			if err != nil && ctx.Err() == nil {
-				e.log.Debug("beginning: not asked.", zap.String("member", string(member.Process.Machine)), zap.String("cause", err.Error()))
-			}
-			replies <- reply
-		}()
-	}
-	for range asked {
-		if reply := <-replies; reply.IsKnown {
-			return reply.Found, true
-		}
-	}
-	return Found{}, false
+	reply, isKnown := peer.AskAll(ctx, e.peerClient, members.AddressesOf(e.list.LikelyHomes(query.Work.Key)), peer.ClassData, methodFind, query,
+		func(reply FindReply) bool { return reply.IsKnown },
+		func(address string, err error) {
+			e.log.Debug("beginning: not asked.", zap.String("address", address), zap.String("cause", err.Error()))
+		})
+	return reply.Found, isKnown
 }
--- a/internal/beginning/relayed.go
+++ b/internal/beginning/relayed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -137,7 +136,6 @@
 		if end == t.known {
 			return true, nil
 		}
-		part.Output, part.Marks = slices.Clip(part.Output), slices.Clip(part.Marks)
 		var reply KeepReply
 		ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
 		err := t.relayed.exchange.peerClient.Call(ctx, member.Process.Address, peer.ClassData, methodKeep, part, &reply)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -52,6 +52,15 @@
 	RecordsVersions bool
 }
 
+// AddressesOf returns the addresses at which the members serve other daemons.
+func AddressesOf(listed []Member) []string {
+	addresses := make([]string, 0, len(listed))
+	for _, member := range listed {
+		addresses = append(addresses, member.Process.Address)
+	}
+	return addresses
+}
+
 // claimZone returns the zone in which shards are assigned to the member.
 func (m *Member) claimZone() identity.Zone {
 	if m.ClaimZone != "" {
--- a/internal/origin/exchange.go
+++ b/internal/origin/exchange.go
@@ -122,22 +122,10 @@
 func (e *Exchange) ask(ctx context.Context, stream Stream) (Record, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	asked := e.likelyMembers(stream)
-	replies := make(chan FindReply, len(asked))
-	for _, member := range asked {
-		go func() {
-			var reply FindReply
-			err := e.peerClient.Call(ctx, member.Process.Address, peer.ClassControl, methodFind, FindRequest{Stream: stream}, &reply)
-			if err != nil && ctx.Err() == nil {
-				e.log.Debug("origin: not asked.", zap.String("member", string(member.Process.Machine)), zap.String("cause", err.Error()))
-			}
-			replies <- reply
-		}()
-	}
-	for range asked {
-		if reply := <-replies; reply.IsKnown {
-			return reply.Record, true
-		}
-	}
-	return Record{}, false
+	reply, isKnown := peer.AskAll(ctx, e.peerClient, members.AddressesOf(e.likelyMembers(stream)), peer.ClassControl, methodFind, FindRequest{Stream: stream},
+		func(reply FindReply) bool { return reply.IsKnown },
+		func(address string, err error) {
+			e.log.Debug("origin: not asked.", zap.String("address", address), zap.String("cause", err.Error()))
+		})
+	return reply.Record, isKnown
 }
