--- a/internal/lab/faultproxy/faultproxy_test.go
+++ b/internal/lab/faultproxy/faultproxy_test.go
@@ -98,6 +98,7 @@
 		Expect(link.SilenceConnections()).To(BeZero())
 		send("e")
 		Expect(connection.(*net.TCPConn).CloseWrite()).To(Succeed())
+		link.ResetConnections()
 		Consistently(read, "30ms").ShouldNot(Receive())
 		Expect(ended).NotTo(Receive())
 		again, err := net.Dial("tcp4", link.Address())
