State: when to reconnect to the store is decided here, not in the adapter

platform/ only translates. Which calls make the client give idle connections up, and how often, stood in platform/store.go; it stands in package state now, around the direct route, which the relay for other daemons uses too. The adapter closes idle connections when it is told to.

--- a/internal/server/components.go
+++ b/internal/server/components.go
@@ -197,7 +197,7 @@
 	if err := peerServer.Register(members.ProbeServiceName, members.ProbeService{}); err != nil {
 		return eris.Wrap(err, "serve members")
 	}
-	relay := storerelay.NewService(s.Store, c.client.IsDirectHealthy)
+	relay := storerelay.NewService(c.client.Direct(), c.client.IsDirectHealthy)
 	return eris.Wrap(peerServer.Register(storerelay.ServiceName, relay), "serve the store relay")
 }
 
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -19,7 +19,7 @@
 // A commit may be sent more than once, so callers make each commit idempotent through its keys
 // and conditions. A Client is safe for concurrent use.
 type Client struct {
-	direct       Store
+	direct       *reconnectingStore
 	alternative  Store // a second route to the same store, or nil
 	directHealth routeHealth
 	availability *Availability
@@ -66,7 +66,7 @@
 // NewClient returns a client of the store in options.
 func NewClient(options ClientOptions) *Client {
 	client := &Client{
-		direct:       options.Store,
+		direct:       newReconnectingStore(options.Store),
 		alternative:  options.Alternative,
 		availability: options.Availability,
 		spaceTracker: options.SpaceTracker,
@@ -212,6 +212,9 @@
 	return page, err
 }
 
+// Direct returns the direct route to the store, for calls that are neither limited nor hedged.
+func (c *Client) Direct() Store { return c.direct }
+
 // Available reports whether the store is considered available.
 func (c *Client) Available() bool { return c.availability.Available() }
 
--- a/internal/state/metrics.go
+++ b/internal/state/metrics.go
@@ -14,8 +14,8 @@
 	waits *prometheus.HistogramVec
 	// commitsPerCall is the number of commits in one call.
 	commitsPerCall prometheus.Histogram
-	// reconnections counts how often the direct route was told to reconnect.
-	reconnections prometheus.Counter
+	// overdueAttempts counts further attempts while one over the direct route was unanswered.
+	overdueAttempts prometheus.Counter
 }
 
 func newClientMetrics() *clientMetrics {
@@ -31,7 +31,7 @@
 		commitsPerCall: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "thymeloft_store_commits_per_call", Help: "Commits that were combined in one write call.", Buckets: []float64{1, 2, 4, 8, 16, 32, 64},
 		}),
-		reconnections: prometheus.NewCounter(prometheus.CounterOpts{
+		overdueAttempts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "thymeloft_store_overdue_attempts_total", Help: "Further attempts of store calls while one over the direct route was unanswered, so that its idle connections were given up.",
 		}),
 	}
@@ -74,7 +74,7 @@
 	full := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "thymeloft_store_full_seconds", Help: "Time since the store became full; 0 if it is not full.",
 	}, func() float64 { return c.spaceTracker.FullDuration().Seconds() })
-	collectors := []prometheus.Collector{c.metrics.calls, c.metrics.waits, c.metrics.commitsPerCall, c.metrics.reconnections, full}
+	collectors := []prometheus.Collector{c.metrics.calls, c.metrics.waits, c.metrics.commitsPerCall, c.metrics.overdueAttempts, full}
 	for kind, name := range map[CallKind]string{CallCommit: "writing", CallRead: "reading"} {
 		collectors = append(collectors, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "thymeloft_store_allowed_calls_per_second", Help: "Store calls per second that this daemon may send now.",
--- a/internal/state/routehealth.go
+++ b/internal/state/routehealth.go
@@ -99,14 +99,6 @@
 // degraded.
 func (c *Client) isDirectDegraded() bool { return c.alternative != nil && c.directHealth.isDegraded() }
 
-// reconnect makes the direct route use other connections, if it keeps any.
-func (c *Client) reconnect() {
-	if direct, keepsConnections := c.direct.(Reconnector); keepsConnections {
-		direct.Reconnect()
-		c.metrics.reconnections.Inc()
-	}
-}
-
 // routeOrder is the order in which the attempts of one call use the routes. It is fixed when the call
 // begins, so that a further attempt takes the other route whatever happened to the first meanwhile.
 type routeOrder struct {
@@ -131,7 +123,8 @@
 func (o routeOrder) forAttempt(attempt int) (Store, func(ctx context.Context, err error)) {
 	c := o.client
 	if o.unanswered.Load() > 0 {
-		c.reconnect()
+		c.metrics.overdueAttempts.Inc()
+		c.direct.reconnect()
 	}
 	takesAlternative := (attempt%2 == 0) == o.alternativeFirst
 	if c.alternative != nil && takesAlternative {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -110,14 +110,6 @@
 	Feed(ctx context.Context, table string, after Version, wait time.Duration) (FeedResult, error)
 }
 
-// Reconnector is implemented by a Store that keeps connections open between calls. Open connections may
-// stop delivering anything without an error, many of them at the same moment.
-type Reconnector interface {
-	// Reconnect makes later calls use connections that are known to work, or new ones. It is called
-	// while a call is unanswered for much longer than usual.
-	Reconnect()
-}
-
 // Errors of a store. Implementations wrap them with the operation that failed.
 var (
 	// ErrNotExecuted means that the call had no effect and will have none.
