--- a/review/harness2/engine.go
+++ b/review/harness2/engine.go
@@ -55,7 +55,10 @@
 	})
 }
 
-// Runs returns what the engine has run so far.
+// maxKeptBody is the size of the largest body of which an engine keeps the run.
+const maxKeptBody = 4 << 10
+
+// Runs returns what the engine has run so far, without runs whose body is larger than maxKeptBody.
 func (e *Engine) Runs() []EngineRun {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -106,9 +109,11 @@
 		_, err = fmt.Fprintf(connection, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", run.ID, e.id)
 		return err
 	}
-	e.mutex.Lock()
-	e.runs = append(e.runs, run)
-	e.mutex.Unlock()
+	if len(run.Body) <= maxKeptBody {
+		e.mutex.Lock()
+		e.runs = append(e.runs, run)
+		e.mutex.Unlock()
+	}
 	e.bench.Note("engine %s: ran %s %s %s", e.id, run.ID, run.Method, run.Target)
 	return e.answer(connection, run)
 }
--- a/review/harness2/harness2.go
+++ b/review/harness2/harness2.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,6 +27,8 @@
 	ExitNotRun = 2 // the case could not run
 )
 
+const defaultMemoryMB = 304
+
 // Programs that the cases start, relative to the repository's root.
 const (
 	gatewayProgram = "target/thymeloft-gateway"
@@ -37,6 +40,11 @@
 	// Trouble is false if the case is to run without the disruption.
 	Trouble bool
 
+	// MemoryMB is the memory_mb of the gateways that are started next.
+	MemoryMB int
+	// StoreAddress is where the gateways reach the store, if not directly.
+	StoreAddress string
+
 	directory    string
 	storeAddress string
 	record       *os.File
@@ -68,7 +76,7 @@
 		return ExitNotRun
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	bench := &Bench{Trouble: os.Getenv("TROUBLE") != "0", directory: directory, record: record, began: time.Now()}
+	bench := &Bench{Trouble: os.Getenv("TROUBLE") != "0", MemoryMB: defaultMemoryMB, directory: directory, record: record, began: time.Now()}
 	defer bench.endProcesses()
 	bench.Note("trouble: %t", bench.Trouble)
 	broken, err := runCase(bench)
@@ -93,23 +101,27 @@
 	fmt.Fprintf(b.record, "%7.3f s  %s\n", time.Since(b.began).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
-func (b *Bench) start(program string, arguments ...string) error {
+func (b *Bench) start(program string, arguments ...string) (*exec.Cmd, error) {
 	log, err := os.OpenFile(filepath.Join(b.directory, "processes.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer log.Close()
 	command := exec.Command(program, arguments...)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
-		return err
+		return nil, err
 	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	b.processes = append(b.processes, command)
-	return nil
+	return command, nil
 }
 
 func (b *Bench) endProcesses() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	for _, process := range b.processes {
 		_ = process.Process.Kill()
 		_ = process.Wait()
@@ -132,7 +144,7 @@
 		return err
 	}
 	b.storeAddress = address
-	if err := b.start(labProgram, "store", "--listen", address); err != nil {
+	if _, err := b.start(labProgram, "store", "--listen", address); err != nil {
 		return err
 	}
 	return waitFor(func() bool {
@@ -152,6 +164,9 @@
 	Value     []byte `json:"value,omitempty"`
 }
 
+// DirectStoreAddress is the address of the store.
+func (b *Bench) DirectStoreAddress() string { return b.storeAddress }
+
 // Put writes a row whose value is the JSON of content, and returns once the store has acknowledged it.
 func (b *Bench) Put(table, name string, content any) error {
 	value, err := json.Marshal(content)
@@ -173,11 +188,17 @@
 	return nil
 }
 
-// Gateway is a gateway process.
+// Gateway is a gateway of a machine, which may be restarted.
 type Gateway struct {
+	Machine string
 	Callers string // address for callers
 	Peers   string // address for other gateways
-	ready   string
+
+	bench    *Bench
+	ready    string
+	settings string // path of the settings file
+	mutex    sync.Mutex
+	process  *exec.Cmd
 }
 
 // settings are like those of a machine of a small deployment, with the fields of deploy/settings.yaml.tmpl.
@@ -195,7 +216,7 @@
   row_bytes: 65536
   writes_per_second: 800
   reads_per_second: 2000
-first_start: true
+first_start: %t
 grace_seconds: 8
 drain_millis: 2000
 contact_millis: 3000
@@ -203,7 +224,7 @@
   window_seconds: 5
   tolerance_share: 0.1
   tolerance_requests: 20
-memory_mb: 304
+memory_mb: %d
 processor_share: 0.8
 log_successes_per_second: 200
 `
@@ -219,23 +240,72 @@
 		}
 		addresses[index] = address
 	}
-	gateway := &Gateway{Callers: addresses[0], ready: addresses[1], Peers: addresses[2]}
+	gateway := &Gateway{
+		Machine: machine, Callers: addresses[0], ready: addresses[1], Peers: addresses[2], bench: b, settings: filepath.Join(b.directory, machine+".yaml"),
+	}
 	if seed == "" {
 		seed = gateway.Peers
 	}
-	path := filepath.Join(b.directory, machine+".yaml")
-	content := fmt.Sprintf(settings, machine, zone, addresses[0], addresses[1], addresses[2], addresses[3], seed, b.storeAddress)
-	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+	store := b.StoreAddress
+	if store == "" {
+		store = b.storeAddress
+	}
+	content := func(isFirstStart bool) []byte {
+		return fmt.Appendf(nil, settings, machine, zone, addresses[0], addresses[1], addresses[2], addresses[3], seed, store, isFirstStart, b.MemoryMB)
+	}
+	if err := os.WriteFile(gateway.settings, content(true), 0o600); err != nil {
+		return nil, err
+	}
+	if err := gateway.startProcess(); err != nil {
 		return nil, err
 	}
-	if err := b.start(gatewayProgram, "--settings", path); err != nil {
+	if err := waitFor(gateway.IsReady); err != nil {
 		return nil, err
 	}
-	return gateway, waitFor(gateway.isReady)
+	return gateway, os.WriteFile(gateway.settings, content(false), 0o600)
 }
 
-func (g *Gateway) isReady() bool {
-	response, err := http.Get("http://" + g.ready + "/api/ready")
+func (g *Gateway) startProcess() error {
+	process, err := g.bench.start(gatewayProgram, "--settings", g.settings)
+	if err != nil {
+		return err
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.process = process
+	return nil
+}
+
+// Restart kills the process, and starts it again after the delay.
+func (g *Gateway) Restart(delay time.Duration) error {
+	g.mutex.Lock()
+	process := g.process
+	g.mutex.Unlock()
+	_ = process.Process.Kill()
+	_ = process.Wait()
+	time.Sleep(delay)
+	return g.startProcess()
+}
+
+// MemoryKB returns how much memory the process holds of its own, without its program and other mapped files.
+func (g *Gateway) MemoryKB() int {
+	g.mutex.Lock()
+	pid := g.process.Process.Pid
+	g.mutex.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(status), "RssAnon:")
+	kilobytes := 0
+	_, _ = fmt.Sscan(rest, &kilobytes)
+	return kilobytes
+}
+
+// IsReady asks the gateway whether it is ready.
+func (g *Gateway) IsReady() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + g.ready + "/api/ready")
 	if err != nil {
 		return false
 	}
@@ -261,13 +331,43 @@
 	Whole  bool // whether the answer came to its end
 }
 
+// RetryAfter returns what the answer's header of that name says; 0 if it has none.
+func (a Answer) RetryAfter() time.Duration {
+	seconds, _ := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// notConnectedError means that nothing of a request was sent.
+type notConnectedError struct{ error }
+
+// IsNotConnected reports whether nothing of the request was sent.
+func IsNotConnected(err error) bool {
+	var notConnected notConnectedError
+	return errors.As(err, &notConnected)
+}
+
 // Send sends a request of a caller on a new connection. The target is sent as it is. The answer is noted in the
 // record.
 func (b *Bench) Send(gateway *Gateway, method, target, host string, header map[string]string, body string) (Answer, error) {
 	const timeout = 10 * time.Second
+	return b.SendWithin(timeout, gateway, method, target, host, header, body)
+}
+
+// SendWithin is like Send, for a caller that leaves after the given time.
+func (b *Bench) SendWithin(timeout time.Duration, gateway *Gateway, method, target, host string, header map[string]string, body string) (Answer, error) {
+	answer, err := send(timeout, gateway, method, target, host, header, body)
+	if err != nil {
+		b.Note("caller: %s at %s -> %v", header["Request-Id"], gateway.Machine, err)
+		return answer, err
+	}
+	b.Note("caller: %s at %s %s %s, %d bytes -> %d, whole %t, signed %t", header["Request-Id"], gateway.Machine, method, target, len(body), answer.Status, answer.Whole, answer.Header.Get("Server-Stamp") != "")
+	return answer, nil
+}
+
+func send(timeout time.Duration, gateway *Gateway, method, target, host string, header map[string]string, body string) (Answer, error) {
 	connection, err := net.DialTimeout("tcp", gateway.Callers, time.Second)
 	if err != nil {
-		return Answer{}, err
+		return Answer{}, notConnectedError{err}
 	}
 	defer connection.Close()
 	if err := connection.SetDeadline(time.Now().Add(timeout)); err != nil {
@@ -282,10 +382,5 @@
 	if _, err := io.WriteString(connection, request.String()); err != nil {
 		return Answer{}, err
 	}
-	answer, err := readAnswer(connection, method)
-	if err != nil {
-		return Answer{}, err
-	}
-	b.Note("caller: %s %s %s -> %d, whole %t, signed %t", header["Request-Id"], method, target, answer.Status, answer.Whole, answer.Header.Get("Server-Stamp") != "")
-	return answer, nil
+	return readAnswer(connection, method)
 }
