--- a/review/harness2/engine.go
+++ b/review/harness2/engine.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 func readAnswer(connection net.Conn, method string) (Answer, error) {
@@ -34,7 +35,8 @@
 type Engine struct {
 	id       string
 	bench    *Bench
-	events   int // of each answer; 0: a plain answer
+	events   int           // of each answer; 0: a plain answer
+	pause    time.Duration // before each event
 	listener net.Listener
 
 	mutex sync.Mutex
@@ -43,11 +45,16 @@
 
 // StartEngine starts an engine and declares it in the store. With events it streams that many in each answer.
 func (b *Bench) StartEngine(id, service, zone string, events int) (*Engine, error) {
+	return b.StartSlowEngine(id, service, zone, events, 0)
+}
+
+// StartSlowEngine is like StartEngine, for an engine that pauses before each event.
+func (b *Bench) StartSlowEngine(id, service, zone string, events int, pause time.Duration) (*Engine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	engine := &Engine{id: id, bench: b, events: events, listener: listener}
+	engine := &Engine{id: id, bench: b, events: events, pause: pause, listener: listener}
 	go engine.accept()
 	return engine, b.Put("servers", id, map[string]any{
 		"service": service, "address": listener.Addr().String(), "zone": zone, "version": "v1", "slots": 12,
@@ -129,6 +136,7 @@
 		return err
 	}
 	for number := range e.events {
+		time.Sleep(e.pause)
 		event := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number+1, run.ID, number+1)
 		if _, err := fmt.Fprintf(connection, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return err
