--- a/review/harness2/engine.go
+++ b/review/harness2/engine.go
@@ -79,7 +79,7 @@
 			return
 		}
 		go func() {
-			defer connection.Close()
+			defer func() { _ = connection.Close() }()
 			reader := bufio.NewReader(connection)
 			for e.serve(reader, connection) == nil {
 				continue
--- a/review/harness2/harness2.go
+++ b/review/harness2/harness2.go
@@ -69,7 +69,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return ExitNotRun
 	}
-	defer record.Close()
+	defer func() { _ = record.Close() }()
 	directory, err := os.MkdirTemp("", "thymeloft-review-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -106,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	command := exec.Command(program, arguments...)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -369,7 +369,7 @@
 	if err != nil {
 		return Answer{}, notConnectedError{err}
 	}
-	defer connection.Close()
+	defer func() { _ = connection.Close() }()
 	if err := connection.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return Answer{}, err
 	}
