--- /dev/null
+++ b/cmd/thymeloft-lab/abuse.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/lab/abuse"
+)
+
+// abuseCommand plays clients that do not behave against a gateway process.
+type abuseCommand struct {
+	GatewayBinary string        `type:"existingfile" placeholder:"FILE" help:"The gateway's binary; by default thymeloft-gateway beside this program."`
+	MemoryMB      int           `name:"memory-mb" default:"72" help:"Memory of the machine."`
+	Descriptors   int           `default:"4100" help:"Limit of open files of the process."`
+	Duration      time.Duration `default:"6s" help:"How long the clients are played."`
+	Clients       []string      `help:"Only these kinds of clients." placeholder:"NAME"`
+	Doors         []string      `help:"Only these doors." placeholder:"NAME"`
+	Together      bool          `help:"Play all kinds at the same time, a tenth of each."`
+}
+
+// Run plays each kind of client at each door and prints what was observed. It returns an error if a
+// guarantee was broken.
+func (c *abuseCommand) Run(ctx context.Context) error {
+	if c.GatewayBinary == "" {
+		executable, err := os.Executable()
+		if err != nil {
+			return eris.Wrap(err, "find the gateway's binary")
+		}
+		c.GatewayBinary = filepath.Join(filepath.Dir(executable), "thymeloft-gateway")
+	}
+	broken := 0
+	for _, door := range abuse.Doors() {
+		if len(c.Doors) > 0 && !slices.Contains(c.Doors, string(door)) {
+			continue
+		}
+		for _, clients := range c.rounds() {
+			failed, err := c.play(ctx, door, clients)
+			if err != nil {
+				return err
+			}
+			if failed {
+				broken++
+			}
+		}
+	}
+	if broken > 0 {
+		return eris.Errorf("guarantees were broken in %d runs", broken)
+	}
+	return nil
+}
+
+// rounds returns the clients of each run.
+func (c *abuseCommand) rounds() (rounds [][]abuse.Client) {
+	selected := abuse.Select(c.Clients)
+	if c.Together {
+		return [][]abuse.Client{abuse.Mixed(selected)}
+	}
+	for _, each := range selected {
+		rounds = append(rounds, []abuse.Client{each})
+	}
+	return rounds
+}
+
+// play plays one run and reports whether a guarantee was broken.
+func (c *abuseCommand) play(ctx context.Context, door abuse.Door, clients []abuse.Client) (failed bool, err error) {
+	report, err := abuse.Run(ctx, abuse.Options{
+		GatewayBinary: c.GatewayBinary, Machine: abuse.Machine{MemoryMB: c.MemoryMB, Descriptors: c.Descriptors},
+		Door: door, Clients: clients, Duration: c.Duration,
+	})
+	if err != nil {
+		return false, err
+	}
+	name := clients[0].Name
+	if len(clients) > 1 {
+		name = "all kinds"
+	}
+	const megabyte = 1 << 20
+	fmt.Printf("%s; %s; %d MB; peak %.1f MB; during %s; after %d of %d; ready %s; ran %d\n",
+		name, door, c.MemoryMB, float64(report.PeakMemory)/megabyte, report.During, report.After.OK, report.After.Sent, report.Ready, report.AbuseServed)
+	for _, finding := range report.Findings() {
+		fmt.Println("  broken:", finding)
+	}
+	return len(report.Findings()) > 0, nil
+}
--- a/cmd/thymeloft-lab/main.go
+++ b/cmd/thymeloft-lab/main.go
@@ -19,6 +19,7 @@
 	Record     recordCommand      `cmd:"" help:"Record callers' programs at a daemon as a trace."`
 	Experiment experiment.Command `cmd:"" help:"Compare scheduling strategies on emulated fleets."`
 	Soak       soakCommand        `cmd:"" help:"Run gateways as processes under random faults and check the promises."`
+	Abuse      abuseCommand       `cmd:"" help:"Play clients that do not behave against a gateway process."`
 	Engine     engineCommand      `cmd:"" help:"Serve a model engine."`
 	Service    serviceCommand     `cmd:"" help:"Serve an application service."`
 	Tool       toolCommand        `cmd:"" help:"Serve a tool."`
--- /dev/null
+++ b/internal/lab/abuse/abuse.go
@@ -0,0 +1,131 @@
+// Package abuse plays clients that do not behave against a real gateway process, beside ordinary
+// callers. It watches the memory of the process and ends it when it exceeds that of its machine.
+package abuse
+
+import (
+	"context"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Machine is the size of the machine that a gateway is told to run on.
+type Machine struct {
+	MemoryMB    int
+	Descriptors int // limit of open files of the process; 0 leaves the one of this process
+}
+
+// Options configure Run.
+type Options struct {
+	GatewayBinary string
+	Machine       Machine
+	Door          Door
+	Clients       []Client      // clients that do not behave, all at once; none: calm
+	Duration      time.Duration // how long they are played
+	Callers       int           // ordinary callers; 0: defaultCallers
+}
+
+// Report is what was observed during a run.
+type Report struct {
+	PeakMemory int64  // largest resident memory of the process, in bytes
+	Ended      string // how the process ended by itself or past its memory; empty: it did not
+	During     Served // requests of ordinary callers while the clients were played
+	After      Served // requests of ordinary callers after they had left
+	Ready      Served // readiness checks during the run
+	// MaxUnreadyInARow is the largest number of readiness checks in a row that were not answered 200.
+	MaxUnreadyInARow int
+	// FalseRefusals are requests that were refused with a status which promises that they did not
+	// run, and that an engine ran.
+	FalseRefusals []string
+	// AbuseServed is how many requests of the clients that do not behave an engine ran.
+	AbuseServed int
+}
+
+const (
+	defaultCallers = 8
+	// requestsAfter is the number of requests that ordinary callers send after the run.
+	requestsAfter = 20
+	startTimeout  = 60 * time.Second
+)
+
+// Run starts a gateway with a store and engines, plays the clients beside ordinary callers, and
+// reports what was observed.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	report := &Report{}
+	process, err := withProcess(ctx, options, func(p *process) { observeRun(ctx, options, p, report) })
+	if err != nil {
+		return nil, err
+	}
+	report.PeakMemory, report.Ended = process.peakMemory.Load(), process.endedHow()
+	report.FalseRefusals = process.world.falseRefusals()
+	report.AbuseServed = process.world.countAbuse()
+	return report, nil
+}
+
+// withProcess starts a gateway with a store and engines, calls use once it is ready, and ends all of
+// them. It returns the ended process.
+func withProcess(ctx context.Context, options Options, use func(*process)) (*process, error) {
+	directory, err := os.MkdirTemp("", "thymeloft-abuse-")
+	if err != nil {
+		return nil, eris.Wrap(err, "create a temporary directory")
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	world, err := newWorld()
+	if err != nil {
+		return nil, err
+	}
+	defer world.close()
+	process, err := startProcess(options, world, directory)
+	if err != nil {
+		return nil, err
+	}
+	defer process.kill()
+	if err := process.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	use(process)
+	process.kill()
+	return process, nil
+}
+
+// observeRun plays the clients, ordinary callers and readiness checks, and then the requests after.
+func observeRun(ctx context.Context, options Options, process *process, report *Report) {
+	callers := options.Callers
+	if callers == 0 {
+		callers = defaultCallers
+	}
+	const settleTime = 500 * time.Millisecond
+	playing, stop := context.WithTimeout(ctx, options.Duration)
+	defer stop()
+	target := process.target(options.Door)
+	var running sync.WaitGroup
+	for _, each := range options.Clients {
+		for number := range each.Count {
+			running.Go(func() { each.play(playing, target, number) })
+		}
+	}
+	var observers sync.WaitGroup
+	observers.Go(func() { report.Ready, report.MaxUnreadyInARow = checkReadiness(playing, process) })
+	results := make([]Served, callers)
+	for index := range callers {
+		observers.Go(func() { results[index] = newOrdinaryCaller(process, index).run(playing) })
+	}
+	observers.Wait()
+	running.Wait()
+	for _, each := range results {
+		report.During.add(each)
+	}
+	pauseFor(ctx, settleTime)
+	report.After = newOrdinaryCaller(process, callers).send(ctx, requestsAfter)
+}
+
+func pauseFor(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/lab/abuse/clients.go
@@ -0,0 +1,230 @@
+package abuse
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Client is a kind of client that does not behave, and how many of them are played at once. Each
+// connects again when its connection ends, after a pause.
+type Client struct {
+	Name  string
+	Count int
+	// exchange uses one connection until it ends or the context does.
+	exchange func(ctx context.Context, connection net.Conn, to target, id string)
+}
+
+// reconnectPause is how long a client waits before it connects again.
+const reconnectPause = 500 * time.Millisecond
+
+// play connects again and again until the context ends.
+func (c Client) play(ctx context.Context, to target, number int) {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		c.connect(ctx, to, fmt.Sprintf("%s%s-%d-%d", abusePrefix, strings.ReplaceAll(c.Name, " ", "-"), number, attempt))
+		pauseFor(ctx, reconnectPause)
+	}
+}
+
+func (c Client) connect(ctx context.Context, to target, id string) {
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+	c.exchange(ctx, connection, to, id)
+}
+
+// Clients returns the kinds of clients that do not behave.
+func Clients() []Client {
+	return []Client{
+		{Name: "headers of short fields", Count: 1200, exchange: sendShortFields},
+		{Name: "bodies in one-byte chunks", Count: 400, exchange: sendTinyChunks},
+		{Name: "bodies in one piece", Count: 400, exchange: sendWholeBody},
+		{Name: "bodies in small pieces", Count: 400, exchange: sendSmallPieces},
+		{Name: "requests ahead", Count: 300, exchange: sendAhead},
+		{Name: "half bodies", Count: 1500, exchange: sendHalfBody},
+		{Name: "endless bodies", Count: 200, exchange: sendEndlessBody},
+		{Name: "headers byte by byte", Count: 2500, exchange: sendSlowHeader},
+		{Name: "half headers", Count: 2500, exchange: sendHalfHeader},
+		{Name: "large answers not read", Count: 800, exchange: ignoreAnswer},
+		{Name: "idle connections", Count: 3000, exchange: stayIdle},
+	}
+}
+
+// head returns the beginning of a request header, without the empty line at its end.
+func head(method, path, id string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n", method, path, id)
+}
+
+// shortFields returns fields of few bytes with different names, of this many bytes in total at most.
+func shortFields(bytes int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz"
+	var fields strings.Builder
+	for number := 0; ; number++ {
+		name := string([]byte{letters[number/676%26], letters[number/26%26], letters[number%26]})
+		field := name + ":\r\n"
+		if fields.Len()+len(field) > bytes {
+			return fields.String()
+		}
+		fields.WriteString(field)
+	}
+}
+
+// largestHeader returns a header of the maximum size made of short fields. The length of the body
+// follows from the last argument.
+func largestHeader(path, id, framing string) string {
+	begin := head(http.MethodPost, path, id) + framing
+	const emptyLine = "\r\n"
+	return begin + shortFields(maxHeaderBytes-len(begin)-len(emptyLine)) + emptyLine
+}
+
+// drain reads until the connection ends.
+func drain(connection net.Conn) { _, _ = io.Copy(io.Discard, connection) }
+
+// write writes the text and reports whether that succeeded.
+func write(connection net.Conn, text string) bool {
+	_, err := io.WriteString(connection, text)
+	return err == nil
+}
+
+// sendShortFields sends the largest header of short fields, and then nothing of its body.
+func sendShortFields(_ context.Context, connection net.Conn, to target, id string) {
+	if write(connection, largestHeader(to.path, id, "Content-Length: 1000\r\n")) {
+		drain(connection)
+	}
+}
+
+// tinyChunks is a piece of a chunked body, in chunks of one byte.
+var tinyChunks = strings.Repeat("1\r\nx\r\n", tinyChunksPerWrite)
+
+const tinyChunksPerWrite = 4 << 10
+
+func sendTinyChunks(_ context.Context, connection net.Conn, to target, id string) {
+	answered := readAnswers(connection)
+	if !write(connection, head(http.MethodPost, to.path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
+		return
+	}
+	for range maxBodyBytes / tinyChunksPerWrite {
+		if !write(connection, tinyChunks) {
+			return
+		}
+	}
+	if write(connection, "0\r\n\r\n") {
+		<-answered
+	}
+}
+
+// readAnswers reads in the background, and closes the channel after an answer or the end of the
+// connection.
+func readAnswers(connection net.Conn) <-chan struct{} {
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}()
+	return answered
+}
+
+var bodyPiece = strings.Repeat("x", bodyPieceBytes)
+
+const bodyPieceBytes = 64 << 10
+
+func sendWholeBody(_ context.Context, connection net.Conn, to target, id string) {
+	sendPieces(connection, to, id, bodyPiece)
+}
+
+func sendSmallPieces(_ context.Context, connection net.Conn, to target, id string) {
+	const smallPiece = 256
+	sendPieces(connection, to, id, bodyPiece[:smallPiece])
+}
+
+// sendPieces sends a body of the maximum size, written in pieces, and reads the answer.
+func sendPieces(connection net.Conn, to target, id, piece string) {
+	answered := readAnswers(connection)
+	if !write(connection, head(http.MethodPost, to.path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) {
+		return
+	}
+	for range maxBodyBytes / len(piece) {
+		if !write(connection, piece) {
+			return
+		}
+	}
+	<-answered
+}
+
+// sendAhead sends many requests without reading an answer.
+func sendAhead(ctx context.Context, connection net.Conn, to target, id string) {
+	const requests = 2000
+	for number := range requests {
+		if !write(connection, head(http.MethodGet, to.path, fmt.Sprintf("%s-%d", id, number))+"\r\n") {
+			return
+		}
+	}
+	<-ctx.Done()
+}
+
+// sendHalfBody sends half of a body and stops.
+func sendHalfBody(_ context.Context, connection net.Conn, to target, id string) {
+	const bytes = 32 << 10
+	if write(connection, head(http.MethodPost, to.path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*bytes)+bodyPiece[:bytes]) {
+		drain(connection)
+	}
+}
+
+// sendEndlessBody sends a body without end.
+func sendEndlessBody(ctx context.Context, connection net.Conn, to target, id string) {
+	go drain(connection)
+	if !write(connection, head(http.MethodPost, to.path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
+		return
+	}
+	for ctx.Err() == nil && write(connection, fmt.Sprintf("%x\r\n%s\r\n", len(bodyPiece), bodyPiece)) {
+		continue
+	}
+}
+
+// sendSlowHeader sends a header byte by byte.
+func sendSlowHeader(ctx context.Context, connection net.Conn, to target, id string) {
+	const pause = 100 * time.Millisecond
+	for _, letter := range []byte(largestHeader(to.path, id, "")) {
+		if ctx.Err() != nil || !write(connection, string(letter)) {
+			return
+		}
+		pauseFor(ctx, pause)
+	}
+}
+
+// sendHalfHeader sends most of the largest header and stops.
+func sendHalfHeader(_ context.Context, connection net.Conn, to target, id string) {
+	const missing = 64
+	header := largestHeader(to.path, id, "")
+	if write(connection, header[:len(header)-missing]) {
+		drain(connection)
+	}
+}
+
+// ignoreAnswer requests the largest answer and does not read it.
+func ignoreAnswer(ctx context.Context, connection net.Conn, to target, id string) {
+	if write(connection, head(http.MethodGet, to.largePath, id)+"\r\n") {
+		<-ctx.Done()
+	}
+}
+
+// stayIdle sends one request, reads the answer and keeps the connection.
+func stayIdle(_ context.Context, connection net.Conn, to target, id string) {
+	if write(connection, head(http.MethodGet, to.path, id)+"\r\n") {
+		drain(connection)
+	}
+}
--- /dev/null
+++ b/internal/lab/abuse/process.go
@@ -0,0 +1,258 @@
+package abuse
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+
+	"github.com/thymeloft/thymeloft/internal/server"
+)
+
+// Door is a listener of the gateway and a path there.
+type Door string
+
+// The doors of a gateway.
+const (
+	DoorRoute   Door = "a route"
+	DoorNoRoute Door = "a path without a route"
+	DoorReady   Door = "ready"
+	DoorMetrics Door = "metrics"
+	DoorPeers   Door = "peers"
+)
+
+// Doors returns all doors.
+func Doors() []Door { return []Door{DoorRoute, DoorNoRoute, DoorReady, DoorMetrics, DoorPeers} }
+
+// target is where clients that do not behave send their requests.
+type target struct {
+	address string
+	path    string
+	// largePath is the path whose answer is largest.
+	largePath string
+}
+
+// process is a gateway process whose memory is watched.
+type process struct {
+	listen     server.ListenSettings
+	command    *exec.Cmd
+	world      *world
+	exited     chan struct{}
+	killed     atomic.Bool // ended by kill, as planned
+	overMemory atomic.Bool
+	peakMemory atomic.Int64
+}
+
+const memoryPollInterval = 10 * time.Millisecond
+
+// startProcess starts the gateway on one processor core.
+func startProcess(options Options, world *world, directory string) (*process, error) {
+	settings, err := newSettings(options.Machine, world.store.Listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	content, err := yaml.Marshal(settings)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(directory, "settings.yaml")
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		return nil, eris.Wrap(err, "write settings")
+	}
+	started := exec.Command("/bin/sh", "-c", limitDescriptors(options.Machine)+`exec "$0" --settings "$1"`, options.GatewayBinary, path)
+	started.Env = append(os.Environ(), "GOMAXPROCS=1")
+	started.Stderr = os.Stderr
+	if logPath := os.Getenv("ABUSE_LOG"); logPath != "" {
+		output, err := os.Create(logPath)
+		if err != nil {
+			return nil, eris.Wrap(err, "create the log")
+		}
+		started.Stdout = output
+	}
+	if err := started.Start(); err != nil {
+		return nil, eris.Wrap(err, "start the gateway")
+	}
+	p := &process{listen: settings.Listen, world: world, command: started, exited: make(chan struct{})}
+	go func() {
+		_ = started.Wait() // the process state contains the result
+		close(p.exited)
+	}()
+	go p.watchMemory(int64(options.Machine.MemoryMB) << 20)
+	return p, nil
+}
+
+func limitDescriptors(machine Machine) string {
+	if machine.Descriptors == 0 {
+		return ""
+	}
+	return fmt.Sprintf("ulimit -n %d && ", machine.Descriptors)
+}
+
+// newSettings returns settings with free ports.
+func newSettings(machine Machine, store string) (server.Settings, error) {
+	const doors = 4
+	addresses := make([]string, doors)
+	for index := range addresses {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return server.Settings{}, eris.Wrap(err, "find a free port")
+		}
+		defer func() { _ = listener.Close() }()
+		addresses[index] = listener.Addr().String()
+	}
+	return server.Settings{
+		Machine: "m1", Zone: "z", MemoryMB: machine.MemoryMB, FirstStart: true,
+		Listen:       server.ListenSettings{Callers: addresses[0], Ready: addresses[1], Peers: addresses[2], Metrics: addresses[3]},
+		Store:        server.StoreSettings{Address: store, RowBytes: 65536},
+		GraceSeconds: 8, DrainMillis: 2000, ContactMillis: 3000, LogSuccessesPerSecond: 200,
+	}, nil
+}
+
+// watchMemory records the peak of the resident memory, and kills the process when it exceeds limit.
+func (p *process) watchMemory(limit int64) {
+	ticker := time.NewTicker(memoryPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.exited:
+			return
+		case <-ticker.C:
+			resident := residentMemory(p.command.Process.Pid)
+			p.peakMemory.Store(max(p.peakMemory.Load(), resident))
+			if resident > limit {
+				p.overMemory.Store(true)
+				_ = p.command.Process.Kill()
+				return
+			}
+		}
+	}
+}
+
+// residentMemory returns the resident memory of a process in bytes; 0 if it has ended.
+func residentMemory(pid int) int64 {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range bytes.Lines(content) {
+		value, found := strings.CutPrefix(string(line), "VmRSS:")
+		if !found {
+			continue
+		}
+		kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
+		if err != nil {
+			return 0
+		}
+		return kilobytes << 10
+	}
+	return 0
+}
+
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// kill ends the process and waits for its end.
+func (p *process) kill() {
+	if p.hasEnded() {
+		return
+	}
+	p.killed.Store(true)
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
+// endedHow returns how the process ended before kill, or "".
+func (p *process) endedHow() string {
+	switch {
+	case p.overMemory.Load():
+		return "past the memory of its machine"
+	case !p.killed.Load():
+		return p.command.ProcessState.String()
+	default:
+		return ""
+	}
+}
+
+func (p *process) target(door Door) target {
+	switch door {
+	case DoorNoRoute:
+		return target{address: p.listen.Callers, path: "/none/", largePath: "/none/"}
+	case DoorReady:
+		return target{address: p.listen.Ready, path: "/api/ready", largePath: "/api/ready"}
+	case DoorMetrics:
+		return target{address: p.listen.Metrics, path: "/metrics", largePath: "/metrics"}
+	case DoorPeers:
+		return target{address: p.listen.Peers, path: "/", largePath: "/"}
+	default:
+		return target{address: p.listen.Callers, path: pathAbused, largePath: pathLarge}
+	}
+}
+
+// isReady reports whether the gateway answers a readiness check on a new connection.
+func (p *process) isReady(ctx context.Context) bool {
+	const timeout = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.listen.Ready+"/api/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (p *process) awaitReady(ctx context.Context) error {
+	const pollInterval = 20 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !p.isReady(ctx) {
+		select {
+		case <-p.exited:
+			return eris.New("the gateway ended at its start")
+		case <-ctx.Done():
+			return eris.New("the gateway did not become ready")
+		case <-time.After(pollInterval):
+		}
+	}
+	return nil
+}
+
+// checkReadiness checks the readiness until the context ends, and returns the results and the
+// largest number of failed checks in a row.
+func checkReadiness(ctx context.Context, p *process) (served Served, maxInARow int) {
+	const interval = 500 * time.Millisecond
+	inARow := 0
+	for ctx.Err() == nil && !p.hasEnded() {
+		start := time.Now()
+		ready := p.isReady(context.WithoutCancel(ctx))
+		served.record(ready, time.Since(start))
+		inARow++
+		if ready {
+			inARow = 0
+		}
+		maxInARow = max(maxInARow, inARow)
+		pauseFor(ctx, interval)
+	}
+	return served, maxInARow
+}
