Input: a body of the largest size is served on the smallest machine

What callers saw: on a machine of 72 MB a body from 3 MiB on got 503 `memory` in calm, though the limits allow 4 MiB.

Cause: the buffer of a body doubles, and both are held while the content is copied; a body that fills its buffer exactly needed a larger one to see its end. One owner gets half of what may be held, and that was 8 MB there.

Evidence: "serves the largest requests ... on the smallest machine" of test/abuse failed before (503 for all four) and passes.

Change: the end of a body that fills its buffer is looked for with one more byte; at least 15 MB may be held on any machine: half of it takes 6 MB of buffers and the largest header. Larger machines don't change (from 112 MB on the share is larger already).

Ruled out: joining blocks at the end, which holds the whole body twice.

--- a/internal/gateway/input.go
+++ b/internal/gateway/input.go
@@ -65,18 +65,14 @@
 	}
 	buffer := make([]byte, 0, size)
 	for {
-		count, err := body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+count]
-		if errors.Is(err, io.EOF) {
-			return buffer, nil
+		if err := fill(body, &buffer); err != nil {
+			return buffer, ignoreEnd(err)
 		}
+		next, err := readByte(body)
 		if err != nil {
-			return nil, err
-		}
-		if len(buffer) < cap(buffer) {
-			continue
+			return buffer, ignoreEnd(err)
 		}
-		oldSize := int64(cap(buffer))
+		oldSize := size
 		size = 2 * oldSize
 		if length >= 0 {
 			size = min(size, length+extraByte)
@@ -84,11 +80,38 @@
 		if err := reservation.Grow(memory.Request, size); err != nil {
 			return nil, err
 		}
-		buffer = append(make([]byte, 0, size), buffer...)
+		buffer = append(append(make([]byte, 0, size), buffer...), next)
 		reservation.Shrink(memory.Request, oldSize)
 	}
 }
 
+// fill reads into buffer until it is full or body returns an error, which may be io.EOF.
+func fill(body io.Reader, buffer *[]byte) error {
+	for len(*buffer) < cap(*buffer) {
+		count, err := body.Read((*buffer)[len(*buffer):cap(*buffer)])
+		*buffer = (*buffer)[:len(*buffer)+count]
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readByte reads one byte, so that a body which just fills its buffer needs no larger one.
+func readByte(body io.Reader) (byte, error) {
+	var next [1]byte
+	_, err := io.ReadFull(body, next[:])
+	return next[0], err
+}
+
+// ignoreEnd returns nil for the end of a body, and other errors unchanged.
+func ignoreEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 // inputError returns the *Refusal or *AbortedError for an error of reading the body. Nothing was
 // sent to an engine.
 func inputError(err error) error {
--- a/internal/memory/limits.go
+++ b/internal/memory/limits.go
@@ -31,10 +31,11 @@
 	// gcPercent is half of the runtime's default: the live heap is usually a few megabytes, so
 	// that collections are cheap and garbage makes up most of the peak.
 	gcPercent = 50
-	// minRuntimeBytes and minHeldBytes let a small machine serve at least a few requests of a
-	// typical maximum size.
+	// minRuntimeBytes lets a small machine serve at least a few requests.
 	minRuntimeBytes = 32 * megabyte
-	minHeldBytes    = 8 * megabyte
+	// minHeldBytes lets a small machine serve a request of the largest size, with a body of 4 MiB. While the
+	// length of the body is not known, its buffer is held one and a half times, and one owner gets half.
+	minHeldBytes = 15 * megabyte
 )
 
 // LimitsFor returns the limits for a machine with this memory in megabytes. If machineMB is 0 or
