Ingress: callers' connections are bounded, and those of a crowd give way

What callers saw: 3,000 connections that send one request each and stay open took a gateway of 72 MB past its memory (72.2 MB); with 2,875 descriptors and 120 MB, ordinary callers were no longer served, and the gateway couldn't connect to engines and the store.

Change: package ingress. A door counts the connections of a listener. Beyond its limit (a sixth of the machine's memory at 16 KiB each, half of the descriptors, or `max_connections`) the oldest connection in the state that most are in is closed for each new one: idle, within a header, within a body. Requests that were read completely are never closed for others; if most connections wait for answers, those used within a second are kept and the new one is closed. A request that gives way is refused as not run; the handler says when it has read the whole (InputComplete), so that this is true.

--- a/internal/gateway/input.go
+++ b/internal/gateway/input.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/thymeloft/thymeloft/internal/ingress"
 	"github.com/thymeloft/thymeloft/internal/memory"
 )
 
@@ -17,10 +18,25 @@
 const initialInputBufferBytes = 16 << 10
 
 // readInput reads the whole body into memory, since a request is sent to an engine only when
-// it is complete. The buffer is accounted for before it is allocated. A body whose announced
-// length exceeds the available memory is refused unread. The error is a *Refusal or an
-// *AbortedError.
+// it is complete. Until then the request may have to make room for others; it is refused then. The
+// error is a *Refusal or an *AbortedError.
 func (e *execution) readInput() error {
+	caller := ingress.FromContext(e.request.Context())
+	if err := e.readBody(); err != nil {
+		if caller.IsEvicted() {
+			return memoryRefusal(eris.Wrap(err, "made room for other requests"))
+		}
+		return err
+	}
+	if !caller.InputComplete() {
+		return memoryRefusal(eris.New("made room for other requests"))
+	}
+	return nil
+}
+
+// readBody reads the body. The buffer is accounted for before it is allocated. A body whose announced
+// length exceeds the available memory is refused unread. The error is a *Refusal or an *AbortedError.
+func (e *execution) readBody() error {
 	if e.request.ContentLength == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/ingress/door.go
@@ -0,0 +1,250 @@
+package ingress
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// DoorOptions configure a Door.
+type DoorOptions struct {
+	Name string // identifies the door in logs and metrics
+	// MaxConnections is the largest number of open connections; 0 means no limit. Beyond it, one that
+	// waits for its client is closed for each new one, and if there is none, the new one.
+	MaxConnections int
+	// CloseIdle closes a connection that is idle, unless bytes of a request have arrived on it. The
+	// default closes it in any case.
+	CloseIdle func(net.Conn)
+}
+
+// Door bounds the connections of one listener. It is safe for concurrent use.
+type Door struct {
+	group   *Group
+	name    string
+	options DoorOptions
+
+	mutex sync.Mutex
+	open  int
+	lists [stateCount]connList // oldest connection first; those in stateServing are in no list
+
+	evicted [stateCount]atomic.Int64 // connections closed for a new one, by their state
+	refused atomic.Int64             // new connections closed at once
+}
+
+// connState is what a connection is waiting for.
+type connState uint8
+
+const (
+	stateIdle    connState = iota // a new request
+	stateHeader                   // the rest of a header, or the first one
+	stateInput                    // the rest of a body, or a handler that has not called InputComplete
+	stateServing                  // the answer
+	stateCount
+)
+
+// String returns the name used in metrics.
+func (s connState) String() string {
+	return [stateCount]string{"idle", "header", "body", "serving"}[s]
+}
+
+// NewDoor adds a door to the group.
+func (g *Group) NewDoor(options DoorOptions) *Door {
+	if options.CloseIdle == nil {
+		options.CloseIdle = func(idle net.Conn) { _ = idle.Close() }
+	}
+	door := &Door{group: g, name: options.Name, options: options}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.doors = append(g.doors[:len(g.doors):len(g.doors)], door)
+	return door
+}
+
+// Admit wraps a connection that was accepted. It closes the connection and returns nil if the door is
+// full and no other connection gives way.
+func (d *Door) Admit(accepted net.Conn) *Conn {
+	conn := &Conn{Conn: accepted, door: d}
+	if !d.add(conn) {
+		d.refused.Add(1)
+		d.group.logClosed("ingress: new connection closed because too many are open.", zap.String("door", d.name),
+			zap.Int("open", d.options.MaxConnections), zap.Int64("soFar", d.refused.Load()))
+		_ = accepted.Close()
+		return nil
+	}
+	return conn
+}
+
+// add adds the connection in stateHeader. If the door is full, another one gives way; add returns
+// false if none does.
+func (d *Door) add(conn *Conn) bool {
+	now := time.Now()
+	d.mutex.Lock()
+	if d.options.MaxConnections <= 0 || d.open < d.options.MaxConnections {
+		defer d.mutex.Unlock()
+		d.open++
+		d.enter(conn, stateHeader, now)
+		return true
+	}
+	victim := d.pickVictim(now)
+	if victim == nil {
+		d.mutex.Unlock()
+		return false
+	}
+	state := victim.state
+	d.leave(victim)
+	d.enter(conn, stateHeader, now)
+	victim.uncounted = true
+	d.mutex.Unlock()
+	d.evicted[state].Add(1)
+	d.group.logClosed("ingress: connection closed for a new one because too many are open.", zap.String("door", d.name),
+		zap.Stringer("client", victim.RemoteAddr()), zap.Stringer("waitedFor", state), zap.Int64("soFar", d.evicted[state].Load()))
+	if state == stateIdle {
+		d.options.CloseIdle(victim.Conn)
+	} else {
+		victim.evict()
+	}
+	return true
+}
+
+// minWait is how long a connection waits for its client before it gives way to a new one while most
+// connections wait for answers.
+const minWait = time.Second
+
+// pickVictim returns the connection that gives way to a new one, or nil: the oldest one in the state
+// that most of the connections are in, since a crowd does the same thing everywhere. If most wait for
+// answers, those that were used shortly before are kept. d.mutex must be held.
+func (d *Door) pickVictim(now time.Time) *Conn {
+	crowded, listed := &d.lists[stateIdle], 0
+	for index := range d.lists {
+		listed += d.lists[index].length
+		if d.lists[index].length > crowded.length {
+			crowded = &d.lists[index]
+		}
+	}
+	oldest, serving := crowded.first, d.open-listed
+	if oldest != nil && crowded.length < serving && now.Sub(oldest.since) < minWait {
+		return nil
+	}
+	return oldest
+}
+
+// OnStateChange is the http.Server.ConnState hook.
+func (d *Door) OnStateChange(changed net.Conn, state http.ConnState) {
+	conn := FromConn(changed)
+	if conn == nil {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		d.move(conn, stateInput)
+	case http.StateIdle:
+		conn.endRequest()
+		d.move(conn, stateIdle)
+	case http.StateClosed, http.StateHijacked:
+		d.remove(conn)
+	}
+}
+
+// move puts the connection into a state. A connection that is no longer counted is closed when it is idle.
+func (d *Door) move(conn *Conn, state connState) {
+	if d.tryMove(conn, state) || state != stateIdle {
+		return
+	}
+	d.options.CloseIdle(conn.Conn) // it was to give way when a request arrived on it
+}
+
+// tryMove puts the connection into a state, unless it is no longer counted.
+func (d *Door) tryMove(conn *Conn, state connState) bool {
+	now := time.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if conn.uncounted {
+		return false
+	}
+	d.leave(conn)
+	d.enter(conn, state, now)
+	return true
+}
+
+func (d *Door) remove(conn *Conn) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if conn.uncounted {
+		return
+	}
+	conn.uncounted = true
+	d.leave(conn)
+	d.open--
+}
+
+// enter puts the connection at the end of the list of its new state. d.mutex must be held.
+func (d *Door) enter(conn *Conn, state connState, now time.Time) {
+	conn.state, conn.since = state, now
+	if state != stateServing {
+		d.lists[state].append(conn)
+	}
+}
+
+// leave takes the connection out of its list. d.mutex must be held.
+func (d *Door) leave(conn *Conn) {
+	if conn.state != stateServing {
+		d.lists[conn.state].remove(conn)
+	}
+}
+
+// connList is a doubly linked list of connections.
+type connList struct {
+	first, last *Conn
+	length      int
+}
+
+func (l *connList) append(conn *Conn) {
+	conn.previous, conn.next = l.last, nil
+	if l.last == nil {
+		l.first = conn
+	} else {
+		l.last.next = conn
+	}
+	l.last = conn
+	l.length++
+}
+
+func (l *connList) remove(conn *Conn) {
+	if conn.previous == nil {
+		l.first = conn.next
+	} else {
+		conn.previous.next = conn.next
+	}
+	if conn.next == nil {
+		l.last = conn.previous
+	} else {
+		conn.next.previous = conn.previous
+	}
+	conn.previous, conn.next = nil, nil
+	l.length--
+}
+
+// listener accepts the connections of another one through a door.
+type listener struct {
+	net.Listener
+	door *Door
+}
+
+// Listen returns a listener whose connections the door bounds. See Admit.
+func (d *Door) Listen(inner net.Listener) net.Listener { return &listener{Listener: inner, door: d} }
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := l.door.Admit(accepted); conn != nil {
+			return conn, nil
+		}
+	}
+}
--- a/internal/server/caller_connections.go
+++ b/internal/server/caller_connections.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/thymeloft/thymeloft/internal/answer"
+	"github.com/thymeloft/thymeloft/internal/ingress"
 )
 
 // callerConnection is a caller's connection that records whether a request may
@@ -24,6 +25,22 @@
 	retired      bool
 }
 
+// callerConnectionOf returns the callerConnection that c is or wraps, or nil.
+func callerConnectionOf(c net.Conn) *callerConnection {
+	if admitted := ingress.FromConn(c); admitted != nil {
+		c = admitted.NetConn()
+	}
+	connection, _ := c.(*callerConnection)
+	return connection
+}
+
+// retireConnection retires a callerConnection.
+func retireConnection(c net.Conn) {
+	if connection := callerConnectionOf(c); connection != nil {
+		connection.retire()
+	}
+}
+
 // Read implements net.Conn. After the connection was retired, it returns
 // net.ErrClosed instead of bytes that still arrive.
 func (c *callerConnection) Read(buffer []byte) (int, error) {
@@ -82,8 +99,8 @@
 
 // onStateChange is the http.Server.ConnState hook of all servers.
 func (c *callerConnections) onStateChange(changed net.Conn, state http.ConnState) {
-	connection, ok := changed.(*callerConnection)
-	if !ok {
+	connection := callerConnectionOf(changed)
+	if connection == nil {
 		return
 	}
 	if state != http.StateIdle {
--- a/internal/server/caller_server.go
+++ b/internal/server/caller_server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/thymeloft/thymeloft/internal/ingress"
 	"github.com/thymeloft/thymeloft/internal/routetable"
 	"github.com/thymeloft/thymeloft/internal/writebehind"
 )
@@ -23,6 +24,7 @@
 	errors      *log.Logger
 	connections *callerConnections
 	buffers     *writebehind.Group // buffers responses to slow callers; nil disables it
+	door        *ingress.Door
 
 	mutex       sync.Mutex
 	limits      routetable.Limits
@@ -40,8 +42,11 @@
 	IdleTimeout:   15 * time.Second,
 }
 
-func newCallerServer(listener net.Listener, handler http.Handler, buffers *writebehind.Group, errorLog *log.Logger) *callerServer {
+// newCallerServer starts to serve callers on the listener, through a door with at most maxConnections
+// connections; 0: no limit.
+func newCallerServer(listener net.Listener, handler http.Handler, buffers *writebehind.Group, group *ingress.Group, maxConnections int, errorLog *log.Logger) *callerServer {
 	s := &callerServer{listener: listener, errors: errorLog, connections: newCallerConnections(), buffers: buffers}
+	s.door = group.NewDoor(ingress.DoorOptions{Name: "callers", MaxConnections: maxConnections, CloseIdle: retireConnection})
 	s.handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		response := &responseWriter{ResponseWriter: writer, request: request, connections: s.connections}
 		handler.ServeHTTP(response, request)
@@ -70,7 +75,7 @@
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ErrorLog:          s.errors,
-		ConnState:         s.connections.onStateChange,
+		ConnState:         s.onStateChange,
 		ConnContext:       withCallerConn,
 
 		DisableGeneralOptionsHandler: true, // else net/http answers OPTIONS * with 200
@@ -83,6 +88,12 @@
 	}(s.server, s.acceptQueue)
 }
 
+// onStateChange is the http.Server.ConnState hook of all servers.
+func (s *callerServer) onStateChange(changed net.Conn, state http.ConnState) {
+	s.door.OnStateChange(changed, state)
+	s.connections.onStateChange(changed, state)
+}
+
 // socketKey is the context key of the callerSocket of a request.
 type socketKey struct{}
 
@@ -90,8 +101,9 @@
 // socket of the accepted connection to the context of the requests, and, if responses
 // on it are buffered, the buffering connection.
 func withCallerConn(ctx context.Context, accepted net.Conn) context.Context {
-	connection, ok := accepted.(*callerConnection)
-	if !ok {
+	ctx = ingress.WithConn(ctx, accepted)
+	connection := callerConnectionOf(accepted)
+	if connection == nil {
 		return ctx
 	}
 	if connection.socket != nil {
@@ -125,7 +137,9 @@
 		s.mutex.Lock()
 		current := s.acceptQueue
 		s.mutex.Unlock()
-		current.deliver(newCallerConnection(accepted, s.buffers))
+		if admitted := s.door.Admit(newCallerConnection(accepted, s.buffers)); admitted != nil {
+			current.deliver(admitted)
+		}
 	}
 }
 
--- a/internal/server/caller_socket_test.go
+++ b/internal/server/caller_socket_test.go
@@ -11,7 +11,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/ingress"
 	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/writebehind"
 )
@@ -34,7 +36,7 @@
 				panic(http.ErrAbortHandler)
 			}
 		})
-		served := newCallerServer(listener, handler, buffers, log.New(io.Discard, "", 0))
+		served := newCallerServer(listener, handler, buffers, ingress.NewGroup(zap.NewNop()), 0, log.New(io.Discard, "", 0))
 		DeferCleanup(func(ctx SpecContext) { _ = served.Stop(ctx) })
 		connection, err := net.Dial("tcp", listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/thymeloft/thymeloft/internal/backend"
 	"github.com/thymeloft/thymeloft/internal/gateway"
+	"github.com/thymeloft/thymeloft/internal/ingress"
 	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/pause"
 	"github.com/thymeloft/thymeloft/internal/process"
@@ -54,6 +55,7 @@
 	callerServer        *callerServer
 	reach               *reach.Monitor
 	memory              *memory.Account
+	ingress             *ingress.Group
 	metrics             *gateway.Metrics
 	lifecycle           *process.Lifecycle
 	instancesRead       atomic.Bool   // the table of instances was read at least once
@@ -106,6 +108,7 @@
 		rateLog: rate.Sometimes{Interval: rateLogInterval},
 		memory:  memory.NewAccount(memory.LimitsFor(options.Settings.MemoryMB).MaxHeldBytes),
 	}
+	server.ingress = ingress.NewGroup(options.Log)
 	server.ApplySettings(options.Settings)
 	return server
 }
@@ -139,7 +142,10 @@
 	if err != nil {
 		return err
 	}
-	s.callerServer = newCallerServer(callers, s.handler(c), buffers, zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
+	if err := s.ingress.RegisterMetrics(s.Registry); err != nil {
+		return err
+	}
+	s.callerServer = newCallerServer(callers, s.handler(c), buffers, s.ingress, s.Settings.maxConnections(), zap.NewStdLog(s.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))))
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.follow(background, c)
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -11,6 +11,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/rotisserie/eris"
 
+	"github.com/thymeloft/thymeloft/internal/ingress"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/quota"
 	"github.com/thymeloft/thymeloft/internal/state"
@@ -43,6 +44,9 @@
 	// MemoryMB is the memory of the machine, in MiB, from which the process derives
 	// its own limits; 0 means no limits.
 	MemoryMB int `yaml:"memory_mb"`
+	// MaxConnections is the largest number of callers' connections. The default, 0, follows from
+	// MemoryMB and from the limit of file descriptors.
+	MaxConnections int `yaml:"max_connections,omitempty"`
 	// ProcessorShare is the part of a processor core that this machine has. Machines
 	// with a large share aggregate loads for others. The default, 0, means that the
 	// share is unknown.
@@ -155,6 +159,7 @@
 	require(s.ContactMillis >= 0, "contact_millis: expected a number, 0 or above")
 	require(s.ProcessorShare >= 0, "processor_share: expected a number, 0 or above")
 	require(s.MemoryMB >= 0, "memory_mb: expected a number, 0 or above")
+	require(s.MaxConnections >= 0, "max_connections: expected a number, 0 or above")
 	require(s.LogSuccessesPerSecond >= 0, "log_successes_per_second: expected a number, 0 or above")
 	require(s.Quota.WindowSeconds >= 0, "quota.window_seconds: expected a number, 0 or above")
 	require(s.Quota.ToleranceShare >= 0, "quota.tolerance_share: expected a number, 0 or above")
@@ -165,6 +170,13 @@
 	return errors.Join(faults...)
 }
 
+func (s *Settings) maxConnections() int {
+	if s.MaxConnections > 0 {
+		return s.MaxConnections
+	}
+	return ingress.MaxCallerConnections(s.MemoryMB)
+}
+
 func (s *Settings) gracePeriod() time.Duration {
 	return time.Duration(s.GraceSeconds * float64(time.Second))
 }
