Endpoints: ready and metrics are behind doors, with limits of their own

What callers saw: the platform's readiness check and the metrics accept headers of 1 MiB, idle connections without end and bodies without a time; 3,000 connections that stay open at either end the process past 72 MB, and with it everybody is unserved. Four slow readers of the metrics hold them.

Cause: the endpoints' http.Server had a time for headers and no other limit.

Change: each endpoint is a door (a sixteenth of the machine's memory, 512 connections at most), takes headers of 16 KiB, 3 s for a request, 5 s for an answer and 2 minutes of idleness. thymeloftd's endpoints use the same door in place of netutil's listener, with which further connections waited behind those of silent clients.

A connection gives way only when it is 100 ms old and its goroutine has begun to read; further ones wait in the kernel's backlog until then.

Evidence: "beside idle connections at ready" and "at metrics" failed before (ended past 72 MB) and pass.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 	previous, next *Conn
 	uncounted      bool // no longer counted as open
 
+	wasRead atomic.Bool // its goroutine has begun to read
+
 	mutex         sync.Mutex
 	evicted       bool // the client is given up; reads fail
 	inputComplete bool // the request in progress was read completely
@@ -40,6 +43,12 @@
 // NetConn returns the wrapped connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// Read implements net.Conn.
+func (c *Conn) Read(into []byte) (int, error) {
+	c.wasRead.Store(true)
+	return c.Conn.Read(into)
+}
+
 // CloseWrite closes the sending side of the connection, if it supports that.
 func (c *Conn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -77,36 +77,63 @@
 	return conn
 }
 
+// minAge is how long a connection stays in a state at least before it gives way.
+const minAge = 100 * time.Millisecond
+
+// readPollInterval is the time after which it is looked up again whether the oldest connection was read.
+const readPollInterval = time.Millisecond
+
 // add adds the connection in stateHeader. If the door is full, another one gives way; add returns
 // false if none does.
 func (d *Door) add(conn *Conn) bool {
+	for {
+		added, wait := d.tryAdd(conn)
+		if wait <= 0 {
+			return added
+		}
+		time.Sleep(wait)
+	}
+}
+
+// tryAdd is like add, but returns how long to wait if the connection that would give way is younger
+// than minAge, or was never read. Its request may have arrived already; further connections wait in the
+// kernel's backlog meanwhile.
+func (d *Door) tryAdd(conn *Conn) (added bool, wait time.Duration) {
 	now := time.Now()
 	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	if d.options.MaxConnections <= 0 || d.open < d.options.MaxConnections {
-		defer d.mutex.Unlock()
 		d.open++
 		d.enter(conn, stateHeader, now)
-		return true
+		return true, 0
 	}
 	victim := d.pickVictim(now)
 	if victim == nil {
-		d.mutex.Unlock()
-		return false
+		return false, 0
+	}
+	if age := now.Sub(victim.since); age < minAge {
+		return false, minAge - age
+	}
+	if !victim.wasRead.Load() {
+		return false, readPollInterval
 	}
-	state := victim.state
 	d.leave(victim)
-	d.enter(conn, stateHeader, now)
 	victim.uncounted = true
-	d.mutex.Unlock()
-	d.evicted[state].Add(1)
+	d.enter(conn, stateHeader, now)
+	go d.giveWay(victim, victim.state)
+	return true, 0
+}
+
+// giveWay closes a connection that has given way to another one.
+func (d *Door) giveWay(victim *Conn, state connState) {
+	total := d.evicted[state].Add(1)
 	d.group.logClosed("ingress: connection closed for a new one because too many are open.", zap.String("door", d.name),
-		zap.Stringer("client", victim.RemoteAddr()), zap.Stringer("waitedFor", state), zap.Int64("soFar", d.evicted[state].Load()))
+		zap.Stringer("client", victim.RemoteAddr()), zap.Stringer("waitedFor", state), zap.Int64("soFar", total))
 	if state == stateIdle {
 		d.options.CloseIdle(victim.Conn)
-	} else {
-		victim.evict()
+		return
 	}
-	return true
+	victim.evict()
 }
 
 // minWait is how long a connection waits for its client before it gives way to a new one while most
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -6,14 +6,15 @@
 const ConnectionBytes = 16 << 10
 
 const (
-	// connectionsDivisor is the part of a machine's memory that callers' connections may take.
-	connectionsDivisor = 6
+	// callersDivisor and endpointDivisor are the parts of a machine's memory that the connections of
+	// callers, and those of one endpoint for the platform or operators, may take.
+	callersDivisor  = 8
+	endpointDivisor = 16
 	// descriptorsDivisor is the part of the process's file descriptors that callers' connections may
 	// take. The rest is for engines, the store and other daemons.
 	descriptorsDivisor = 2
-	// EndpointConnections is the largest number of connections of a listener that serves the platform or
-	// operators, and not callers.
-	EndpointConnections = 128
+	// maxEndpointConnections is enough for an endpoint on any machine.
+	maxEndpointConnections = 512
 )
 
 // MaxCallerConnections returns the largest number of callers' connections on a machine with this memory
@@ -21,11 +22,20 @@
 func MaxCallerConnections(machineMB int) int {
 	limit := int(descriptorLimit() / descriptorsDivisor)
 	if machineMB > 0 {
-		limit = min(limit, machineMB<<20/connectionsDivisor/ConnectionBytes)
+		limit = min(limit, machineMB<<20/callersDivisor/ConnectionBytes)
 	}
 	return limit
 }
 
+// MaxEndpointConnections returns the largest number of connections of an endpoint that serves the platform
+// or operators, on a machine with this memory in megabytes; 0 or less: not known.
+func MaxEndpointConnections(machineMB int) int {
+	if machineMB <= 0 {
+		return maxEndpointConnections
+	}
+	return min(machineMB<<20/endpointDivisor/ConnectionBytes, maxEndpointConnections)
+}
+
 // descriptorLimit returns the limit of open files of this process.
 func descriptorLimit() uint64 {
 	const unknown, largest = 1 << 10, 1 << 20
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -10,7 +10,8 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
+
+	"github.com/thymeloft/thymeloft/internal/ingress"
 )
 
 // keepAlivePeriod is the interval of TCP keep-alives, which detect clients that
@@ -23,7 +24,8 @@
 	Address string      // "ip:port"; port 0 selects a free port
 	TLS     *tls.Config // nil disables TLS
 	Limits  EndpointLimits
-	Log     *zap.Logger // required
+	Ingress *ingress.Group // bounds what clients cost; nil: a group of its own
+	Log     *zap.Logger    // required
 }
 
 // EndpointLimits limits the use of an endpoint. For a zero field the default of
@@ -31,9 +33,10 @@
 type EndpointLimits struct {
 	HeaderTimeout  time.Duration // time to read the header of a request
 	ReadTimeout    time.Duration // time to read a whole request
+	WriteTimeout   time.Duration // time to write a response
 	IdleTimeout    time.Duration // time for which an idle connection stays open
 	MaxHeaderBytes int           // largest size of a request header
-	MaxConnections int           // largest number of open connections; further ones wait in the kernel's backlog
+	MaxConnections int           // largest number of open connections; for a further one, one that waits for its client is closed
 }
 
 // Endpoint is an HTTP server with its listener.
@@ -52,9 +55,12 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s at %s", options.Name, options.Address)
 	}
-	if options.Limits.MaxConnections > 0 {
-		listener = netutil.LimitListener(listener, options.Limits.MaxConnections)
+	group := options.Ingress
+	if group == nil {
+		group = ingress.NewGroup(options.Log)
 	}
+	door := group.NewDoor(ingress.DoorOptions{Name: options.Name, MaxConnections: options.Limits.MaxConnections})
+	listener = door.Listen(listener)
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
 	}
@@ -63,9 +69,12 @@
 		server: &http.Server{
 			ReadHeaderTimeout: options.Limits.HeaderTimeout,
 			ReadTimeout:       options.Limits.ReadTimeout,
+			WriteTimeout:      options.Limits.WriteTimeout,
 			IdleTimeout:       options.Limits.IdleTimeout,
 			MaxHeaderBytes:    options.Limits.MaxHeaderBytes,
 			ErrorLog:          zap.NewStdLog(options.Log.Named(options.Name)),
+			ConnState:         door.OnStateChange,
+			ConnContext:       ingress.WithConn,
 		},
 	}, nil
 }
--- a/internal/server/endpoints.go
+++ b/internal/server/endpoints.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/thymeloft/thymeloft/internal/ingress"
 	"github.com/thymeloft/thymeloft/internal/process"
 	"github.com/thymeloft/thymeloft/internal/telemetry"
 )
@@ -34,15 +35,20 @@
 	return err
 }
 
+// endpointLimits returns the limits of the listeners for the platform and operators.
+func (s *Server) endpointLimits() process.EndpointLimits {
+	return process.EndpointLimits{
+		HeaderTimeout: 3 * time.Second, ReadTimeout: 3 * time.Second, WriteTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute,
+		MaxHeaderBytes: 16 << 10, MaxConnections: ingress.MaxEndpointConnections(s.Settings.MemoryMB),
+	}
+}
+
 // serveEndpoint opens a listener at the address and starts to serve the handler,
 // which continues until the context ends. It returns the address with the port that
 // was selected. The name appears in logs and errors.
 func (s *Server) serveEndpoint(ctx context.Context, name, address string, handler http.Handler) (string, error) {
-	// headerTimeout limits the time to read a request header, so that connections
-	// without requests are closed.
-	const headerTimeout = 3 * time.Second
 	opened, err := process.Listen(process.EndpointOptions{
-		Name: name, Address: address, Limits: process.EndpointLimits{HeaderTimeout: headerTimeout}, Log: s.Log,
+		Name: name, Address: address, Limits: s.endpointLimits(), Ingress: s.ingress, Log: s.Log,
 	})
 	if err != nil {
 		return "", err
