Ingress: a header is accounted for before it is parsed

Cause: the account of memory begins in the handler. net/http parses a header while it comes; some thousand fields of four bytes are map entries, keys and slices of many times their size, held until the client finishes or its time is up, and again until the body has come.

Change: a connection reads its header before net/http does. An unfinished one costs its bytes, which are reserved; once it is complete, what its fields will cost is reserved, and then it is passed on unchanged. Small headers that arrive in one piece are passed on as they come. What has no room gets 503 `memory` unparsed, so "not run" is true. When something small has no room, the request that owes most (bytes times time) among those which wait for their clients is given up; one that was read completely never is.

Property tests: requests sent ahead in pieces of any size arrive unchanged and nothing stays reserved; the end of a header is found wherever the bytes are cut.

Found on the way, by the check "served after the clients had left": a header whose client left half-way kept its reservation; a spec shows it.

Ruled out: a bound on the number of fields, which requests inside the limits would meet; the runtime's soft limit, since the bytes are live.

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/thymeloft/thymeloft/internal/ingress"
 	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/writebehind"
 )
@@ -35,6 +36,7 @@
 	if err := e.memoryReservation.Grow(memory.Request, requestOverheadBytes); err != nil {
 		return memoryRefusal(err)
 	}
+	ingress.FromContext(e.request.Context()).SetInput(e.memoryReservation)
 	return nil
 }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -6,12 +6,17 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/thymeloft/thymeloft/internal/memory"
 )
 
-// Conn is a connection of a Door.
+// Conn is a connection of a Door. Read follows the rules of http.Server: it is called by one goroutine
+// at a time, and with a buffer of one byte only while a handler runs whose request was read completely.
 type Conn struct {
 	net.Conn
-	door *Door
+	door           *Door
+	headerTimeout  time.Duration
+	maxHeaderBytes int
 
 	// Guarded by door.mutex.
 	state          connState
@@ -19,11 +24,21 @@
 	previous, next *Conn
 	uncounted      bool // no longer counted as open
 
+	// Used by the goroutine that reads, and by http.Server between reads.
+	isReadingHeader bool
+	scanner         headerScanner
+	staged          []byte // bytes that were received and not passed on
+	headerBytes     int    // leading bytes of staged that belong to a complete header
+
 	wasRead atomic.Bool // its goroutine has begun to read
 
-	mutex         sync.Mutex
-	evicted       bool // the client is given up; reads fail
-	inputComplete bool // the request in progress was read completely
+	mutex          sync.Mutex
+	deadline       time.Time           // as set by SetReadDeadline
+	evicted        bool                // the client is given up; reads fail
+	inputComplete  bool                // the request in progress was read completely
+	reservation    *memory.Reservation // for the header; nil: nothing is reserved
+	input          *memory.Reservation // of the handler; nil: none
+	stagedReserved int64               // bytes of reservation that are for staged
 }
 
 // FromConn returns the connection of a door that c is or wraps, or nil.
@@ -46,7 +61,10 @@
 // Read implements net.Conn.
 func (c *Conn) Read(into []byte) (int, error) {
 	c.wasRead.Store(true)
-	return c.Conn.Read(into)
+	if c.isReadingHeader {
+		return c.readHeader(into)
+	}
+	return c.readInput(into)
 }
 
 // CloseWrite closes the sending side of the connection, if it supports that.
@@ -61,20 +79,71 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.deadline = deadline
 	if c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// endRequest records that the request was answered.
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(deadline)
+}
+
+// Release ends the bounds of the door for this connection, which no longer counts there.
+func (c *Conn) Release() { c.door.remove(c) }
+
+// readInput reads a part of a body.
+func (c *Conn) readInput(into []byte) (int, error) {
+	if len(c.staged) > 0 {
+		count := copy(into, c.staged)
+		c.consume(count)
+		return count, nil
+	}
+	return c.Conn.Read(into)
+}
+
+// endHeader records that the header was parsed.
+func (c *Conn) endHeader() {
+	c.isReadingHeader = false
+	c.scanner = headerScanner{}
+	c.headerBytes = 0
+}
+
+// endRequest records that the request was answered, and releases what was reserved for its header.
 func (c *Conn) endRequest() {
+	c.isReadingHeader = !c.door.options.IsEncrypted
+	c.scanner = headerScanner{}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.inputComplete = false
+	c.input = nil
+	if len(c.staged) > 0 {
+		c.reservation.ShrinkTo(memory.Header, c.stagedReserved)
+		return
+	}
+	c.releaseReservation()
+}
+
+// end records that the connection has ended.
+func (c *Conn) end() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.releaseReservation()
 }
 
-// evict gives the client up, unless its request was read completely: reads fail. It returns false if it did nothing.
+// releaseReservation releases all that is reserved. c.mutex must be held.
+func (c *Conn) releaseReservation() {
+	c.reservation.Close()
+	c.reservation, c.stagedReserved = nil, 0
+}
+
+// evict gives the client up, unless its request was read completely: reads fail, and what was reserved
+// for the request is released. It returns false if it did nothing.
 func (c *Conn) evict() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -83,6 +152,8 @@
 	}
 	c.evicted = true
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed already
+	c.reservation.Close()
+	c.input.Close()
 	return true
 }
 
@@ -92,6 +163,13 @@
 	return c.evicted
 }
 
+// reservedBytes returns the memory that the request takes, including a share of the connection.
+func (c *Conn) reservedBytes() int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return ConnectionBytes + c.reservation.Bytes() + c.input.Bytes()
+}
+
 // connKey is the context key of a request's Conn.
 type connKey struct{}
 
@@ -109,9 +187,30 @@
 	return conn
 }
 
+// SetInput tells the memory that a handler reserved for the body which it is about to read. It is
+// released if the client has to make room.
+func (c *Conn) SetInput(reservation *memory.Reservation) {
+	if c == nil {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.input = reservation
+}
+
 // IsEvicted reports whether the client was given up to make room for others.
 func (c *Conn) IsEvicted() bool { return c != nil && c.isEvicted() }
 
+// IsInputComplete reports whether InputComplete was called for the request in progress.
+func (c *Conn) IsInputComplete() bool {
+	if c == nil {
+		return true
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.inputComplete
+}
+
 // InputComplete records that the handler has read the whole request, which no longer gives way to
 // others. It returns false if the client was given up before.
 func (c *Conn) InputComplete() bool {
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -19,6 +19,9 @@
 	// CloseIdle closes a connection that is idle, unless bytes of a request have arrived on it. The
 	// default closes it in any case.
 	CloseIdle func(net.Conn)
+	// IsEncrypted is set if the bytes of the connections are encrypted above this package. Headers are
+	// then not accounted for.
+	IsEncrypted bool
 }
 
 // Door bounds the connections of one listener. It is safe for concurrent use.
@@ -31,8 +34,9 @@
 	open  int
 	lists [stateCount]connList // oldest connection first; those in stateServing are in no list
 
-	evicted [stateCount]atomic.Int64 // connections closed for a new one, by their state
-	refused atomic.Int64             // new connections closed at once
+	evicted          [stateCount]atomic.Int64 // connections closed for a new one, by their state
+	refused          atomic.Int64             // new connections closed at once
+	evictedForMemory atomic.Int64
 }
 
 // connState is what a connection is waiting for.
@@ -63,10 +67,11 @@
 	return door
 }
 
-// Admit wraps a connection that was accepted. It closes the connection and returns nil if the door is
+// Admit wraps a connection that was accepted. headerTimeout is the time for a header from its first
+// byte; maxHeaderBytes is its largest size. Admit closes the connection and returns nil if the door is
 // full and no other connection gives way.
-func (d *Door) Admit(accepted net.Conn) *Conn {
-	conn := &Conn{Conn: accepted, door: d}
+func (d *Door) Admit(accepted net.Conn, headerTimeout time.Duration, maxHeaderBytes int) *Conn {
+	conn := &Conn{Conn: accepted, door: d, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes, isReadingHeader: !d.options.IsEncrypted}
 	if !d.add(conn) {
 		d.refused.Add(1)
 		d.group.logClosed("ingress: new connection closed because too many are open.", zap.String("door", d.name),
@@ -158,6 +163,22 @@
 	return oldest
 }
 
+// largestDebt returns the connection that waits for its client with the largest product of accounted
+// bytes and time.
+func (d *Door) largestDebt(now time.Time) (largest *Conn, debt float64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, state := range []connState{stateHeader, stateInput} {
+		for conn := d.lists[state].first; conn != nil; conn = conn.next {
+			owed := float64(conn.reservedBytes()) * now.Sub(conn.since).Seconds()
+			if owed > debt && !conn.isEvicted() {
+				largest, debt = conn, owed
+			}
+		}
+	}
+	return largest, debt
+}
+
 // OnStateChange is the http.Server.ConnState hook.
 func (d *Door) OnStateChange(changed net.Conn, state http.ConnState) {
 	conn := FromConn(changed)
@@ -166,11 +187,13 @@
 	}
 	switch state {
 	case http.StateActive:
+		conn.endHeader()
 		d.move(conn, stateInput)
 	case http.StateIdle:
 		conn.endRequest()
 		d.move(conn, stateIdle)
 	case http.StateClosed, http.StateHijacked:
+		conn.end()
 		d.remove(conn)
 	}
 }
@@ -257,11 +280,15 @@
 // listener accepts the connections of another one through a door.
 type listener struct {
 	net.Listener
-	door *Door
+	door           *Door
+	headerTimeout  time.Duration
+	maxHeaderBytes int
 }
 
 // Listen returns a listener whose connections the door bounds. See Admit.
-func (d *Door) Listen(inner net.Listener) net.Listener { return &listener{Listener: inner, door: d} }
+func (d *Door) Listen(inner net.Listener, headerTimeout time.Duration, maxHeaderBytes int) net.Listener {
+	return &listener{Listener: inner, door: d, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes}
+}
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
@@ -270,7 +297,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if conn := l.door.Admit(accepted); conn != nil {
+		if conn := l.door.Admit(accepted, l.headerTimeout, l.maxHeaderBytes); conn != nil {
 			return conn, nil
 		}
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,7 +1,10 @@
-// Package ingress bounds what clients cost before a handler runs.
+// Package ingress bounds what clients cost before a handler runs. It wraps the connections that a
+// listener accepts, reads each request header before net/http does, and passes it on when it is
+// complete and its cost is accounted for.
 //
-// Guarantee: a door has at most DoorOptions.MaxConnections open connections. Connections that wait for
-// their clients give way to new ones.
+// Guarantees: a door has at most DoorOptions.MaxConnections open connections. While a header is
+// incomplete, it costs its bytes; what its fields cost once they are parsed is reserved before that.
+// Connections that wait for their clients give way to new ones.
 package ingress
 
 import (
@@ -10,20 +13,30 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/memory"
 )
 
-// Group is the set of doors of a process. It is safe for concurrent use.
+// Group is the set of doors of a process. They share the memory account. It is safe for
+// concurrent use.
 type Group struct {
-	log *zap.Logger
+	account *memory.Account
+	log     *zap.Logger
 
 	mutex sync.Mutex
 	doors []*Door
 
-	lastLogged atomic.Int64 // Unix time in nanoseconds of the last log line about a closed connection
+	refusedHeaders atomic.Int64 // headers refused for lack of memory, in total
+	lastLogged     atomic.Int64 // Unix time in nanoseconds of the last log line about a closed connection
 }
 
-// NewGroup returns a group without doors.
-func NewGroup(log *zap.Logger) *Group { return &Group{log: log} }
+// NewGroup returns a group without doors. When the account lacks space for something small, the
+// connections of the group make room. The account may be nil; then memory is not bounded.
+func NewGroup(account *memory.Account, log *zap.Logger) *Group {
+	group := &Group{account: account, log: log}
+	account.SetEvictor(group.evictLargest)
+	return group
+}
 
 // logInterval is the shortest time between two log lines about closed connections.
 const logInterval = time.Second
@@ -36,3 +49,27 @@
 	}
 	g.log.Warn(message, fields...)
 }
+
+// evictLargest ends the request that owes most among those which wait for their clients, and releases
+// the memory that is accounted for it. It returns false if there is none.
+func (g *Group) evictLargest() bool {
+	g.mutex.Lock()
+	doors := g.doors
+	g.mutex.Unlock()
+	now := time.Now()
+	var largest *Conn
+	var largestDebt float64
+	for _, door := range doors {
+		candidate, debt := door.largestDebt(now)
+		if candidate != nil && debt > largestDebt {
+			largest, largestDebt = candidate, debt
+		}
+	}
+	if largest == nil || !largest.evict() {
+		return false
+	}
+	largest.door.evictedForMemory.Add(1)
+	g.logClosed("ingress: connection closed to make room in memory.", zap.String("door", largest.door.name),
+		zap.Stringer("client", largest.RemoteAddr()), zap.Int64("soFar", largest.door.evictedForMemory.Load()))
+	return true
+}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -14,6 +14,10 @@
 		"Connections closed for a new one, by listener and what they waited for.", []string{"door", "state"}, nil)
 	refusedDescription = prometheus.NewDesc("thymeloft_ingress_refused_total",
 		"New connections closed because too many are open, by listener.", []string{"door"}, nil)
+	memoryDescription = prometheus.NewDesc("thymeloft_ingress_evicted_for_memory_total",
+		"Connections closed to make room in memory, by listener.", []string{"door"}, nil)
+	headersDescription = prometheus.NewDesc("thymeloft_ingress_headers_refused_total",
+		"Request headers refused because they did not fit into memory.", nil, nil)
 )
 
 // RegisterMetrics registers the metrics of the group.
@@ -24,7 +28,7 @@
 // Describe implements prometheus.Collector.
 func (g *Group) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, each := range []*prometheus.Desc{
-		connectionsDescription, limitDescription, evictedDescription, refusedDescription,
+		connectionsDescription, limitDescription, evictedDescription, refusedDescription, memoryDescription, headersDescription,
 	} {
 		descriptions <- each
 	}
@@ -45,7 +49,9 @@
 			count(evictedDescription, door.evicted[state].Load(), door.name, state.String())
 		}
 		count(refusedDescription, door.refused.Load(), door.name)
+		count(memoryDescription, door.evictedForMemory.Load(), door.name)
 	}
+	count(headersDescription, g.refusedHeaders.Load())
 }
 
 // Open returns the number of open connections.
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -7,12 +7,16 @@
 	"log"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/thymeloft/thymeloft/internal/memory"
 )
 
 func TestIngress(t *testing.T) {
@@ -20,6 +24,11 @@
 	RunSpecs(t, "ingress")
 }
 
+const (
+	testHeaderBytes   = 16 << 10
+	testHeaderTimeout = time.Minute
+)
+
 // echo answers with the number of header fields, and the length of the body that it has read.
 func echo(writer http.ResponseWriter, request *http.Request) {
 	length, err := io.Copy(io.Discard, request.Body)
@@ -38,17 +47,129 @@
 	door := group.NewDoor(options)
 	server := &http.Server{
 		Handler: handler, ConnState: door.OnStateChange, ConnContext: WithConn, ErrorLog: log.New(io.Discard, "", 0),
+		ReadHeaderTimeout: testHeaderTimeout, MaxHeaderBytes: testHeaderBytes,
 	}
-	go func() { _ = server.Serve(door.Listen(opened)) }()
+	go func() { _ = server.Serve(door.Listen(opened, testHeaderTimeout, testHeaderBytes)) }()
 	return door, opened.Addr().String(), func() { _ = server.Close() }
 }
 
+// request is one that a client sends, and what echo answers to it.
+type request struct{ text, answer string }
+
+// drawRequest draws a request whose path is the number.
+func drawRequest(t *rapid.T, number int) request {
+	fields := rapid.IntRange(0, 300).Draw(t, "fields")
+	var text strings.Builder
+	fmt.Fprintf(&text, "POST /%d HTTP/1.1\r\nHost: h\r\n", number)
+	for field := range fields {
+		fmt.Fprintf(&text, "f%d:%s\r\n", field, strings.Repeat("v", rapid.IntRange(0, 30).Draw(t, "value")))
+	}
+	length := rapid.SampledFrom([]int{0, 1, 10, 5000, 100_000}).Draw(t, "length")
+	body := strings.Repeat("\r\n\r\nx", length/5+1)[:length]
+	if rapid.Bool().Draw(t, "chunked") {
+		text.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		chunk := rapid.SampledFrom([]int{1, 7, 4096}).Draw(t, "chunk")
+		for start := 0; start < length; start += chunk {
+			piece := body[start:min(start+chunk, length)]
+			fmt.Fprintf(&text, "%x\r\n%s\r\n", len(piece), piece)
+		}
+		text.WriteString("0\r\n\r\n")
+	} else {
+		fmt.Fprintf(&text, "Content-Length: %d\r\n\r\n", length)
+		text.WriteString(body)
+		fields++
+	}
+	return request{text: text.String(), answer: fmt.Sprintf("/%d %d %d", number, fields, length)}
+}
+
+// TestRequestsArriveUnchanged checks that requests which are sent ahead, in pieces of any size, reach
+// the handler as they were sent, and that nothing is reserved at the end.
+func TestRequestsArriveUnchanged(t *testing.T) {
+	account := memory.NewAccount(1 << 30)
+	door, address, stop := serve(NewGroup(account, zap.NewNop()), DoorOptions{Name: "test"}, echo)
+	defer stop()
+	rapid.Check(t, func(t *rapid.T) {
+		var sent strings.Builder
+		var expected []string
+		for number := range rapid.IntRange(1, 6).Draw(t, "requests") {
+			drawn := drawRequest(t, number)
+			sent.WriteString(drawn.text)
+			expected = append(expected, drawn.answer)
+		}
+		connection, err := net.Dial("tcp4", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+		pieces := drawPieces(t, sent.String())
+		go func() {
+			for _, piece := range pieces {
+				if _, err := io.WriteString(connection, piece); err != nil {
+					return
+				}
+			}
+		}()
+		reader := bufio.NewReader(connection)
+		for _, answer := range expected {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatalf("instead of %q: %v", answer, err)
+			}
+			content, err := io.ReadAll(response.Body)
+			if err != nil || string(content) != answer {
+				t.Fatalf("instead of %q: %q, %v", answer, content, err)
+			}
+		}
+	})
+	g := NewWithT(t)
+	g.Eventually(door.Open).Should(BeZero())
+	g.Eventually(account.Held).Should(BeZero())
+}
+
+// drawPieces cuts a text into pieces: a few small ones at any place, and the rest.
+func drawPieces(t *rapid.T, text string) (pieces []string) {
+	for range rapid.IntRange(0, 20).Draw(t, "pieces") {
+		length := min(rapid.SampledFrom([]int{1, 2, 3, 17, 500, 4096, 9000}).Draw(t, "piece"), len(text))
+		pieces, text = append(pieces, text[:length]), text[length:]
+	}
+	return append(pieces, text)
+}
+
+// TestScannerFindsTheEndOfAHeader checks that the end is found wherever the bytes are cut.
+func TestScannerFindsTheEndOfAHeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lineEnd := rapid.SampledFrom([]string{"\r\n", "\n"})
+		var header strings.Builder
+		fields := rapid.IntRange(1, 50).Draw(t, "fields")
+		for range fields {
+			header.WriteString(rapid.StringMatching(`[a-z :\r]{0,8}[a-z]`).Draw(t, "field") + lineEnd.Draw(t, "end"))
+		}
+		header.WriteString(lineEnd.Draw(t, "last"))
+		following := rapid.SampledFrom([]string{"", "x", "\r\n\r\n"}).Draw(t, "following")
+		var scanner headerScanner
+		position, end := 0, -1
+		for text := header.String() + following; text != "" && end < 0; {
+			length := rapid.IntRange(1, len(text)).Draw(t, "length")
+			if found := scanner.scan([]byte(text[:length])); found >= 0 {
+				end = position + found
+			}
+			position, text = position+length, text[length:]
+		}
+		if end != header.Len() || scanner.end != header.Len() || scanner.fields != fields {
+			t.Fatalf("found %d and %d fields, expected %d and %d in %q", end, scanner.fields, header.Len(), fields, header.String())
+		}
+	})
+}
+
 var _ = Describe("a door", func() {
+	var group *Group
+	var account *memory.Account
 	var door *Door
 	var address string
 
-	open := func(options DoorOptions, handler http.HandlerFunc) {
-		group := NewGroup(zap.NewNop())
+	open := func(options DoorOptions, limit int64, handler http.HandlerFunc) {
+		account = memory.NewAccount(limit)
+		group = NewGroup(account, zap.NewNop())
 		var stop func()
 		door, address, stop = serve(group, options, handler)
 		DeferCleanup(stop)
@@ -90,7 +211,7 @@
 
 	// Guards against idle connections that keep new clients out, or fill the memory.
 	It("closes the longest idle connection for a new one", func() {
-		open(DoorOptions{Name: "test", MaxConnections: 2}, echo)
+		open(DoorOptions{Name: "test", MaxConnections: 2}, 1<<20, echo)
 		first := send(small)
 		Expect(statusOf(first)).To(Equal(200))
 		Eventually(count(stateIdle)).Should(Equal(1))
@@ -107,7 +228,7 @@
 
 	// Guards against a crowd with unfinished headers that displaces callers between their requests.
 	It("closes a connection of the crowd for a new one, and keeps an idle one", func() {
-		open(DoorOptions{Name: "test", MaxConnections: 4}, echo)
+		open(DoorOptions{Name: "test", MaxConnections: 4}, 1<<20, echo)
 		idle := send(small)
 		Expect(statusOf(idle)).To(Equal(200))
 		var crowd []net.Conn
@@ -126,7 +247,7 @@
 	It("closes a new connection if all others wait for answers", func() {
 		hold := make(chan struct{})
 		DeferCleanup(func() { close(hold) })
-		open(DoorOptions{Name: "test", MaxConnections: 2}, func(_ http.ResponseWriter, request *http.Request) {
+		open(DoorOptions{Name: "test", MaxConnections: 2}, 1<<20, func(_ http.ResponseWriter, request *http.Request) {
 			FromContext(request.Context()).InputComplete()
 			<-hold
 		})
@@ -138,11 +259,44 @@
 		Expect(door.refused.Load()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against memory that stays reserved for headers whose clients have left.
+	It("releases what it has reserved for a header whose client leaves", func() {
+		open(DoorOptions{Name: "test"}, 1<<20, echo)
+		leaving := send(unfinished + strings.Repeat("a:b\r\n", 1000))
+		Eventually(account.Held).ShouldNot(BeZero())
+		Expect(leaving.Close()).To(Succeed())
+		Eventually(account.Held).Should(BeZero())
+		Eventually(door.Open).Should(BeZero())
+	})
+
+	// Guards against headers whose fields take far more memory than their bytes.
+	It("refuses a header whose fields do not fit into memory before it is parsed", func() {
+		open(DoorOptions{Name: "test"}, 200<<10, func(http.ResponseWriter, *http.Request) { panic("the request was parsed") })
+		refused := send(unfinished + strings.Repeat("a:\r\n", 3000) + "\r\n")
+		Expect(statusOf(refused)).To(Equal(503))
+		Expect(isClosed(refused)()).To(HaveOccurred())
+		Eventually(account.Held).Should(BeZero())
+		Expect(group.refusedHeaders.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against headers that clients do not finish, for lack of which others find no memory.
+	It("gives up a client that does not finish its header when others need the memory", func() {
+		open(DoorOptions{Name: "test"}, 64<<10, echo)
+		slow := send(unfinished)
+		Eventually(account.Held).ShouldNot(BeZero())
+		reservation := account.NewReservation("other")
+		defer reservation.Close()
+		Expect(reservation.Grow(memory.Request, 31<<10)).To(Succeed())
+		Expect(reservation.Grow(memory.Request, 1<<10)).To(Succeed())
+		Expect(isClosed(slow)()).To(HaveOccurred())
+		Expect(door.evictedForMemory.Load()).To(BeEquivalentTo(1))
+	})
+
 	// Guards against a request that is ended for others although an engine may be running it.
 	It("does not give up a request that was read completely, and refuses one that was given up", func() {
 		results := make(chan bool, 2)
 		evictFirst := false
-		open(DoorOptions{Name: "test"}, func(_ http.ResponseWriter, request *http.Request) {
+		open(DoorOptions{Name: "test"}, 64<<10, func(_ http.ResponseWriter, request *http.Request) {
 			caller := FromContext(request.Context())
 			if evictFirst {
 				Expect(caller.evict()).To(BeTrue())
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -29,12 +29,14 @@
 	Answer
 	// UnsavedTurn is the output of a turn and the copies made to save it.
 	UnsavedTurn
+	// Header is a request header that is being received, or was parsed.
+	Header
 	kindCount
 )
 
 // String returns the name used in metrics and errors.
 func (k Kind) String() string {
-	return [kindCount]string{"request", "history", "answer", "unsaved-turn"}[k]
+	return [kindCount]string{"request", "history", "answer", "unsaved-turn", "header"}[k]
 }
 
 // ExceededError means that a reservation would exceed a limit or is closed; in the latter case
@@ -67,6 +69,10 @@
 	byKind  [kindCount]atomic.Int64
 	refused [kindCount]atomic.Int64
 
+	// evict makes room by ending a request that waits for its caller. It returns false if there is none.
+	// nil: no request is ended.
+	evict func() bool
+
 	mutex  sync.Mutex
 	owners map[Owner]*ownerUsage
 }
@@ -82,6 +88,15 @@
 	return &Account{limit: limit, owners: map[Owner]*ownerUsage{}}
 }
 
+// SetEvictor sets the function that makes room for a small reservation of a request or a header, by
+// ending a request that waits for its caller. The function returns false if there is none. It must be
+// set before the account is used. SetEvictor does nothing if the Account is nil.
+func (a *Account) SetEvictor(evict func() bool) {
+	if a != nil {
+		a.evict = evict
+	}
+}
+
 // Held returns the number of bytes held for all owners.
 func (a *Account) Held() int64 { return a.held.Load() }
 
--- a/internal/memory/reservation.go
+++ b/internal/memory/reservation.go
@@ -14,12 +14,64 @@
 	closed bool
 }
 
+// maxEvictions is how many requests a reservation may end to make room for itself.
+const maxEvictions = 16
+
+// maxEvictingBytes is the largest reservation of a request that makes room for itself.
+const maxEvictingBytes = 64 << 10
+
 // Grow reserves bytes that the caller is about to allocate. It returns an *ExceededError if a
-// limit would be exceeded or the reservation is closed.
+// limit would be exceeded or the reservation is closed. For a header, and for a small part of a
+// request, others that wait for their callers make room.
 func (r *Reservation) Grow(kind Kind, bytes int64) error {
 	if r == nil || bytes <= 0 {
 		return nil
 	}
+	err := r.tryGrow(kind, bytes)
+	for evictions := 0; err != nil && evictions < maxEvictions && r.makesRoom(kind, bytes) && r.account.evict(); evictions++ {
+		err = r.tryGrow(kind, bytes)
+	}
+	return err
+}
+
+// makesRoom reports whether others may be ended for these bytes.
+func (r *Reservation) makesRoom(kind Kind, bytes int64) bool {
+	if r.account.evict == nil || r.isClosed() {
+		return false
+	}
+	return kind == Header || kind == Request && bytes <= maxEvictingBytes
+}
+
+func (r *Reservation) isClosed() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.closed
+}
+
+// Bytes returns the number of bytes reserved.
+func (r *Reservation) Bytes() (sum int64) {
+	if r == nil {
+		return 0
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, bytes := range r.bytes {
+		sum += bytes
+	}
+	return sum
+}
+
+// ShrinkTo releases the bytes of the kind beyond the given number.
+func (r *Reservation) ShrinkTo(kind Kind, bytes int64) {
+	if r == nil {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.shrink(kind, max(r.bytes[kind]-bytes, 0))
+}
+
+func (r *Reservation) tryGrow(kind Kind, bytes int64) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.closed {
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -24,7 +24,7 @@
 	Address string      // "ip:port"; port 0 selects a free port
 	TLS     *tls.Config // nil disables TLS
 	Limits  EndpointLimits
-	Ingress *ingress.Group // bounds what clients cost; nil: a group of its own
+	Ingress *ingress.Group // bounds what clients cost; nil: a group of its own without a memory limit
 	Log     *zap.Logger    // required
 }
 
@@ -57,10 +57,13 @@
 	}
 	group := options.Ingress
 	if group == nil {
-		group = ingress.NewGroup(options.Log)
+		group = ingress.NewGroup(nil, options.Log)
 	}
-	door := group.NewDoor(ingress.DoorOptions{Name: options.Name, MaxConnections: options.Limits.MaxConnections})
-	listener = door.Listen(listener)
+	if options.Limits.MaxHeaderBytes == 0 {
+		options.Limits.MaxHeaderBytes = http.DefaultMaxHeaderBytes
+	}
+	door := group.NewDoor(ingress.DoorOptions{Name: options.Name, MaxConnections: options.Limits.MaxConnections, IsEncrypted: options.TLS != nil})
+	listener = door.Listen(listener, options.Limits.HeaderTimeout, options.Limits.MaxHeaderBytes)
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
 	}
--- a/internal/server/caller_server.go
+++ b/internal/server/caller_server.go
@@ -135,9 +135,9 @@
 			continue
 		}
 		s.mutex.Lock()
-		current := s.acceptQueue
+		current, limits := s.acceptQueue, s.limits
 		s.mutex.Unlock()
-		if admitted := s.door.Admit(newCallerConnection(accepted, s.buffers)); admitted != nil {
+		if admitted := s.door.Admit(newCallerConnection(accepted, s.buffers), limits.HeaderTimeout, limits.HeaderBytes); admitted != nil {
 			current.deliver(admitted)
 		}
 	}
--- a/internal/server/caller_server_test.go
+++ b/internal/server/caller_server_test.go
@@ -29,7 +29,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		address = listener.Addr().String()
 		handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "x") })
-		served = newCallerServer(listener, handler, nil, ingress.NewGroup(zap.NewNop()), 0, log.New(io.Discard, "", 0))
+		served = newCallerServer(listener, handler, nil, ingress.NewGroup(nil, zap.NewNop()), 0, log.New(io.Discard, "", 0))
 		DeferCleanup(func(ctx SpecContext) { _ = served.Stop(ctx) })
 	})
 
@@ -120,7 +120,7 @@
 		handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = writer.Write(make([]byte, responseBytes)) })
 		account := memory.NewAccount(4 * responseBytes)
 		buffers := writebehind.NewGroup(writebehind.Options{Account: account, StallTimeout: time.Hour, MaxWriteWait: time.Hour})
-		buffered := newCallerServer(listener, handler, buffers, ingress.NewGroup(zap.NewNop()), 0, log.New(io.Discard, "", 0))
+		buffered := newCallerServer(listener, handler, buffers, ingress.NewGroup(nil, zap.NewNop()), 0, log.New(io.Discard, "", 0))
 		caller, err := net.Dial("tcp", listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
 		defer caller.Close()
--- a/internal/server/caller_socket_test.go
+++ b/internal/server/caller_socket_test.go
@@ -36,7 +36,7 @@
 				panic(http.ErrAbortHandler)
 			}
 		})
-		served := newCallerServer(listener, handler, buffers, ingress.NewGroup(zap.NewNop()), 0, log.New(io.Discard, "", 0))
+		served := newCallerServer(listener, handler, buffers, ingress.NewGroup(nil, zap.NewNop()), 0, log.New(io.Discard, "", 0))
 		DeferCleanup(func(ctx SpecContext) { _ = served.Stop(ctx) })
 		connection, err := net.Dial("tcp", listener.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -108,7 +108,7 @@
 		rateLog: rate.Sometimes{Interval: rateLogInterval},
 		memory:  memory.NewAccount(memory.LimitsFor(options.Settings.MemoryMB).MaxHeldBytes),
 	}
-	server.ingress = ingress.NewGroup(options.Log)
+	server.ingress = ingress.NewGroup(server.memory, options.Log)
 	server.ApplySettings(options.Settings)
 	return server
 }
