Ingress: a caller that is slow to begin doesn't give way to half headers

Cause: a connection on which nothing has arrived counted as one within a header, so that it was the oldest of the crowd's state when its client took longer than 100 ms to begin.

Change: connections on which nothing has arrived are a state of their own. A crowd with half headers is the larger one, and gives way.

Evidence: "keeps one on which nothing has arrived" fails without it.

--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -43,8 +43,9 @@
 type connState uint8
 
 const (
-	stateIdle    connState = iota // a new request
-	stateHeader                   // the rest of a header, or the first one
+	stateIdle    connState = iota // another request
+	stateNew                      // the first request
+	stateHeader                   // the rest of a header
 	stateInput                    // the rest of a body, or a handler that has not called InputComplete
 	stateServing                  // the answer
 	stateCount
@@ -52,7 +53,7 @@
 
 // String returns the name used in metrics.
 func (s connState) String() string {
-	return [stateCount]string{"idle", "header", "body", "serving"}[s]
+	return [stateCount]string{"idle", "new", "header", "body", "serving"}[s]
 }
 
 // NewDoor adds a door to the group.
@@ -88,7 +89,7 @@
 // readPollInterval is the time after which it is looked up again whether the oldest connection was read.
 const readPollInterval = time.Millisecond
 
-// add adds the connection in stateHeader. If the door is full, another one gives way; add returns
+// add adds the connection in stateNew. If the door is full, another one gives way; add returns
 // false if none does.
 func (d *Door) add(conn *Conn) bool {
 	for {
@@ -109,7 +110,7 @@
 	defer d.mutex.Unlock()
 	if d.options.MaxConnections <= 0 || d.open < d.options.MaxConnections {
 		d.open++
-		d.enter(conn, stateHeader, now)
+		d.enter(conn, stateNew, now)
 		return true, 0
 	}
 	victim := d.pickVictim(now)
@@ -124,7 +125,7 @@
 	}
 	d.leave(victim)
 	victim.uncounted = true
-	d.enter(conn, stateHeader, now)
+	d.enter(conn, stateNew, now)
 	go d.giveWay(victim, victim.state)
 	return true, 0
 }
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -243,6 +243,23 @@
 		Expect(statusOf(idle)).To(Equal(200))
 	})
 
+	// Guards against a crowd with unfinished headers that keeps out callers which are slow to begin.
+	It("closes a connection of the crowd for a new one, and keeps one on which nothing has arrived", func() {
+		open(DoorOptions{Name: "test", MaxConnections: 4}, 1<<20, echo)
+		slow := send("")
+		Eventually(count(stateNew)).Should(Equal(1))
+		var crowd []net.Conn
+		for index := range 3 {
+			crowd = append(crowd, send(unfinished))
+			Eventually(count(stateHeader)).Should(Equal(index + 1))
+		}
+		Expect(statusOf(send(small))).To(Equal(200))
+		Expect(isClosed(crowd[0])()).To(HaveOccurred())
+		_, err := io.WriteString(slow, small)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(statusOf(slow)).To(Equal(200))
+	})
+
 	// Guards against requests that are cut off in the middle of their work for new connections.
 	It("closes a new connection if all others wait for answers", func() {
 		hold := make(chan struct{})
@@ -254,7 +271,7 @@
 		for range 2 {
 			send(small)
 		}
-		Eventually(func() int { return door.Open() - count(stateHeader)() - count(stateInput)() }).Should(Equal(2))
+		Eventually(func() int { return door.Open() - count(stateNew)() - count(stateInput)() }).Should(Equal(2))
 		Expect(isClosed(send(""))()).To(HaveOccurred())
 		Expect(door.refused.Load()).To(BeEquivalentTo(1))
 	})
