Ingress: bulk work takes turns, and ordinary requests find the processor free

What callers saw: beside 400 bodies of 4 MiB in one-byte chunks nobody was served (0 of 16 in 6 s, and some not just after); the same beside 300 connections with 2,000 requests ahead at a path without a route (9 of 16), beside headers of short fields once these no longer ended the process, and beside all kinds at once.

Cause: each chunk of one byte, each field of a large header and each request that costs nothing is work for the processor. A thousand goroutines with such work are in the run queue, and an ordinary request, which is woken some ten times, waits behind all of them each time.

Change: work on a large header, on a body beyond 64 KiB, and on a request that had arrived before the last answer was sent, is done by one connection at a time, in order of arrival: from the bytes' arrival until the next read, write or end.

"lets large headers, large bodies and requests sent ahead wait for their turn, and others not" shows what waits.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -27,8 +27,11 @@
 	// Used by the goroutine that reads, and by http.Server between reads.
 	isReadingHeader bool
 	scanner         headerScanner
-	staged          []byte // bytes that were received and not passed on
-	headerBytes     int    // leading bytes of staged that belong to a complete header
+	staged          []byte      // bytes that were received and not passed on
+	headerBytes     int         // leading bytes of staged that belong to a complete header
+	isAhead         bool        // the bytes of staged had arrived before the last request was answered
+	inputBytes      int         // bytes of the body that were passed on
+	hasTurn         atomic.Bool // also used while a handler writes
 
 	wasRead atomic.Bool // its goroutine has begun to read
 
@@ -41,6 +44,9 @@
 	stagedReserved int64               // bytes of reservation that are for staged
 }
 
+// bulkBytes is the size of a body from which reading it takes turns.
+const bulkBytes = 64 << 10
+
 // FromConn returns the connection of a door that c is or wraps, or nil.
 func FromConn(c net.Conn) *Conn {
 	for {
@@ -64,9 +70,16 @@
 	if c.isReadingHeader {
 		return c.readHeader(into)
 	}
+	c.endTurn()
 	return c.readInput(into)
 }
 
+// Write implements net.Conn.
+func (c *Conn) Write(content []byte) (int, error) {
+	c.endTurn() // the client may be slow
+	return c.Conn.Write(content)
+}
+
 // CloseWrite closes the sending side of the connection, if it supports that.
 func (c *Conn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -97,32 +110,44 @@
 // Release ends the bounds of the door for this connection, which no longer counts there.
 func (c *Conn) Release() { c.door.remove(c) }
 
-// readInput reads a part of a body.
+// readInput reads a part of a body. Large bodies are read in turns.
 func (c *Conn) readInput(into []byte) (int, error) {
 	if len(c.staged) > 0 {
 		count := copy(into, c.staged)
 		c.consume(count)
 		return count, nil
 	}
-	return c.Conn.Read(into)
+	count, err := c.Conn.Read(into)
+	const backgroundRead = 1 // http.Server waits for the end of such a read after the handler
+	if len(into) == backgroundRead || c.door.options.IsEncrypted {
+		return count, err
+	}
+	if c.inputBytes += count; c.inputBytes > bulkBytes && err == nil {
+		c.takeTurn()
+	}
+	return count, err
 }
 
 // endHeader records that the header was parsed.
 func (c *Conn) endHeader() {
+	c.endTurn()
 	c.isReadingHeader = false
 	c.scanner = headerScanner{}
 	c.headerBytes = 0
+	c.inputBytes = 0
 }
 
 // endRequest records that the request was answered, and releases what was reserved for its header.
 func (c *Conn) endRequest() {
+	c.endTurn()
 	c.isReadingHeader = !c.door.options.IsEncrypted
+	c.isAhead = len(c.staged) > 0
 	c.scanner = headerScanner{}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.inputComplete = false
 	c.input = nil
-	if len(c.staged) > 0 {
+	if c.isAhead {
 		c.reservation.ShrinkTo(memory.Header, c.stagedReserved)
 		return
 	}
@@ -131,6 +156,7 @@
 
 // end records that the connection has ended.
 func (c *Conn) end() {
+	c.endTurn()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.releaseReservation()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,7 +4,9 @@
 //
 // Guarantees: a door has at most DoorOptions.MaxConnections open connections. While a header is
 // incomplete, it costs its bytes; what its fields cost once they are parsed is reserved before that.
-// Connections that wait for their clients give way to new ones.
+// Connections that wait for their clients give way to new ones. At most one client at a time, in
+// order of arrival, makes the process work through a large header, a large body or requests sent
+// ahead, so that ordinary requests find the processor free.
 package ingress
 
 import (
@@ -17,23 +19,28 @@
 	"github.com/thymeloft/thymeloft/internal/memory"
 )
 
-// Group is the set of doors of a process. They share the memory account. It is safe for
+// Group is the set of doors of a process. They share the memory account and the turns. It is safe for
 // concurrent use.
 type Group struct {
 	account *memory.Account
+	turns   chan struct{} // holds an element for each turn that is taken; waiters are served in order
 	log     *zap.Logger
 
 	mutex sync.Mutex
 	doors []*Door
 
 	refusedHeaders atomic.Int64 // headers refused for lack of memory, in total
+	waitedTurns    atomic.Int64 // turns that had to be waited for, in total
 	lastLogged     atomic.Int64 // Unix time in nanoseconds of the last log line about a closed connection
 }
 
+// concurrentTurns is the number of clients whose bulk work the process does at the same time.
+const concurrentTurns = 1
+
 // NewGroup returns a group without doors. When the account lacks space for something small, the
 // connections of the group make room. The account may be nil; then memory is not bounded.
 func NewGroup(account *memory.Account, log *zap.Logger) *Group {
-	group := &Group{account: account, log: log}
+	group := &Group{account: account, turns: make(chan struct{}, concurrentTurns), log: log}
 	account.SetEvictor(group.evictLargest)
 	return group
 }
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -18,6 +18,8 @@
 		"Connections closed to make room in memory, by listener.", []string{"door"}, nil)
 	headersDescription = prometheus.NewDesc("thymeloft_ingress_headers_refused_total",
 		"Request headers refused because they did not fit into memory.", nil, nil)
+	turnsDescription = prometheus.NewDesc("thymeloft_ingress_turns_waited_total",
+		"Turns for large headers, large bodies and requests sent ahead that had to be waited for.", nil, nil)
 )
 
 // RegisterMetrics registers the metrics of the group.
@@ -28,7 +30,7 @@
 // Describe implements prometheus.Collector.
 func (g *Group) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, each := range []*prometheus.Desc{
-		connectionsDescription, limitDescription, evictedDescription, refusedDescription, memoryDescription, headersDescription,
+		connectionsDescription, limitDescription, evictedDescription, refusedDescription, memoryDescription, headersDescription, turnsDescription,
 	} {
 		descriptions <- each
 	}
@@ -52,6 +54,7 @@
 		count(memoryDescription, door.evictedForMemory.Load(), door.name)
 	}
 	count(headersDescription, g.refusedHeaders.Load())
+	count(turnsDescription, g.waitedTurns.Load())
 }
 
 // Open returns the number of open connections.
--- a/internal/ingress/read_header.go
+++ b/internal/ingress/read_header.go
@@ -18,6 +18,8 @@
 const (
 	// cheapFields is the number of header fields up to which their cost is part of the cost of a connection.
 	cheapFields = 64
+	// bulkHeaderBytes is the size of a header from which parsing it takes turns.
+	bulkHeaderBytes = 4 << 10
 	// stagingBytes is the initial size of the buffer for a header that did not arrive in one read.
 	stagingBytes = 4 << 10
 	// parsedFieldBytes is the memory that one parsed header field takes, with its copy for an engine.
@@ -84,7 +86,7 @@
 }
 
 // completeHeader reads until staged begins with a complete header, or one that net/http refuses
-// because of its size, and reserves what it costs to parse it.
+// because of its size, and reserves what it costs to parse it. It waits for a turn if that is much work.
 func (c *Conn) completeHeader() error {
 	if c.scanner.end == 0 {
 		c.scanner.scan(c.staged[c.scanner.scanned:])
@@ -116,12 +118,16 @@
 	return c.prepareParsing()
 }
 
-// prepareParsing reserves what it costs to parse the header.
+// prepareParsing reserves what it costs to parse the header, and waits for a turn if that is much work
+// or if the client sends requests ahead.
 func (c *Conn) prepareParsing() error {
 	cost := int64(c.scanner.fields)*parsedFieldBytes + int64(c.headerBytes)*parsedByteFactor
 	if err := c.reserve(cost); err != nil {
 		return c.refuse(err)
 	}
+	if c.isAhead || c.headerBytes > bulkHeaderBytes || c.scanner.fields > cheapFields {
+		c.takeTurn()
+	}
 	if c.isEvicted() {
 		return os.ErrDeadlineExceeded
 	}
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -331,4 +331,27 @@
 		Expect(<-results).To(BeFalse())
 	})
 
+	// Guards against many large headers or bodies that keep the processor from ordinary requests.
+	It("lets large headers, large bodies and requests sent ahead wait for their turn, and others not", func() {
+		open(DoorOptions{Name: "test"}, 1<<20, echo)
+		for range concurrentTurns {
+			group.turns <- struct{}{}
+		}
+		header := send(unfinished + strings.Repeat("a:\r\n", cheapFields+1) + "\r\n")
+		Eventually(group.waitedTurns.Load).Should(BeEquivalentTo(1))
+		body := send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 2*bulkBytes) + strings.Repeat("x", 2*bulkBytes))
+		Eventually(group.waitedTurns.Load).Should(BeEquivalentTo(2))
+		ahead := send(strings.Repeat(small, 3))
+		Eventually(group.waitedTurns.Load).Should(BeEquivalentTo(3))
+		Expect(statusOf(ahead)).To(Equal(200), "the first request is not sent ahead")
+		Expect(statusOf(send(small))).To(Equal(200))
+		Expect(statusOf(send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"))).To(Equal(200))
+		for range concurrentTurns {
+			<-group.turns
+		}
+		for _, each := range []net.Conn{header, body} {
+			Expect(statusOf(each)).To(Equal(200))
+		}
+		Eventually(func() int { return len(group.turns) }).Should(BeZero())
+	})
 })
