Caller server: the rest of a body that nobody reads has 250 ms

What callers saw: a request to a path without a route whose body stops half-way got no answer, and its connection stayed open as long as the client wished; 1,500 of them cost 65 MB on a machine of 72 MB.

Cause: before net/http sends an answer it discards what is left of the body, without a time limit: the time for the body is set where the body is read, which a refusal doesn't reach.

Change: if the request wasn't read completely when its answer begins, the rest has 250 ms. A rest that comes in time leaves the connection open, as before; else the answer is sent and the connection closed.

Evidence: "closes the connection if the rest does not come" fails before (no answer within a minute).

--- a/internal/server/caller_connections.go
+++ b/internal/server/caller_connections.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/thymeloft/thymeloft/internal/answer"
 	"github.com/thymeloft/thymeloft/internal/ingress"
@@ -169,9 +170,23 @@
 	if socket := w.socket(); socket != nil && w.endsWithConnection(status) {
 		socket.expectAnswer()
 	}
+	w.limitUnreadBody()
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// maxUnreadBodyWait bounds the time for the rest of a body that the handler did not read. http.Server
+// discards it before it sends the response, so that the connection can be used again.
+const maxUnreadBodyWait = 250 * time.Millisecond
+
+// limitUnreadBody sets the deadline for the rest of a body that the handler did not read.
+func (w *responseWriter) limitUnreadBody() {
+	if w.request.ContentLength == 0 || ingress.FromContext(w.request.Context()).IsInputComplete() {
+		return
+	}
+	// It fails only if the connection is closed already.
+	_ = http.NewResponseController(w.ResponseWriter).SetReadDeadline(time.Now().Add(maxUnreadBodyWait))
+}
+
 // endsWithConnection reports whether the response has a body whose end neither a length
 // nor chunks mark. Callers of HTTP/1.0 get no chunks.
 func (w *responseWriter) endsWithConnection(status int) bool {
--- a/internal/server/caller_server_test.go
+++ b/internal/server/caller_server_test.go
@@ -77,6 +77,31 @@
 		Expect(string(content)).To(Equal("x"))
 	})
 
+	// Guards against connections that stay open as long as their callers wish, because nobody reads their bodies.
+	It("answers a request whose body it does not read, and closes the connection if the rest does not come", func() {
+		connection := dial()
+		_, err := io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(connection.SetReadDeadline(time.Now().Add(time.Minute))).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(200))
+		Expect(response.Close).To(BeTrue())
+	})
+
+	It("uses a connection again after a body that it does not read", func() {
+		connection := dial()
+		for range 2 {
+			_, err := io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+			Expect(err).NotTo(HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Close).To(BeFalse())
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
 	It("answers a request that is being read when it stops", func() {
 		open := dial()
 		Expect(ask(open, 10).Close).To(BeFalse())
