Peers: connections without a preamble are bounded

What callers would see: silent connections at the peers' listener, 4,096 at most, may take all descriptors of a small machine (4,100) for a second each, again and again; then no caller is accepted and no engine reached.

Cause: the bound on connections counts those of daemons, which may be thousands on a large fleet, and those of anybody alike.

Change: connections whose preamble has not arrived are behind a door for 256 of them; the oldest gives way to a new one. Connections of daemons don't count there and never give way.

--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -39,6 +39,9 @@
 	MaxQueuedBytes int
 	// MaxConnections limits the open connections: inbound for a server, outbound for a pool.
 	MaxConnections int
+	// MaxUnidentified limits the inbound connections whose preamble has not arrived yet. For a
+	// further one, the oldest of them is closed.
+	MaxUnidentified int
 	// MaxCallsPerConnection limits the open calls on one connection. At the limit,
 	// a pool rejects calls with ErrCongested, and a server stops reading requests.
 	MaxCallsPerConnection int
@@ -60,6 +63,7 @@
 	defaultMaxMessageBytes       = 64 << 20
 	defaultMaxQueuedBytes        = 16 << 20
 	defaultMaxConnections        = 4096
+	defaultMaxUnidentified       = 256
 	defaultMaxCallsPerConnection = 4096
 
 	serverIdleFactor = 3
@@ -78,6 +82,7 @@
 	setDefault(&o.MaxMessageBytes, defaultMaxMessageBytes)
 	setDefault(&o.MaxQueuedBytes, defaultMaxQueuedBytes)
 	setDefault(&o.MaxConnections, defaultMaxConnections)
+	setDefault(&o.MaxUnidentified, defaultMaxUnidentified)
 	setDefault(&o.MaxCallsPerConnection, defaultMaxCallsPerConnection)
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/rpc"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -229,3 +231,34 @@
 		Expect(newPool(peer.Options{}).Call(newContext(testDeadline), server.Address(), peer.ClassLog, "Echo.Repeat", Message{}, new(Message))).NotTo(Succeed())
 	})
 })
+
+// Guards against silent connections that take the descriptors of a daemon.
+var _ = It("closes the oldest connection without a preamble for a new one, and none of a daemon", func() {
+	options := peer.Options{DialTimeout: time.Hour, MaxUnidentified: 2}
+	server, err := peer.Listen("127.0.0.1:0", options)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	dial := func(text string) net.Conn {
+		GinkgoHelper()
+		connection, err := net.Dial("tcp4", server.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = connection.Close() })
+		_, err = io.WriteString(connection, text)
+		Expect(err).NotTo(HaveOccurred())
+		return connection
+	}
+	identified := dial("thymeloft-peer/1\x00")
+	Eventually(func() int { return server.Stats().Connections }).Should(BeEquivalentTo(1))
+	first := dial("thy")
+	Eventually(func() int { return server.Stats().Connections }).Should(BeEquivalentTo(2))
+	for range 2 {
+		dial("")
+	}
+	Expect(first.SetReadDeadline(time.Now().Add(testDeadline))).To(Succeed())
+	_, err = first.Read(make([]byte, 1))
+	Expect(err).To(HaveOccurred())
+	Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded), "the connection must be closed")
+	Expect(identified.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+	_, err = identified.Read(make([]byte, 1))
+	Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,6 +15,8 @@
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/ingress"
 )
 
 // preamble is the first thing that a client sends on a new connection. It is
@@ -36,6 +38,7 @@
 	rpc        *rpc.Server
 	services   sync.Map // keys are the names of the registered services
 	statistics *statistics
+	door       *ingress.Door // bounds the connections whose preamble has not arrived
 
 	mutex       sync.Mutex
 	connections map[*serverCodec]struct{}
@@ -63,6 +66,7 @@
 		listener:    listener,
 		rpc:         rpc.NewServer(),
 		statistics:  statistics,
+		door:        ingress.NewGroup(nil, options.Logger).NewDoor(ingress.DoorOptions{Name: "peers", MaxConnections: options.MaxUnidentified, IsEncrypted: true}),
 		connections: map[*serverCodec]struct{}{},
 	}
 	server.goroutines.Add(1)
@@ -139,23 +143,32 @@
 			_ = conn.Close()
 			continue
 		}
+		unidentified := s.door.Admit(conn, 0, 0)
+		if unidentified == nil {
+			s.statistics.connections.Add(-1)
+			continue
+		}
 		s.goroutines.Add(1)
-		go s.serve(conn)
+		go s.serve(unidentified)
 	}
 }
 
-func (s *Server) serve(conn net.Conn) {
+// serve serves a connection. It no longer gives way to others once its preamble has arrived.
+func (s *Server) serve(unidentified *ingress.Conn) {
 	defer s.goroutines.Done()
 	defer s.statistics.connections.Add(-1)
-	if s.options.TLS != nil {
-		conn = tls.Server(conn, s.options.TLS)
-	}
+	defer unidentified.Release()
+	conn := s.transport(unidentified)
 	class, err := s.readPreamble(conn)
 	if err != nil {
 		s.options.Logger.Info("peer: inbound connection rejected.", zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
 		_ = conn.Close()
 		return
 	}
+	unidentified.Release()
+	if s.options.TLS == nil {
+		conn = unidentified.NetConn()
+	}
 	codec := newServerCodec(s, conn, class)
 	if !s.addConnection(codec) {
 		codec.abort()
@@ -167,6 +180,14 @@
 	delete(s.connections, codec)
 }
 
+// transport returns the connection with TLS, if that is configured.
+func (s *Server) transport(conn net.Conn) net.Conn {
+	if s.options.TLS == nil {
+		return conn
+	}
+	return tls.Server(conn, s.options.TLS)
+}
+
 // addConnection registers the connection for Close. It returns false if the
 // server is already closed.
 func (s *Server) addConnection(codec *serverCodec) bool {
