Soak: crowds of clients that do not behave, beside the faults

Crowds of 10 to 150 clients, one to three kinds at once, at the callers' door (a path without a route; a route for kinds whose requests never run), ready, metrics and peers, for up to 3 s, drawn from a stream of their own, so that a seed's faults stay what they were. They use their connections until the process is gone, while gateways are killed, stopped, reloaded and upgraded. Crowds don't fall into calm rounds.

--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"sync"
 	"time"
@@ -103,7 +104,7 @@
 	var running sync.WaitGroup
 	for _, each := range options.Clients {
 		for number := range each.Count {
-			running.Go(func() { each.play(playing, target, number) })
+			running.Go(func() { each.play(playing, target, fmt.Sprintf("%s%d", abusePrefix, number)) })
 		}
 	}
 	var observers sync.WaitGroup
--- a/internal/lab/abuse/caller.go
+++ b/internal/lab/abuse/caller.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return 0, 0
 	}
-	request.Host = "a.example"
+	request.Host = ordinaryHost
 	request.Header.Set("Request-Id", id)
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Header.Set("Deadline-Ms", strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
--- a/internal/lab/abuse/clients.go
+++ b/internal/lab/abuse/clients.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -16,17 +17,38 @@
 type Client struct {
 	Name  string
 	Count int
+	// IsIncomplete is set if none of its requests is complete and within the limits, so that none runs.
+	IsIncomplete bool
 	// exchange uses one connection until it ends or the context does.
 	exchange func(ctx context.Context, connection net.Conn, to target, id string)
 }
 
+// Target is where clients send their requests.
+type Target struct {
+	Address string // "ip:port"
+	Host    string // host of the requests
+	Path    string
+}
+
+// Play plays this many clients of the kind until the context ends. Their requests have identifiers that
+// begin with the prefix.
+func (c Client) Play(ctx context.Context, at Target, count int, prefix string) {
+	var playing sync.WaitGroup
+	for number := range count {
+		playing.Go(func() {
+			c.play(ctx, target{address: at.Address, host: at.Host, path: at.Path, largePath: at.Path}, fmt.Sprintf("%s-%d", prefix, number))
+		})
+	}
+	playing.Wait()
+}
+
 // reconnectPause is how long a client waits before it connects again.
 const reconnectPause = 500 * time.Millisecond
 
 // play connects again and again until the context ends.
-func (c Client) play(ctx context.Context, to target, number int) {
+func (c Client) play(ctx context.Context, to target, name string) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		c.connect(ctx, to, fmt.Sprintf("%s%s-%d-%d", abusePrefix, strings.ReplaceAll(c.Name, " ", "-"), number, attempt))
+		c.connect(ctx, to, fmt.Sprintf("%s-%s-%d", name, strings.ReplaceAll(c.Name, " ", "-"), attempt))
 		pauseFor(ctx, reconnectPause)
 	}
 }
@@ -45,23 +67,23 @@
 // Clients returns the kinds of clients that do not behave.
 func Clients() []Client {
 	return []Client{
-		{Name: "headers of short fields", Count: 1200, exchange: sendShortFields},
+		{Name: "headers of short fields", IsIncomplete: true, Count: 1200, exchange: sendShortFields},
 		{Name: "bodies in one-byte chunks", Count: 400, exchange: sendTinyChunks},
 		{Name: "bodies in one piece", Count: 400, exchange: sendWholeBody},
 		{Name: "bodies in small pieces", Count: 400, exchange: sendSmallPieces},
 		{Name: "requests ahead", Count: 300, exchange: sendAhead},
-		{Name: "half bodies", Count: 1500, exchange: sendHalfBody},
-		{Name: "endless bodies", Count: 200, exchange: sendEndlessBody},
-		{Name: "headers byte by byte", Count: 2500, exchange: sendSlowHeader},
-		{Name: "half headers", Count: 2500, exchange: sendHalfHeader},
+		{Name: "half bodies", IsIncomplete: true, Count: 1500, exchange: sendHalfBody},
+		{Name: "endless bodies", IsIncomplete: true, Count: 200, exchange: sendEndlessBody},
+		{Name: "headers byte by byte", IsIncomplete: true, Count: 2500, exchange: sendSlowHeader},
+		{Name: "half headers", IsIncomplete: true, Count: 2500, exchange: sendHalfHeader},
 		{Name: "large answers not read", Count: 800, exchange: ignoreAnswer},
 		{Name: "idle connections", Count: 3000, exchange: stayIdle},
 	}
 }
 
 // head returns the beginning of a request header, without the empty line at its end.
-func head(method, path, id string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n", method, path, id)
+func (t target) head(method, path, id string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", method, path, t.host, id)
 }
 
 // shortFields returns fields of few bytes with different names, of this many bytes in total at most.
@@ -80,8 +102,8 @@
 
 // largestHeader returns a header of the maximum size made of short fields. The length of the body
 // follows from the last argument.
-func largestHeader(path, id, framing string) string {
-	begin := head(http.MethodPost, path, id) + framing
+func (t target) largestHeader(id, framing string) string {
+	begin := t.head(http.MethodPost, t.path, id) + framing
 	const emptyLine = "\r\n"
 	return begin + shortFields(maxHeaderBytes-len(begin)-len(emptyLine)) + emptyLine
 }
@@ -97,7 +119,7 @@
 
 // sendShortFields sends the largest header of short fields, and then nothing of its body.
 func sendShortFields(_ context.Context, connection net.Conn, to target, id string) {
-	if write(connection, largestHeader(to.path, id, "Content-Length: 1000\r\n")) {
+	if write(connection, to.largestHeader(id, "Content-Length: 1000\r\n")) {
 		drain(connection)
 	}
 }
@@ -109,7 +131,7 @@
 
 func sendTinyChunks(_ context.Context, connection net.Conn, to target, id string) {
 	answered := readAnswers(connection)
-	if !write(connection, head(http.MethodPost, to.path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
+	if !write(connection, to.head(http.MethodPost, to.path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
 		return
 	}
 	for range maxBodyBytes / tinyChunksPerWrite {
@@ -154,7 +176,7 @@
 // sendPieces sends a body of the maximum size, written in pieces, and reads the answer.
 func sendPieces(connection net.Conn, to target, id, piece string) {
 	answered := readAnswers(connection)
-	if !write(connection, head(http.MethodPost, to.path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) {
+	if !write(connection, to.head(http.MethodPost, to.path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) {
 		return
 	}
 	for range maxBodyBytes / len(piece) {
@@ -169,7 +191,7 @@
 func sendAhead(ctx context.Context, connection net.Conn, to target, id string) {
 	const requests = 2000
 	for number := range requests {
-		if !write(connection, head(http.MethodGet, to.path, fmt.Sprintf("%s-%d", id, number))+"\r\n") {
+		if !write(connection, to.head(http.MethodGet, to.path, fmt.Sprintf("%s-%d", id, number))+"\r\n") {
 			return
 		}
 	}
@@ -179,7 +201,7 @@
 // sendHalfBody sends half of a body and stops.
 func sendHalfBody(_ context.Context, connection net.Conn, to target, id string) {
 	const bytes = 32 << 10
-	if write(connection, head(http.MethodPost, to.path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*bytes)+bodyPiece[:bytes]) {
+	if write(connection, to.head(http.MethodPost, to.path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*bytes)+bodyPiece[:bytes]) {
 		drain(connection)
 	}
 }
@@ -187,7 +209,7 @@
 // sendEndlessBody sends a body without end.
 func sendEndlessBody(ctx context.Context, connection net.Conn, to target, id string) {
 	go drain(connection)
-	if !write(connection, head(http.MethodPost, to.path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
+	if !write(connection, to.head(http.MethodPost, to.path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
 		return
 	}
 	for ctx.Err() == nil && write(connection, fmt.Sprintf("%x\r\n%s\r\n", len(bodyPiece), bodyPiece)) {
@@ -198,7 +220,7 @@
 // sendSlowHeader sends a header byte by byte.
 func sendSlowHeader(ctx context.Context, connection net.Conn, to target, id string) {
 	const pause = 100 * time.Millisecond
-	for _, letter := range []byte(largestHeader(to.path, id, "")) {
+	for _, letter := range []byte(to.largestHeader(id, "")) {
 		if ctx.Err() != nil || !write(connection, string(letter)) {
 			return
 		}
@@ -209,7 +231,7 @@
 // sendHalfHeader sends most of the largest header and stops.
 func sendHalfHeader(_ context.Context, connection net.Conn, to target, id string) {
 	const missing = 64
-	header := largestHeader(to.path, id, "")
+	header := to.largestHeader(id, "")
 	if write(connection, header[:len(header)-missing]) {
 		drain(connection)
 	}
@@ -217,14 +239,14 @@
 
 // ignoreAnswer requests the largest answer and does not read it.
 func ignoreAnswer(ctx context.Context, connection net.Conn, to target, id string) {
-	if write(connection, head(http.MethodGet, to.largePath, id)+"\r\n") {
+	if write(connection, to.head(http.MethodGet, to.largePath, id)+"\r\n") {
 		<-ctx.Done()
 	}
 }
 
 // stayIdle sends one request, reads the answer and keeps the connection.
 func stayIdle(_ context.Context, connection net.Conn, to target, id string) {
-	if write(connection, head(http.MethodGet, to.path, id)+"\r\n") {
+	if write(connection, to.head(http.MethodGet, to.path, id)+"\r\n") {
 		drain(connection)
 	}
 }
--- a/internal/lab/abuse/largest.go
+++ b/internal/lab/abuse/largest.go
@@ -21,8 +21,9 @@
 	options := Options{GatewayBinary: binary, Machine: machine, Door: DoorRoute}
 	statuses = map[string]int{}
 	_, err = withProcess(ctx, options, func(p *process) {
-		for _, each := range largestRequests() {
-			statuses[each.name] = sendLargest(ctx, p.target(DoorRoute), each)
+		to := p.target(DoorRoute)
+		for _, each := range largestRequests(to) {
+			statuses[each.name] = sendLargest(ctx, to, each)
 		}
 		peakMemory = p.peakMemory.Load()
 	})
@@ -38,10 +39,10 @@
 	end    string
 }
 
-func largestRequests() []largestRequest {
+func largestRequests(to target) []largestRequest {
 	length, chunked := fmt.Sprintf("Content-Length: %d\r\n", maxBodyBytes), "Transfer-Encoding: chunked\r\n"
 	sameFields := func(id, framing string) string {
-		begin := head(http.MethodPost, pathAbused, id) + framing
+		begin := to.head(http.MethodPost, to.path, id) + framing
 		const field, emptyLine = "a:\r\n", "\r\n"
 		return begin + strings.Repeat(field, (maxHeaderBytes-len(begin)-len(emptyLine))/len(field)) + emptyLine
 	}
@@ -52,9 +53,9 @@
 		return largestRequest{name: name, header: header, body: tinyChunks, repeat: maxBodyBytes / tinyChunksPerWrite, end: "0\r\n\r\n"}
 	}
 	return []largestRequest{
-		whole("many fields, body of known length", largestHeader(pathAbused, "largest-1", length)),
+		whole("many fields, body of known length", to.largestHeader("largest-1", length)),
 		whole("most fields, body of known length", sameFields("largest-2", length)),
-		tiny("many fields, body in one-byte chunks", largestHeader(pathAbused, "largest-3", chunked)),
+		tiny("many fields, body in one-byte chunks", to.largestHeader("largest-3", chunked)),
 		tiny("most fields, body in one-byte chunks", sameFields("largest-4", chunked)),
 	}
 }
--- a/internal/lab/abuse/process.go
+++ b/internal/lab/abuse/process.go
@@ -38,6 +38,7 @@
 // target is where clients that do not behave send their requests.
 type target struct {
 	address string
+	host    string
 	path    string
 	// largePath is the path whose answer is largest.
 	largePath string
@@ -193,15 +194,15 @@
 func (p *process) target(door Door) target {
 	switch door {
 	case DoorNoRoute:
-		return target{address: p.listen.Callers, path: "/none/", largePath: "/none/"}
+		return target{host: ordinaryHost, address: p.listen.Callers, path: "/none/", largePath: "/none/"}
 	case DoorReady:
-		return target{address: p.listen.Ready, path: "/api/ready", largePath: "/api/ready"}
+		return target{host: ordinaryHost, address: p.listen.Ready, path: "/api/ready", largePath: "/api/ready"}
 	case DoorMetrics:
-		return target{address: p.listen.Metrics, path: "/metrics", largePath: "/metrics"}
+		return target{host: ordinaryHost, address: p.listen.Metrics, path: "/metrics", largePath: "/metrics"}
 	case DoorPeers:
-		return target{address: p.listen.Peers, path: "/", largePath: "/"}
+		return target{host: ordinaryHost, address: p.listen.Peers, path: "/", largePath: "/"}
 	default:
-		return target{address: p.listen.Callers, path: pathAbused, largePath: pathLarge}
+		return target{host: ordinaryHost, address: p.listen.Callers, path: pathAbused, largePath: pathLarge}
 	}
 }
 
--- a/internal/lab/abuse/world.go
+++ b/internal/lab/abuse/world.go
@@ -24,8 +24,9 @@
 	maxBodyBytes   = 4 << 20
 )
 
-// Paths of the routes.
+// Host and paths of the routes.
 const (
+	ordinaryHost       = "a.example"
 	pathOrdinaryUnsafe = "/pay/"
 	pathOrdinarySafe   = "/look/"
 	pathAbused         = "/check/"
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -171,6 +171,7 @@
 	deadlyStream
 	silenceStream
 	fullStream
+	crowdStream
 )
 
 // newStream returns a stream of random numbers of a seed.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -168,6 +168,7 @@
 	background.Go(func() { r.runSilences(callersCtx, newStream(r.options.Seed, silenceStream)) })
 	background.Go(func() { r.runFullEngines(callersCtx, newStream(r.options.Seed, fullStream)) })
 	background.Go(func() { r.runCompactions(callersCtx, newStream(r.options.Seed, compactionStream)) })
+	background.Go(func() { r.runCrowds(callersCtx, newStream(r.options.Seed, crowdStream)) })
 	if r.options.PreviousBinary != "" {
 		background.Go(func() { r.upgradeGateways(callersCtx, newStream(r.options.Seed, upgradeStream)) })
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,7 +35,7 @@
 })
 
 // previousCommit is the landing before this one, from which fleets are upgraded.
-const previousCommit = "6201fe15c46daa60040434ea32c7b103e8f080bf"
+const previousCommit = "a4a69090174b076fc396c555f2ba8b588106e7d0"
 
 // buildPrevious builds the gateway of previousCommit from the repository's history and returns the
 // path of the binary. In a shallow clone, which lacks that history, it returns the present gateway.
