--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/thymeloft/thymeloft/internal/engine"
 	"github.com/thymeloft/thymeloft/internal/execution"
 	"github.com/thymeloft/thymeloft/internal/identity"
+	"github.com/thymeloft/thymeloft/internal/ingress"
 	"github.com/thymeloft/thymeloft/internal/members"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/process"
@@ -33,6 +34,7 @@
 	self      identity.Process
 	logger    *zap.Logger
 	registry  *prometheus.Registry
+	ingress   *ingress.Group
 	lifecycle *process.Lifecycle
 
 	callerEndpoint   *process.Endpoint
@@ -122,6 +124,10 @@
 
 func (d *Daemon) openListeners() error {
 	var err error
+	d.ingress = ingress.NewGroup(nil, d.logger)
+	if err := d.ingress.RegisterMetrics(d.registry); err != nil {
+		return err
+	}
 	files, limits := d.settings.TLS, d.settings.Limits
 	if d.callerEndpoint, err = d.listen("callers", d.settings.Listen.Caller, files.Caller, limits); err != nil {
 		return err
@@ -141,7 +147,7 @@
 		return nil, eris.Wrapf(err, "listen for %s", name)
 	}
 	endpoint, err := process.Listen(process.EndpointOptions{
-		Name: name, Address: address, TLS: configuration, Log: d.logger,
+		Name: name, Address: address, TLS: configuration, Ingress: d.ingress, Log: d.logger,
 		Limits: process.EndpointLimits{
 			HeaderTimeout: limits.HeaderTimeout, ReadTimeout: limits.ReadTimeout, IdleTimeout: limits.IdleTimeout,
 			MaxHeaderBytes: limits.HeaderBytes, MaxConnections: limits.Connections,
@@ -163,7 +169,7 @@
 	if err != nil {
 		return eris.Wrap(err, "prepare calls to peers")
 	}
-	d.peerServer, err = peer.Listen(d.settings.Listen.Peer, peer.Options{TLS: serverTLS, Logger: d.logger, Registerer: d.registry})
+	d.peerServer, err = peer.Listen(d.settings.Listen.Peer, peer.Options{TLS: serverTLS, Ingress: d.ingress, Logger: d.logger, Registerer: d.registry})
 	if err != nil {
 		return err
 	}
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -260,6 +260,24 @@
 		Expect(statusOf(slow)).To(Equal(200))
 	})
 
+	// Guards against callers that are accepted in a burst and closed before anybody has read their requests.
+	It("waits with a new connection until the one that is to give way was read", func() {
+		open(DoorOptions{Name: "test"}, 1<<20, echo)
+		narrow := group.NewDoor(DoorOptions{Name: "narrow", MaxConnections: 1})
+		near, far := net.Pipe()
+		DeferCleanup(far.Close)
+		first := narrow.Admit(near, time.Minute, testHeaderBytes)
+		admitted := make(chan *Conn, 1)
+		go func() {
+			further, _ := net.Pipe()
+			admitted <- narrow.Admit(further, time.Minute, testHeaderBytes)
+		}()
+		Consistently(admitted, 3*minAge).ShouldNot(Receive())
+		go func() { _, _ = first.Read(make([]byte, 1)) }()
+		Eventually(admitted).Should(Receive(Not(BeNil())))
+		Eventually(first.isEvicted).Should(BeTrue())
+	})
+
 	// Guards against requests that are cut off in the middle of their work for new connections.
 	It("closes a new connection if all others wait for answers", func() {
 		hold := make(chan struct{})
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+
+	"github.com/thymeloft/thymeloft/internal/ingress"
 )
 
 // Options configures a Server or a Pool. A limit or timeout that is zero or
@@ -42,6 +44,8 @@
 	// MaxUnidentified limits the inbound connections whose preamble has not arrived yet. For a
 	// further one, the oldest of them is closed.
 	MaxUnidentified int
+	// Ingress is the group of the server's door; nil: one of its own.
+	Ingress *ingress.Group
 	// MaxCallsPerConnection limits the open calls on one connection. At the limit,
 	// a pool rejects calls with ErrCongested, and a server stops reading requests.
 	MaxCallsPerConnection int
@@ -87,6 +91,9 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	if o.Ingress == nil {
+		o.Ingress = ingress.NewGroup(nil, o.Logger)
+	}
 	o.Logger = o.Logger.Named("peer")
 	return o
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -66,7 +66,7 @@
 		listener:    listener,
 		rpc:         rpc.NewServer(),
 		statistics:  statistics,
-		door:        ingress.NewGroup(nil, options.Logger).NewDoor(ingress.DoorOptions{Name: "peers", MaxConnections: options.MaxUnidentified, IsEncrypted: true}),
+		door:        options.Ingress.NewDoor(ingress.DoorOptions{Name: "peers", MaxConnections: options.MaxUnidentified, IsEncrypted: true}),
 		connections: map[*serverCodec]struct{}{},
 	}
 	server.goroutines.Add(1)
--- a/internal/server/components.go
+++ b/internal/server/components.go
@@ -79,7 +79,7 @@
 func (s *Server) newComponents() (*components, error) {
 	peerOptions := peer.Options{
 		DialTimeout: peerDialTimeout, WriteTimeout: peerWriteTimeout, BackoffMax: peerMaxBackoff,
-		MaxMessageBytes: peerMaxMessageBytes, CloseTimeout: peerCloseTimeout, Logger: s.Log, Registerer: s.Registry,
+		MaxMessageBytes: peerMaxMessageBytes, CloseTimeout: peerCloseTimeout, Ingress: s.ingress, Logger: s.Log, Registerer: s.Registry,
 	}
 	rpcServer, err := peer.Listen(s.Settings.Listen.Peers, peerOptions)
 	if err != nil {
