Ingress: names of the field: connection limiter, listener, bulk slot

"Door" is the users' word, and a "turn" is a step of a conversation in this code. No change of behaviour; the metric's label is `listener`, and thymeloft_ingress_turns_waited_total is thymeloft_ingress_bulk_waits_total.

--- a/cmd/thymeloft-lab/abuse.go
+++ b/cmd/thymeloft-lab/abuse.go
@@ -20,11 +20,11 @@
 	Descriptors   int           `default:"4100" help:"Limit of open files of the process."`
 	Duration      time.Duration `default:"6s" help:"How long the clients are played."`
 	Clients       []string      `help:"Only these kinds of clients." placeholder:"NAME"`
-	Doors         []string      `help:"Only these doors." placeholder:"NAME"`
+	Endpoints     []string      `help:"Only these endpoints." placeholder:"NAME"`
 	Together      bool          `help:"Play all kinds at the same time, a tenth of each."`
 }
 
-// Run plays each kind of client at each door and prints what was observed. It returns an error if a
+// Run plays each kind of client at each endpoint and prints what was observed. It returns an error if a
 // guarantee was broken.
 func (c *abuseCommand) Run(ctx context.Context) error {
 	if c.GatewayBinary == "" {
@@ -35,12 +35,12 @@
 		c.GatewayBinary = filepath.Join(filepath.Dir(executable), "thymeloft-gateway")
 	}
 	broken := 0
-	for _, door := range abuse.Doors() {
-		if len(c.Doors) > 0 && !slices.Contains(c.Doors, string(door)) {
+	for _, endpoint := range abuse.Endpoints() {
+		if len(c.Endpoints) > 0 && !slices.Contains(c.Endpoints, string(endpoint)) {
 			continue
 		}
 		for _, clients := range c.rounds() {
-			failed, err := c.play(ctx, door, clients)
+			failed, err := c.play(ctx, endpoint, clients)
 			if err != nil {
 				return err
 			}
@@ -68,10 +68,10 @@
 }
 
 // play plays one run and reports whether a guarantee was broken.
-func (c *abuseCommand) play(ctx context.Context, door abuse.Door, clients []abuse.Client) (failed bool, err error) {
+func (c *abuseCommand) play(ctx context.Context, endpoint abuse.Endpoint, clients []abuse.Client) (failed bool, err error) {
 	report, err := abuse.Run(ctx, abuse.Options{
 		GatewayBinary: c.GatewayBinary, Machine: abuse.Machine{MemoryMB: c.MemoryMB, Descriptors: c.Descriptors},
-		Door: door, Clients: clients, Duration: c.Duration,
+		Endpoint: endpoint, Clients: clients, Duration: c.Duration,
 	})
 	if err != nil {
 		return false, err
@@ -82,7 +82,7 @@
 	}
 	const megabyte = 1 << 20
 	fmt.Printf("%s; %s; %d MB; peak %.1f MB; during %s; after %d of %d; ready %s; ran %d\n",
-		name, door, c.MemoryMB, float64(report.PeakMemory)/megabyte, report.During, report.After.OK, report.After.Sent, report.Ready, report.AbuseServed)
+		name, endpoint, c.MemoryMB, float64(report.PeakMemory)/megabyte, report.During, report.After.OK, report.After.Sent, report.Ready, report.AbuseServed)
 	for _, finding := range report.Findings() {
 		fmt.Println("  broken:", finding)
 	}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -10,15 +10,15 @@
 	"github.com/thymeloft/thymeloft/internal/memory"
 )
 
-// Conn is a connection of a Door. Read follows the rules of http.Server: it is called by one goroutine
+// Conn is a connection of a Limiter. Read follows the rules of http.Server: it is called by one goroutine
 // at a time, and with a buffer of one byte only while a handler runs whose request was read completely.
 type Conn struct {
 	net.Conn
-	door           *Door
+	limiter        *Limiter
 	headerTimeout  time.Duration
 	maxHeaderBytes int
 
-	// Guarded by door.mutex.
+	// Guarded by limiter.mutex.
 	state          connState
 	since          time.Time // when the state was entered
 	previous, next *Conn
@@ -31,7 +31,7 @@
 	headerBytes     int         // leading bytes of staged that belong to a complete header
 	isAhead         bool        // the bytes of staged had arrived before the last request was answered
 	inputBytes      int         // bytes of the body that were passed on
-	hasTurn         atomic.Bool // also used while a handler writes
+	hasBulkSlot     atomic.Bool // also used while a handler writes
 
 	wasRead atomic.Bool // its goroutine has begun to read
 
@@ -44,10 +44,10 @@
 	stagedReserved int64               // bytes of reservation that are for staged
 }
 
-// bulkBytes is the size of a body from which reading it takes turns.
+// bulkBytes is the size of a body beyond which reading it needs a bulk slot.
 const bulkBytes = 16 << 10
 
-// FromConn returns the connection of a door that c is or wraps, or nil.
+// FromConn returns the Conn that c is or wraps, or nil.
 func FromConn(c net.Conn) *Conn {
 	for {
 		if conn, ok := c.(*Conn); ok {
@@ -70,13 +70,13 @@
 	if c.isReadingHeader {
 		return c.readHeader(into)
 	}
-	c.endTurn()
+	c.releaseBulkSlot()
 	return c.readInput(into)
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(content []byte) (int, error) {
-	c.endTurn() // the client may be slow
+	c.releaseBulkSlot() // the client may be slow
 	return c.Conn.Write(content)
 }
 
@@ -107,10 +107,10 @@
 	return c.SetReadDeadline(deadline)
 }
 
-// Release ends the bounds of the door for this connection, which no longer counts there.
-func (c *Conn) Release() { c.door.remove(c) }
+// Release ends the bounds of the limiter for this connection, which no longer counts there.
+func (c *Conn) Release() { c.limiter.remove(c) }
 
-// readInput reads a part of a body. Large bodies are read in turns.
+// readInput reads a part of a body. Large bodies are read with a bulk slot.
 func (c *Conn) readInput(into []byte) (int, error) {
 	if len(c.staged) > 0 {
 		count := copy(into, c.staged)
@@ -119,18 +119,18 @@
 	}
 	count, err := c.Conn.Read(into)
 	const backgroundRead = 1 // http.Server waits for the end of such a read after the handler
-	if len(into) == backgroundRead || c.door.options.IsEncrypted {
+	if len(into) == backgroundRead || c.limiter.options.IsEncrypted {
 		return count, err
 	}
 	if c.inputBytes += count; c.inputBytes > bulkBytes && err == nil {
-		c.takeTurn()
+		c.takeBulkSlot()
 	}
 	return count, err
 }
 
 // endHeader records that the header was parsed.
 func (c *Conn) endHeader() {
-	c.endTurn()
+	c.releaseBulkSlot()
 	c.isReadingHeader = false
 	c.scanner = headerScanner{}
 	c.headerBytes = 0
@@ -139,8 +139,8 @@
 
 // endRequest records that the request was answered, and releases what was reserved for its header.
 func (c *Conn) endRequest() {
-	c.endTurn()
-	c.isReadingHeader = !c.door.options.IsEncrypted
+	c.releaseBulkSlot()
+	c.isReadingHeader = !c.limiter.options.IsEncrypted
 	c.isAhead = len(c.staged) > 0
 	c.scanner = headerScanner{}
 	c.mutex.Lock()
@@ -156,7 +156,7 @@
 
 // end records that the connection has ended.
 func (c *Conn) end() {
-	c.endTurn()
+	c.releaseBulkSlot()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.releaseReservation()
@@ -248,7 +248,7 @@
 	c.inputComplete = complete
 	c.mutex.Unlock()
 	if complete {
-		c.door.move(c, stateServing)
+		c.limiter.move(c, stateServing)
 	}
 	return complete
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -2,7 +2,7 @@
 // listener accepts, reads each request header before net/http does, and passes it on when it is
 // complete and its cost is accounted for.
 //
-// Guarantees: a door has at most DoorOptions.MaxConnections open connections. While a header is
+// Guarantees: a listener has at most LimiterOptions.MaxConnections open connections. While a header is
 // incomplete, it costs its bytes; what its fields cost once they are parsed is reserved before that.
 // Connections that wait for their clients give way to new ones. At most one client at a time, in
 // order of arrival, makes the process work through a large header, a large body or requests sent
@@ -19,28 +19,28 @@
 	"github.com/thymeloft/thymeloft/internal/memory"
 )
 
-// Group is the set of doors of a process. They share the memory account and the turns. It is safe for
+// Group is the set of limiters of a process. They share the memory account and the bulk slots. It is safe for
 // concurrent use.
 type Group struct {
-	account *memory.Account
-	turns   chan struct{} // holds an element for each turn that is taken; waiters are served in order
-	log     *zap.Logger
+	account   *memory.Account
+	bulkSlots chan struct{} // holds an element for each slot that is taken; waiters are served in order
+	log       *zap.Logger
 
-	mutex sync.Mutex
-	doors []*Door
+	mutex    sync.Mutex
+	limiters []*Limiter
 
 	refusedHeaders atomic.Int64 // headers refused for lack of memory, in total
-	waitedTurns    atomic.Int64 // turns that had to be waited for, in total
+	bulkWaits      atomic.Int64 // bulk slots that had to be waited for, in total
 	lastLogged     atomic.Int64 // Unix time in nanoseconds of the last log line about a closed connection
 }
 
-// concurrentTurns is the number of clients whose bulk work the process does at the same time.
-const concurrentTurns = 1
+// maxBulkSlots is the number of clients whose bulk input the process works on at the same time.
+const maxBulkSlots = 1
 
-// NewGroup returns a group without doors. When the account lacks space for something small, the
+// NewGroup returns a group without limiters. When the account lacks space for something small, the
 // connections of the group make room. The account may be nil; then memory is not bounded.
 func NewGroup(account *memory.Account, log *zap.Logger) *Group {
-	group := &Group{account: account, turns: make(chan struct{}, concurrentTurns), log: log}
+	group := &Group{account: account, bulkSlots: make(chan struct{}, maxBulkSlots), log: log}
 	account.SetEvictor(group.evictLargest)
 	return group
 }
@@ -61,13 +61,13 @@
 // the memory that is accounted for it. It returns false if there is none.
 func (g *Group) evictLargest() bool {
 	g.mutex.Lock()
-	doors := g.doors
+	limiters := g.limiters
 	g.mutex.Unlock()
 	now := time.Now()
 	var largest *Conn
 	var largestDebt float64
-	for _, door := range doors {
-		candidate, debt := door.largestDebt(now)
+	for _, limiter := range limiters {
+		candidate, debt := limiter.largestDebt(now)
 		if candidate != nil && debt > largestDebt {
 			largest, largestDebt = candidate, debt
 		}
@@ -75,8 +75,8 @@
 	if largest == nil || !largest.evict() {
 		return false
 	}
-	largest.door.evictedForMemory.Add(1)
-	g.logClosed("ingress: connection closed to make room in memory.", zap.String("door", largest.door.name),
-		zap.Stringer("client", largest.RemoteAddr()), zap.Int64("soFar", largest.door.evictedForMemory.Load()))
+	largest.limiter.evictedForMemory.Add(1)
+	g.logClosed("ingress: connection closed to make room in memory.", zap.String("listener", largest.limiter.name),
+		zap.Stringer("client", largest.RemoteAddr()), zap.Int64("soFar", largest.limiter.evictedForMemory.Load()))
 	return true
 }
--- a/internal/ingress/door.go
+++ b/internal/ingress/limiter.go
@@ -10,9 +10,9 @@
 	"go.uber.org/zap"
 )
 
-// DoorOptions configure a Door.
-type DoorOptions struct {
-	Name string // identifies the door in logs and metrics
+// LimiterOptions configure a Limiter.
+type LimiterOptions struct {
+	Name string // identifies the limiter in logs and metrics
 	// MaxConnections is the largest number of open connections; 0 means no limit. Beyond it, one that
 	// waits for its client is closed for each new one, and if there is none, the new one.
 	MaxConnections int
@@ -24,11 +24,11 @@
 	IsEncrypted bool
 }
 
-// Door bounds the connections of one listener. It is safe for concurrent use.
-type Door struct {
+// Limiter bounds the connections of one listener. It is safe for concurrent use.
+type Limiter struct {
 	group   *Group
 	name    string
-	options DoorOptions
+	options LimiterOptions
 
 	mutex sync.Mutex
 	open  int
@@ -56,26 +56,26 @@
 	return [stateCount]string{"idle", "new", "header", "body", "serving"}[s]
 }
 
-// NewDoor adds a door to the group.
-func (g *Group) NewDoor(options DoorOptions) *Door {
+// NewLimiter adds a limiter to the group.
+func (g *Group) NewLimiter(options LimiterOptions) *Limiter {
 	if options.CloseIdle == nil {
 		options.CloseIdle = func(idle net.Conn) { _ = idle.Close() }
 	}
-	door := &Door{group: g, name: options.Name, options: options}
+	limiter := &Limiter{group: g, name: options.Name, options: options}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.doors = append(g.doors[:len(g.doors):len(g.doors)], door)
-	return door
+	g.limiters = append(g.limiters[:len(g.limiters):len(g.limiters)], limiter)
+	return limiter
 }
 
 // Admit wraps a connection that was accepted. headerTimeout is the time for a header from its first
-// byte; maxHeaderBytes is its largest size. Admit closes the connection and returns nil if the door is
+// byte; maxHeaderBytes is its largest size. Admit closes the connection and returns nil if the limiter is
 // full and no other connection gives way.
-func (d *Door) Admit(accepted net.Conn, headerTimeout time.Duration, maxHeaderBytes int) *Conn {
-	conn := &Conn{Conn: accepted, door: d, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes, isReadingHeader: !d.options.IsEncrypted}
+func (d *Limiter) Admit(accepted net.Conn, headerTimeout time.Duration, maxHeaderBytes int) *Conn {
+	conn := &Conn{Conn: accepted, limiter: d, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes, isReadingHeader: !d.options.IsEncrypted}
 	if !d.add(conn) {
 		d.refused.Add(1)
-		d.group.logClosed("ingress: new connection closed because too many are open.", zap.String("door", d.name),
+		d.group.logClosed("ingress: new connection closed because too many are open.", zap.String("listener", d.name),
 			zap.Int("open", d.options.MaxConnections), zap.Int64("soFar", d.refused.Load()))
 		_ = accepted.Close()
 		return nil
@@ -89,9 +89,9 @@
 // readPollInterval is the time after which it is looked up again whether the oldest connection was read.
 const readPollInterval = time.Millisecond
 
-// add adds the connection in stateNew. If the door is full, another one gives way; add returns
+// add adds the connection in stateNew. If the limiter is full, another one gives way; add returns
 // false if none does.
-func (d *Door) add(conn *Conn) bool {
+func (d *Limiter) add(conn *Conn) bool {
 	for {
 		added, wait := d.tryAdd(conn)
 		if wait <= 0 {
@@ -104,7 +104,7 @@
 // tryAdd is like add, but returns how long to wait if the connection that would give way is younger
 // than minAge, or was never read. Its request may have arrived already; further connections wait in the
 // kernel's backlog meanwhile.
-func (d *Door) tryAdd(conn *Conn) (added bool, wait time.Duration) {
+func (d *Limiter) tryAdd(conn *Conn) (added bool, wait time.Duration) {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -131,9 +131,9 @@
 }
 
 // giveWay closes a connection that has given way to another one.
-func (d *Door) giveWay(victim *Conn, state connState) {
+func (d *Limiter) giveWay(victim *Conn, state connState) {
 	total := d.evicted[state].Add(1)
-	d.group.logClosed("ingress: connection closed for a new one because too many are open.", zap.String("door", d.name),
+	d.group.logClosed("ingress: connection closed for a new one because too many are open.", zap.String("listener", d.name),
 		zap.Stringer("client", victim.RemoteAddr()), zap.Stringer("waitedFor", state), zap.Int64("soFar", total))
 	if state == stateIdle {
 		d.options.CloseIdle(victim.Conn)
@@ -149,7 +149,7 @@
 // pickVictim returns the connection that gives way to a new one, or nil: the oldest one in the state
 // that most of the connections are in, since a crowd does the same thing everywhere. If most wait for
 // answers, those that were used shortly before are kept. d.mutex must be held.
-func (d *Door) pickVictim(now time.Time) *Conn {
+func (d *Limiter) pickVictim(now time.Time) *Conn {
 	crowded, listed := &d.lists[stateIdle], 0
 	for index := range d.lists {
 		listed += d.lists[index].length
@@ -166,7 +166,7 @@
 
 // largestDebt returns the connection that waits for its client with the largest product of accounted
 // bytes and time.
-func (d *Door) largestDebt(now time.Time) (largest *Conn, debt float64) {
+func (d *Limiter) largestDebt(now time.Time) (largest *Conn, debt float64) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, state := range []connState{stateHeader, stateInput} {
@@ -181,7 +181,7 @@
 }
 
 // OnStateChange is the http.Server.ConnState hook.
-func (d *Door) OnStateChange(changed net.Conn, state http.ConnState) {
+func (d *Limiter) OnStateChange(changed net.Conn, state http.ConnState) {
 	conn := FromConn(changed)
 	if conn == nil {
 		return
@@ -200,7 +200,7 @@
 }
 
 // move puts the connection into a state. A connection that is no longer counted is closed when it is idle.
-func (d *Door) move(conn *Conn, state connState) {
+func (d *Limiter) move(conn *Conn, state connState) {
 	if d.tryMove(conn, state) || state != stateIdle {
 		return
 	}
@@ -208,7 +208,7 @@
 }
 
 // tryMove puts the connection into a state, unless it is no longer counted.
-func (d *Door) tryMove(conn *Conn, state connState) bool {
+func (d *Limiter) tryMove(conn *Conn, state connState) bool {
 	now := time.Now()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -220,7 +220,7 @@
 	return true
 }
 
-func (d *Door) remove(conn *Conn) {
+func (d *Limiter) remove(conn *Conn) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if conn.uncounted {
@@ -232,7 +232,7 @@
 }
 
 // enter puts the connection at the end of the list of its new state. d.mutex must be held.
-func (d *Door) enter(conn *Conn, state connState, now time.Time) {
+func (d *Limiter) enter(conn *Conn, state connState, now time.Time) {
 	conn.state, conn.since = state, now
 	if state != stateServing {
 		d.lists[state].append(conn)
@@ -240,7 +240,7 @@
 }
 
 // leave takes the connection out of its list. d.mutex must be held.
-func (d *Door) leave(conn *Conn) {
+func (d *Limiter) leave(conn *Conn) {
 	if conn.state != stateServing {
 		d.lists[conn.state].remove(conn)
 	}
@@ -278,17 +278,17 @@
 	l.length--
 }
 
-// listener accepts the connections of another one through a door.
+// listener accepts the connections of another one through a limiter.
 type listener struct {
 	net.Listener
-	door           *Door
+	limiter        *Limiter
 	headerTimeout  time.Duration
 	maxHeaderBytes int
 }
 
-// Listen returns a listener whose connections the door bounds. See Admit.
-func (d *Door) Listen(inner net.Listener, headerTimeout time.Duration, maxHeaderBytes int) net.Listener {
-	return &listener{Listener: inner, door: d, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes}
+// Listen returns a listener whose connections the limiter bounds. See Admit.
+func (d *Limiter) Listen(inner net.Listener, headerTimeout time.Duration, maxHeaderBytes int) net.Listener {
+	return &listener{Listener: inner, limiter: d, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes}
 }
 
 // Accept implements net.Listener.
@@ -298,7 +298,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if conn := l.door.Admit(accepted, l.headerTimeout, l.maxHeaderBytes); conn != nil {
+		if conn := l.limiter.Admit(accepted, l.headerTimeout, l.maxHeaderBytes); conn != nil {
 			return conn, nil
 		}
 	}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -7,19 +7,19 @@
 
 var (
 	connectionsDescription = prometheus.NewDesc("thymeloft_ingress_connections",
-		"Open connections of clients, by listener.", []string{"door"}, nil)
+		"Open connections of clients, by listener.", []string{"listener"}, nil)
 	limitDescription = prometheus.NewDesc("thymeloft_ingress_connections_limit",
-		"Limit for the open connections of clients, by listener; 0 if there is none.", []string{"door"}, nil)
+		"Limit for the open connections of clients, by listener; 0 if there is none.", []string{"listener"}, nil)
 	evictedDescription = prometheus.NewDesc("thymeloft_ingress_evicted_total",
-		"Connections closed for a new one, by listener and what they waited for.", []string{"door", "state"}, nil)
+		"Connections closed for a new one, by listener and what they waited for.", []string{"listener", "state"}, nil)
 	refusedDescription = prometheus.NewDesc("thymeloft_ingress_refused_total",
-		"New connections closed because too many are open, by listener.", []string{"door"}, nil)
+		"New connections closed because too many are open, by listener.", []string{"listener"}, nil)
 	memoryDescription = prometheus.NewDesc("thymeloft_ingress_evicted_for_memory_total",
-		"Connections closed to make room in memory, by listener.", []string{"door"}, nil)
+		"Connections closed to make room in memory, by listener.", []string{"listener"}, nil)
 	headersDescription = prometheus.NewDesc("thymeloft_ingress_headers_refused_total",
 		"Request headers refused because they did not fit into memory.", nil, nil)
-	turnsDescription = prometheus.NewDesc("thymeloft_ingress_turns_waited_total",
-		"Turns for large headers, large bodies and requests sent ahead that had to be waited for.", nil, nil)
+	bulkWaitsDescription = prometheus.NewDesc("thymeloft_ingress_bulk_waits_total",
+		"Waits of large headers, large bodies and requests sent ahead until the process may work on them.", nil, nil)
 )
 
 // RegisterMetrics registers the metrics of the group.
@@ -30,7 +30,7 @@
 // Describe implements prometheus.Collector.
 func (g *Group) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, each := range []*prometheus.Desc{
-		connectionsDescription, limitDescription, evictedDescription, refusedDescription, memoryDescription, headersDescription, turnsDescription,
+		connectionsDescription, limitDescription, evictedDescription, refusedDescription, memoryDescription, headersDescription, bulkWaitsDescription,
 	} {
 		descriptions <- each
 	}
@@ -42,23 +42,23 @@
 		metrics <- prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), labels...)
 	}
 	g.mutex.Lock()
-	doors := g.doors
+	limiters := g.limiters
 	g.mutex.Unlock()
-	for _, door := range doors {
-		metrics <- prometheus.MustNewConstMetric(connectionsDescription, prometheus.GaugeValue, float64(door.Open()), door.name)
-		metrics <- prometheus.MustNewConstMetric(limitDescription, prometheus.GaugeValue, float64(door.options.MaxConnections), door.name)
+	for _, limiter := range limiters {
+		metrics <- prometheus.MustNewConstMetric(connectionsDescription, prometheus.GaugeValue, float64(limiter.Open()), limiter.name)
+		metrics <- prometheus.MustNewConstMetric(limitDescription, prometheus.GaugeValue, float64(limiter.options.MaxConnections), limiter.name)
 		for state := range stateServing {
-			count(evictedDescription, door.evicted[state].Load(), door.name, state.String())
+			count(evictedDescription, limiter.evicted[state].Load(), limiter.name, state.String())
 		}
-		count(refusedDescription, door.refused.Load(), door.name)
-		count(memoryDescription, door.evictedForMemory.Load(), door.name)
+		count(refusedDescription, limiter.refused.Load(), limiter.name)
+		count(memoryDescription, limiter.evictedForMemory.Load(), limiter.name)
 	}
 	count(headersDescription, g.refusedHeaders.Load())
-	count(turnsDescription, g.waitedTurns.Load())
+	count(bulkWaitsDescription, g.bulkWaits.Load())
 }
 
 // Open returns the number of open connections.
-func (d *Door) Open() int {
+func (d *Limiter) Open() int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.open
--- a/internal/ingress/read_header.go
+++ b/internal/ingress/read_header.go
@@ -18,7 +18,7 @@
 const (
 	// cheapFields is the number of header fields up to which their cost is part of the cost of a connection.
 	cheapFields = 64
-	// bulkHeaderBytes is the size of a header from which parsing it takes turns.
+	// bulkHeaderBytes is the size of a header from which parsing it needs a bulk slot.
 	bulkHeaderBytes = 4 << 10
 	// stagingBytes is the initial size of the buffer for a header that did not arrive in one read.
 	stagingBytes = 4 << 10
@@ -68,7 +68,7 @@
 		return err
 	}
 	c.staged = append(c.staged, received...)
-	c.door.move(c, stateHeader)
+	c.limiter.move(c, stateHeader)
 	return nil
 }
 
@@ -86,7 +86,7 @@
 }
 
 // completeHeader reads until staged begins with a complete header, or one that net/http refuses
-// because of its size, and reserves what it costs to parse it. It waits for a turn if that is much work.
+// because of its size, and reserves what it costs to parse it. It waits for a bulk slot if that is much work.
 func (c *Conn) completeHeader() error {
 	if c.scanner.end == 0 {
 		c.scanner.scan(c.staged[c.scanner.scanned:])
@@ -118,7 +118,7 @@
 	return c.prepareParsing()
 }
 
-// prepareParsing reserves what it costs to parse the header, and waits for a turn if that is much work
+// prepareParsing reserves what it costs to parse the header, and waits for a bulk slot if that is much work
 // or if the client sends requests ahead.
 func (c *Conn) prepareParsing() error {
 	cost := int64(c.scanner.fields)*parsedFieldBytes + int64(c.headerBytes)*parsedByteFactor
@@ -126,7 +126,7 @@
 		return c.refuse(err)
 	}
 	if c.isAhead || c.headerBytes > bulkHeaderBytes || c.scanner.fields > cheapFields {
-		c.takeTurn()
+		c.takeBulkSlot()
 	}
 	if c.isEvicted() {
 		return os.ErrDeadlineExceeded
@@ -177,7 +177,7 @@
 func (c *Conn) reserve(bytes int64) error {
 	c.mutex.Lock()
 	if c.reservation == nil {
-		c.reservation = c.door.group.account.NewReservation(memory.Owner(c.RemoteAddr().String()))
+		c.reservation = c.limiter.group.account.NewReservation(memory.Owner(c.RemoteAddr().String()))
 	}
 	reservation := c.reservation
 	c.mutex.Unlock()
@@ -191,8 +191,8 @@
 // refuse answers that there is no memory for the header, and returns errRefused.
 func (c *Conn) refuse(cause error) error {
 	const writeTimeout = time.Second
-	total := c.door.group.refusedHeaders.Add(1)
-	c.door.group.logClosed("ingress: request refused because its header does not fit into memory.", zap.String("door", c.door.name),
+	total := c.limiter.group.refusedHeaders.Add(1)
+	c.limiter.group.logClosed("ingress: request refused because its header does not fit into memory.", zap.String("listener", c.limiter.name),
 		zap.Stringer("client", c.RemoteAddr()), zap.String("cause", cause.Error()), zap.Int64("soFar", total))
 	if c.SetWriteDeadline(time.Now().Add(writeTimeout)) == nil {
 		_, _ = c.Conn.Write([]byte(refusal)) // the connection is closed in any case
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -40,19 +40,19 @@
 	_, _ = fmt.Fprintf(writer, "%s %d %d", request.URL.Path, len(request.Header), length)
 }
 
-// serve starts a server behind a new door of the group, and returns the door and the address.
-func serve(group *Group, options DoorOptions, handler http.HandlerFunc) (*Door, string, func()) {
+// serve starts a server behind a new limiter of the group, and returns the limiter and the address.
+func serve(group *Group, options LimiterOptions, handler http.HandlerFunc) (*Limiter, string, func()) {
 	opened, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	door := group.NewDoor(options)
+	limiter := group.NewLimiter(options)
 	server := &http.Server{
-		Handler: handler, ConnState: door.OnStateChange, ConnContext: WithConn, ErrorLog: log.New(io.Discard, "", 0),
+		Handler: handler, ConnState: limiter.OnStateChange, ConnContext: WithConn, ErrorLog: log.New(io.Discard, "", 0),
 		ReadHeaderTimeout: testHeaderTimeout, MaxHeaderBytes: testHeaderBytes,
 	}
-	go func() { _ = server.Serve(door.Listen(opened, testHeaderTimeout, testHeaderBytes)) }()
-	return door, opened.Addr().String(), func() { _ = server.Close() }
+	go func() { _ = server.Serve(limiter.Listen(opened, testHeaderTimeout, testHeaderBytes)) }()
+	return limiter, opened.Addr().String(), func() { _ = server.Close() }
 }
 
 // request is one that a client sends, and what echo answers to it.
@@ -88,7 +88,7 @@
 // the handler as they were sent, and that nothing is reserved at the end.
 func TestRequestsArriveUnchanged(t *testing.T) {
 	account := memory.NewAccount(1 << 30)
-	door, address, stop := serve(NewGroup(account, zap.NewNop()), DoorOptions{Name: "test"}, echo)
+	limiter, address, stop := serve(NewGroup(account, zap.NewNop()), LimiterOptions{Name: "test"}, echo)
 	defer stop()
 	rapid.Check(t, func(t *rapid.T) {
 		var sent strings.Builder
@@ -124,7 +124,7 @@
 		}
 	})
 	g := NewWithT(t)
-	g.Eventually(door.Open).Should(BeZero())
+	g.Eventually(limiter.Open).Should(BeZero())
 	g.Eventually(account.Held).Should(BeZero())
 }
 
@@ -163,17 +163,17 @@
 	})
 }
 
-var _ = Describe("a door", func() {
+var _ = Describe("a limiter", func() {
 	var group *Group
 	var account *memory.Account
-	var door *Door
+	var limiter *Limiter
 	var address string
 
-	open := func(options DoorOptions, limit int64, handler http.HandlerFunc) {
+	open := func(options LimiterOptions, limit int64, handler http.HandlerFunc) {
 		account = memory.NewAccount(limit)
 		group = NewGroup(account, zap.NewNop())
 		var stop func()
-		door, address, stop = serve(group, options, handler)
+		limiter, address, stop = serve(group, options, handler)
 		DeferCleanup(stop)
 	}
 	// send opens a connection and sends the text.
@@ -204,9 +204,9 @@
 	}
 	count := func(state connState) func() int {
 		return func() int {
-			door.mutex.Lock()
-			defer door.mutex.Unlock()
-			return door.lists[state].length
+			limiter.mutex.Lock()
+			defer limiter.mutex.Unlock()
+			return limiter.lists[state].length
 		}
 	}
 	const small = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -214,7 +214,7 @@
 
 	// Guards against idle connections that keep new clients out, or fill the memory.
 	It("closes the longest idle connection for a new one", func() {
-		open(DoorOptions{Name: "test", MaxConnections: 2}, 1<<20, echo)
+		open(LimiterOptions{Name: "test", MaxConnections: 2}, 1<<20, echo)
 		first := send(small)
 		Expect(statusOf(first)).To(Equal(200))
 		Eventually(count(stateIdle)).Should(Equal(1))
@@ -223,7 +223,7 @@
 		Eventually(count(stateIdle)).Should(Equal(2))
 		Expect(statusOf(send(small))).To(Equal(200))
 		Expect(isClosed(first)()).To(MatchError(io.EOF))
-		Expect(door.Open()).To(BeNumerically("<=", 2))
+		Expect(limiter.Open()).To(BeNumerically("<=", 2))
 		_, err := io.WriteString(second, small)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(statusOf(second)).To(Equal(200))
@@ -231,7 +231,7 @@
 
 	// Guards against a crowd with unfinished headers that displaces callers between their requests.
 	It("closes a connection of the crowd for a new one, and keeps an idle one", func() {
-		open(DoorOptions{Name: "test", MaxConnections: 4}, 1<<20, echo)
+		open(LimiterOptions{Name: "test", MaxConnections: 4}, 1<<20, echo)
 		idle := send(small)
 		Expect(statusOf(idle)).To(Equal(200))
 		var crowd []net.Conn
@@ -248,7 +248,7 @@
 
 	// Guards against a crowd with unfinished headers that keeps out callers which are slow to begin.
 	It("closes a connection of the crowd for a new one, and keeps one on which nothing has arrived", func() {
-		open(DoorOptions{Name: "test", MaxConnections: 4}, 1<<20, echo)
+		open(LimiterOptions{Name: "test", MaxConnections: 4}, 1<<20, echo)
 		slow := send("")
 		Eventually(count(stateNew)).Should(Equal(1))
 		var crowd []net.Conn
@@ -265,8 +265,8 @@
 
 	// Guards against callers that are accepted in a burst and closed before anybody has read their requests.
 	It("waits with a new connection until the one that is to give way was read", func() {
-		open(DoorOptions{Name: "test"}, 1<<20, echo)
-		narrow := group.NewDoor(DoorOptions{Name: "narrow", MaxConnections: 1})
+		open(LimiterOptions{Name: "test"}, 1<<20, echo)
+		narrow := group.NewLimiter(LimiterOptions{Name: "narrow", MaxConnections: 1})
 		near, far := net.Pipe()
 		DeferCleanup(far.Close)
 		first := narrow.Admit(near, time.Minute, testHeaderBytes)
@@ -285,31 +285,31 @@
 	It("closes a new connection if all others wait for answers", func() {
 		hold := make(chan struct{})
 		DeferCleanup(func() { close(hold) })
-		open(DoorOptions{Name: "test", MaxConnections: 2}, 1<<20, func(_ http.ResponseWriter, request *http.Request) {
+		open(LimiterOptions{Name: "test", MaxConnections: 2}, 1<<20, func(_ http.ResponseWriter, request *http.Request) {
 			FromContext(request.Context()).InputComplete()
 			<-hold
 		})
 		for range 2 {
 			send(small)
 		}
-		Eventually(func() int { return door.Open() - count(stateNew)() - count(stateInput)() }).Should(Equal(2))
+		Eventually(func() int { return limiter.Open() - count(stateNew)() - count(stateInput)() }).Should(Equal(2))
 		Expect(isClosed(send(""))()).To(HaveOccurred())
-		Expect(door.refused.Load()).To(BeEquivalentTo(1))
+		Expect(limiter.refused.Load()).To(BeEquivalentTo(1))
 	})
 
 	// Guards against memory that stays reserved for headers whose clients have left.
 	It("releases what it has reserved for a header whose client leaves", func() {
-		open(DoorOptions{Name: "test"}, 1<<20, echo)
+		open(LimiterOptions{Name: "test"}, 1<<20, echo)
 		leaving := send(unfinished + strings.Repeat("a:b\r\n", 1000))
 		Eventually(account.Held).ShouldNot(BeZero())
 		Expect(leaving.Close()).To(Succeed())
 		Eventually(account.Held).Should(BeZero())
-		Eventually(door.Open).Should(BeZero())
+		Eventually(limiter.Open).Should(BeZero())
 	})
 
 	// Guards against headers whose fields take far more memory than their bytes.
 	It("refuses a header whose fields do not fit into memory before it is parsed", func() {
-		open(DoorOptions{Name: "test"}, 200<<10, func(http.ResponseWriter, *http.Request) { panic("the request was parsed") })
+		open(LimiterOptions{Name: "test"}, 200<<10, func(http.ResponseWriter, *http.Request) { panic("the request was parsed") })
 		refused := send(unfinished + strings.Repeat("a:\r\n", 3000) + "\r\n")
 		Expect(statusOf(refused)).To(Equal(503))
 		Expect(isClosed(refused)()).To(HaveOccurred())
@@ -319,7 +319,7 @@
 
 	// Guards against headers that clients do not finish, for lack of which others find no memory.
 	It("gives up a client that does not finish its header when others need the memory", func() {
-		open(DoorOptions{Name: "test"}, 64<<10, echo)
+		open(LimiterOptions{Name: "test"}, 64<<10, echo)
 		slow := send(unfinished)
 		Eventually(account.Held).ShouldNot(BeZero())
 		reservation := account.NewReservation("other")
@@ -327,14 +327,14 @@
 		Expect(reservation.Grow(memory.Request, 31<<10)).To(Succeed())
 		Expect(reservation.Grow(memory.Request, 1<<10)).To(Succeed())
 		Expect(isClosed(slow)()).To(HaveOccurred())
-		Expect(door.evictedForMemory.Load()).To(BeEquivalentTo(1))
+		Expect(limiter.evictedForMemory.Load()).To(BeEquivalentTo(1))
 	})
 
 	// Guards against a request that is ended for others although an engine may be running it.
 	It("does not give up a request that was read completely, and refuses one that was given up", func() {
 		results := make(chan bool, 2)
 		evictFirst := false
-		open(DoorOptions{Name: "test"}, 64<<10, func(_ http.ResponseWriter, request *http.Request) {
+		open(LimiterOptions{Name: "test"}, 64<<10, func(_ http.ResponseWriter, request *http.Request) {
 			caller := FromContext(request.Context())
 			if evictFirst {
 				Expect(caller.evict()).To(BeTrue())
@@ -353,26 +353,26 @@
 	})
 
 	// Guards against many large headers or bodies that keep the processor from ordinary requests.
-	It("lets large headers, large bodies and requests sent ahead wait for their turn, and others not", func() {
-		open(DoorOptions{Name: "test"}, 1<<20, echo)
-		for range concurrentTurns {
-			group.turns <- struct{}{}
+	It("lets large headers, large bodies and requests sent ahead wait for a bulk slot, and others not", func() {
+		open(LimiterOptions{Name: "test"}, 1<<20, echo)
+		for range maxBulkSlots {
+			group.bulkSlots <- struct{}{}
 		}
 		header := send(unfinished + strings.Repeat("a:\r\n", cheapFields+1) + "\r\n")
-		Eventually(group.waitedTurns.Load).Should(BeEquivalentTo(1))
+		Eventually(group.bulkWaits.Load).Should(BeEquivalentTo(1))
 		body := send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 2*bulkBytes) + strings.Repeat("x", 2*bulkBytes))
-		Eventually(group.waitedTurns.Load).Should(BeEquivalentTo(2))
+		Eventually(group.bulkWaits.Load).Should(BeEquivalentTo(2))
 		ahead := send(strings.Repeat(small, 3))
-		Eventually(group.waitedTurns.Load).Should(BeEquivalentTo(3))
+		Eventually(group.bulkWaits.Load).Should(BeEquivalentTo(3))
 		Expect(statusOf(ahead)).To(Equal(200), "the first request is not sent ahead")
 		Expect(statusOf(send(small))).To(Equal(200))
 		Expect(statusOf(send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"))).To(Equal(200))
-		for range concurrentTurns {
-			<-group.turns
+		for range maxBulkSlots {
+			<-group.bulkSlots
 		}
 		for _, each := range []net.Conn{header, body} {
 			Expect(statusOf(each)).To(Equal(200))
 		}
-		Eventually(func() int { return len(group.turns) }).Should(BeZero())
+		Eventually(func() int { return len(group.bulkSlots) }).Should(BeZero())
 	})
 })
--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -22,7 +22,7 @@
 type Options struct {
 	GatewayBinary string
 	Machine       Machine
-	Door          Door
+	Endpoint      Endpoint
 	Clients       []Client      // clients that do not behave, all at once; none: calm
 	Duration      time.Duration // how long they are played
 	Callers       int           // ordinary callers; 0: defaultCallers
@@ -100,7 +100,7 @@
 	const settleTime = 500 * time.Millisecond
 	playing, stop := context.WithTimeout(ctx, options.Duration)
 	defer stop()
-	target := process.target(options.Door)
+	target := process.target(options.Endpoint)
 	var running sync.WaitGroup
 	for _, each := range options.Clients {
 		for number := range each.Count {
--- a/internal/lab/abuse/largest.go
+++ b/internal/lab/abuse/largest.go
@@ -18,10 +18,10 @@
 // one after the other, without other load. It returns the statuses by the name of the request, 0 for
 // none, and the peak of the process's memory in bytes.
 func RunLargest(ctx context.Context, binary string, machine Machine) (statuses map[string]int, peakMemory int64, err error) {
-	options := Options{GatewayBinary: binary, Machine: machine, Door: DoorRoute}
+	options := Options{GatewayBinary: binary, Machine: machine, Endpoint: EndpointRoute}
 	statuses = map[string]int{}
 	_, err = withProcess(ctx, options, func(p *process) {
-		to := p.target(DoorRoute)
+		to := p.target(EndpointRoute)
 		for _, each := range largestRequests(to) {
 			statuses[each.name] = sendLargest(ctx, to, each)
 		}
--- a/internal/lab/abuse/process.go
+++ b/internal/lab/abuse/process.go
@@ -20,20 +20,22 @@
 	"github.com/thymeloft/thymeloft/internal/server"
 )
 
-// Door is a listener of the gateway and a path there.
-type Door string
+// Endpoint is a listener of the gateway and a path there.
+type Endpoint string
 
-// The doors of a gateway.
+// The endpoints of a gateway.
 const (
-	DoorRoute   Door = "a route"
-	DoorNoRoute Door = "a path without a route"
-	DoorReady   Door = "ready"
-	DoorMetrics Door = "metrics"
-	DoorPeers   Door = "peers"
+	EndpointRoute   Endpoint = "a route"
+	EndpointNoRoute Endpoint = "a path without a route"
+	EndpointReady   Endpoint = "ready"
+	EndpointMetrics Endpoint = "metrics"
+	EndpointPeers   Endpoint = "peers"
 )
 
-// Doors returns all doors.
-func Doors() []Door { return []Door{DoorRoute, DoorNoRoute, DoorReady, DoorMetrics, DoorPeers} }
+// Endpoints returns all endpoints.
+func Endpoints() []Endpoint {
+	return []Endpoint{EndpointRoute, EndpointNoRoute, EndpointReady, EndpointMetrics, EndpointPeers}
+}
 
 // target is where clients that do not behave send their requests.
 type target struct {
@@ -102,8 +104,8 @@
 
 // newSettings returns settings with free ports.
 func newSettings(machine Machine, store string) (server.Settings, error) {
-	const doors = 4
-	addresses := make([]string, doors)
+	const endpoints = 4
+	addresses := make([]string, endpoints)
 	for index := range addresses {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
@@ -191,15 +193,15 @@
 	}
 }
 
-func (p *process) target(door Door) target {
-	switch door {
-	case DoorNoRoute:
+func (p *process) target(endpoint Endpoint) target {
+	switch endpoint {
+	case EndpointNoRoute:
 		return target{host: ordinaryHost, address: p.listen.Callers, path: "/none/", largePath: "/none/"}
-	case DoorReady:
+	case EndpointReady:
 		return target{host: ordinaryHost, address: p.listen.Ready, path: "/api/ready", largePath: "/api/ready"}
-	case DoorMetrics:
+	case EndpointMetrics:
 		return target{host: ordinaryHost, address: p.listen.Metrics, path: "/metrics", largePath: "/metrics"}
-	case DoorPeers:
+	case EndpointPeers:
 		return target{host: ordinaryHost, address: p.listen.Peers, path: "/", largePath: "/"}
 	default:
 		return target{host: ordinaryHost, address: p.listen.Callers, path: pathAbused, largePath: pathLarge}
--- a/internal/lab/soak/abuse.go
+++ b/internal/lab/soak/abuse.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// playCrowds plays one to maxCrowdKinds kinds of clients at doors of gateways, all at the same time. The
+// playCrowds plays one to maxCrowdKinds kinds of clients at endpoints of gateways, all at the same time. The
 // clients use their connections until the gateway is gone.
 func (r *soakRun) playCrowds(ctx context.Context, random *rand.Rand) {
 	defer r.calm.beginFault()()
@@ -47,7 +47,7 @@
 	playing.Wait()
 }
 
-// drawCrowd draws a kind of client and a door. At a route only such kinds are played whose requests never
+// drawCrowd draws a kind of client and an endpoint. At a route only such kinds are played whose requests never
 // run, since the checks expect that engines run what callers have sent.
 func (r *soakRun) drawCrowd(random *rand.Rand) (abuse.Client, abuse.Target) {
 	kinds := abuse.Clients()
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -44,7 +44,7 @@
 	// MaxUnidentified limits the inbound connections whose preamble has not arrived yet. For a
 	// further one, the oldest of them is closed.
 	MaxUnidentified int
-	// Ingress is the group of the server's door; nil: one of its own.
+	// Ingress is the group of the server's connection limiter; nil: one of its own.
 	Ingress *ingress.Group
 	// MaxCallsPerConnection limits the open calls on one connection. At the limit,
 	// a pool rejects calls with ErrCongested, and a server stops reading requests.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,7 +38,7 @@
 	rpc        *rpc.Server
 	services   sync.Map // keys are the names of the registered services
 	statistics *statistics
-	door       *ingress.Door // bounds the connections whose preamble has not arrived
+	limiter    *ingress.Limiter // bounds the connections whose preamble has not arrived
 
 	mutex       sync.Mutex
 	connections map[*serverCodec]struct{}
@@ -66,7 +66,7 @@
 		listener:    listener,
 		rpc:         rpc.NewServer(),
 		statistics:  statistics,
-		door:        options.Ingress.NewDoor(ingress.DoorOptions{Name: "peers", MaxConnections: options.MaxUnidentified, IsEncrypted: true}),
+		limiter:     options.Ingress.NewLimiter(ingress.LimiterOptions{Name: "peers", MaxConnections: options.MaxUnidentified, IsEncrypted: true}),
 		connections: map[*serverCodec]struct{}{},
 	}
 	server.goroutines.Add(1)
@@ -143,7 +143,7 @@
 			_ = conn.Close()
 			continue
 		}
-		unidentified := s.door.Admit(conn, 0, 0)
+		unidentified := s.limiter.Admit(conn, 0, 0)
 		if unidentified == nil {
 			s.statistics.connections.Add(-1)
 			continue
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -62,8 +62,8 @@
 	if options.Limits.MaxHeaderBytes == 0 {
 		options.Limits.MaxHeaderBytes = http.DefaultMaxHeaderBytes
 	}
-	door := group.NewDoor(ingress.DoorOptions{Name: options.Name, MaxConnections: options.Limits.MaxConnections, IsEncrypted: options.TLS != nil})
-	listener = door.Listen(listener, options.Limits.HeaderTimeout, options.Limits.MaxHeaderBytes)
+	limiter := group.NewLimiter(ingress.LimiterOptions{Name: options.Name, MaxConnections: options.Limits.MaxConnections, IsEncrypted: options.TLS != nil})
+	listener = limiter.Listen(listener, options.Limits.HeaderTimeout, options.Limits.MaxHeaderBytes)
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
 	}
@@ -76,7 +76,7 @@
 			IdleTimeout:       options.Limits.IdleTimeout,
 			MaxHeaderBytes:    options.Limits.MaxHeaderBytes,
 			ErrorLog:          zap.NewStdLog(options.Log.Named(options.Name)),
-			ConnState:         door.OnStateChange,
+			ConnState:         limiter.OnStateChange,
 			ConnContext:       ingress.WithConn,
 		},
 	}, nil
--- a/internal/server/caller_server.go
+++ b/internal/server/caller_server.go
@@ -24,7 +24,7 @@
 	errors      *log.Logger
 	connections *callerConnections
 	buffers     *writebehind.Group // buffers responses to slow callers; nil disables it
-	door        *ingress.Door
+	limiter     *ingress.Limiter
 
 	mutex       sync.Mutex
 	limits      routetable.Limits
@@ -42,11 +42,11 @@
 	IdleTimeout:   15 * time.Second,
 }
 
-// newCallerServer starts to serve callers on the listener, through a door with at most maxConnections
-// connections; 0: no limit.
+// newCallerServer starts to serve callers on the listener, with at most maxConnections connections; 0: no
+// limit.
 func newCallerServer(listener net.Listener, handler http.Handler, buffers *writebehind.Group, group *ingress.Group, maxConnections int, errorLog *log.Logger) *callerServer {
 	s := &callerServer{listener: listener, errors: errorLog, connections: newCallerConnections(), buffers: buffers}
-	s.door = group.NewDoor(ingress.DoorOptions{Name: "callers", MaxConnections: maxConnections, CloseIdle: retireConnection})
+	s.limiter = group.NewLimiter(ingress.LimiterOptions{Name: "callers", MaxConnections: maxConnections, CloseIdle: retireConnection})
 	s.handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		response := &responseWriter{ResponseWriter: writer, request: request, connections: s.connections}
 		handler.ServeHTTP(response, request)
@@ -90,7 +90,7 @@
 
 // onStateChange is the http.Server.ConnState hook of all servers.
 func (s *callerServer) onStateChange(changed net.Conn, state http.ConnState) {
-	s.door.OnStateChange(changed, state)
+	s.limiter.OnStateChange(changed, state)
 	s.connections.onStateChange(changed, state)
 }
 
@@ -137,7 +137,7 @@
 		s.mutex.Lock()
 		current, limits := s.acceptQueue, s.limits
 		s.mutex.Unlock()
-		if admitted := s.door.Admit(newCallerConnection(accepted, s.buffers), limits.HeaderTimeout, limits.HeaderBytes); admitted != nil {
+		if admitted := s.limiter.Admit(newCallerConnection(accepted, s.buffers), limits.HeaderTimeout, limits.HeaderBytes); admitted != nil {
 			current.deliver(admitted)
 		}
 	}
--- a/test/abuse/abuse_test.go
+++ b/test/abuse/abuse_test.go
@@ -32,8 +32,8 @@
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
 
-// play plays the clients at the door of two gateways at the same time, one on each machine.
-func play(ctx SpecContext, door abuse.Door, clients []abuse.Client) {
+// play plays the clients at the endpoint of two gateways at the same time, one on each machine.
+func play(ctx SpecContext, endpoint abuse.Endpoint, clients []abuse.Client) {
 	GinkgoHelper()
 	const duration = 2 * time.Second
 	machines := []abuse.Machine{smallest, largest}
@@ -42,7 +42,7 @@
 	for index, machine := range machines {
 		playing.Go(func() {
 			reports[index], failures[index] = abuse.Run(ctx, abuse.Options{
-				GatewayBinary: gatewayBinary, Machine: machine, Door: door, Clients: clients, Duration: duration,
+				GatewayBinary: gatewayBinary, Machine: machine, Endpoint: endpoint, Clients: clients, Duration: duration,
 			})
 		})
 	}
@@ -57,14 +57,14 @@
 // Guards against clients that end or hang a gateway, take more memory than its machine has, or leave
 // ordinary callers unserved.
 var _ = Describe("a gateway stays within its memory and serves ordinary callers", func() {
-	for _, door := range abuse.Doors() {
+	for _, endpoint := range abuse.Endpoints() {
 		for _, client := range abuse.Clients() {
-			It(fmt.Sprintf("beside %s at %s", client.Name, door), func(ctx SpecContext) {
-				play(ctx, door, []abuse.Client{client})
+			It(fmt.Sprintf("beside %s at %s", client.Name, endpoint), func(ctx SpecContext) {
+				play(ctx, endpoint, []abuse.Client{client})
 			})
 		}
-		It(fmt.Sprintf("beside all kinds of such clients at once at %s", door), func(ctx SpecContext) {
-			play(ctx, door, abuse.Mixed(abuse.Clients()))
+		It(fmt.Sprintf("beside all kinds of such clients at once at %s", endpoint), func(ctx SpecContext) {
+			play(ctx, endpoint, abuse.Mixed(abuse.Clients()))
 		})
 	}
 })
