Memory: what one large request needs on a small machine doesn't enlarge the rest

Cause: the share for requests of the largest size was added for all kinds and, through its half, for conversations that are loaded.

Change: buffers of bodies grow fourfold from 256 KB on, so that a body of 4 MiB takes 5 MB while it grows, and not 6; 12 MB may be held at least.

--- a/internal/gateway/input.go
+++ b/internal/gateway/input.go
@@ -89,7 +89,7 @@
 			return buffer, ignoreEnd(err)
 		}
 		oldSize := size
-		size = 2 * oldSize
+		size = growth(oldSize) * oldSize
 		if length >= 0 {
 			size = min(size, length+extraByte)
 		}
@@ -101,6 +101,16 @@
 	}
 }
 
+// growth returns the factor by which a buffer of this size grows. Since both are held while the content
+// is copied, large buffers grow in few steps.
+func growth(size int64) int64 {
+	const small = 256 << 10
+	if size < small {
+		return 2
+	}
+	return 4
+}
+
 // fill reads into buffer until it is full or body returns an error, which may be io.EOF.
 func fill(body io.Reader, buffer *[]byte) error {
 	for len(*buffer) < cap(*buffer) {
--- a/internal/memory/limits.go
+++ b/internal/memory/limits.go
@@ -1,12 +1,15 @@
 package memory
 
-// Limits holds the limits derived from the size of a machine's memory. MemoryLimit and
-// MaxHeldBytes are in bytes; 0 means no limit.
+// Limits holds the limits derived from the size of a machine's memory. MemoryLimit, MaxHeldBytes and
+// MaxCopyBytes are in bytes; 0 means no limit.
 type Limits struct {
 	// MemoryLimit is the soft memory limit of the Go runtime.
 	MemoryLimit int64
 	// MaxHeldBytes is the limit for bytes held for callers.
 	MaxHeldBytes int64
+	// MaxCopyBytes is the limit for the copies made while conversations are loaded or stored whole, in
+	// addition to MaxHeldBytes.
+	MaxCopyBytes int64
 	// GCPercent is the garbage collection target in percent, as in GOGC; 0 retains the runtime's
 	// default.
 	GCPercent int
@@ -33,9 +36,13 @@
 	gcPercent = 50
 	// minRuntimeBytes lets a small machine serve at least a few requests.
 	minRuntimeBytes = 32 * megabyte
-	// minHeldBytes lets a small machine serve a request of the largest size, with a body of 4 MiB. While the
-	// length of the body is not known, its buffer is held one and a half times, and one owner gets half.
-	minHeldBytes = 15 * megabyte
+	// minHeldBytes lets a small machine serve a request of the largest size, with a body of 4 MiB. While its
+	// buffer grows, a smaller one is held too, and one owner gets half.
+	minHeldBytes = 12 * megabyte
+	// copyDivisor limits the copies of conversations to 1/copyDivisor of what may be held for callers.
+	copyDivisor = 2
+	// minCopyBytes is the least that is left for them.
+	minCopyBytes = 4 * megabyte
 )
 
 // LimitsFor returns the limits for a machine with this memory in megabytes. If machineMB is 0 or
@@ -46,5 +53,9 @@
 	}
 	machineBytes := int64(machineMB) * megabyte
 	runtimeBytes := max(machineBytes-machineBytes/kernelDivisor-nonRuntimeBytes, minRuntimeBytes)
-	return Limits{MemoryLimit: runtimeBytes, MaxHeldBytes: max((runtimeBytes-processLiveBytes)/heapFactor, minHeldBytes), GCPercent: gcPercent}
+	heldBytes := (runtimeBytes - processLiveBytes) / heapFactor
+	return Limits{
+		MemoryLimit: runtimeBytes, MaxHeldBytes: max(heldBytes, minHeldBytes), MaxCopyBytes: max(heldBytes/copyDivisor, minCopyBytes),
+		GCPercent: gcPercent,
+	}
 }
--- a/internal/server/components.go
+++ b/internal/server/components.go
@@ -16,6 +16,7 @@
 	"github.com/thymeloft/thymeloft/internal/load"
 	"github.com/thymeloft/thymeloft/internal/mechanism"
 	"github.com/thymeloft/thymeloft/internal/members"
+	"github.com/thymeloft/thymeloft/internal/memory"
 	"github.com/thymeloft/thymeloft/internal/origin"
 	"github.com/thymeloft/thymeloft/internal/peer"
 	"github.com/thymeloft/thymeloft/internal/piece"
@@ -133,7 +134,7 @@
 	c.budgets.LocalOnly = disabled.Has(mechanism.SharedBudgets)
 	c.turns = turn.NewRepository(turn.Options{
 		Store: c.client, MaxRowBytes: s.Settings.Store.RowBytes, MaxCacheEntries: maxCachedTurns, CacheIdleTimeout: maxCachedTurnAge,
-		MaxCacheBytes: maxCachedTurnBytes, MaxPieceCacheBytes: maxCachedPieceBytes, MaxCopyBytes: s.memory.Limit() / copyMemoryDivisor, Log: s.Log,
+		MaxCacheBytes: maxCachedTurnBytes, MaxPieceCacheBytes: maxCachedPieceBytes, MaxCopyBytes: memory.LimitsFor(s.Settings.MemoryMB).MaxCopyBytes, Log: s.Log,
 		Now: time.Now, RemovalQueue: c.removalQueue, Peers: &turn.Peers{List: c.members, PeerClient: c.peerPool, Log: s.Log},
 	})
 	c.loads = &load.Exchange{List: c.members, PeerClient: c.peerPool, Board: load.NewBoard(time.Now), Fleet: s.fleet, Log: s.Log}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -75,9 +75,6 @@
 	// maxCachedTurns recent ones and the earlier turns that they continue.
 	maxCachedTurnBytes  = 12 << 20
 	maxCachedPieceBytes = 4 << 20
-	// copyMemoryDivisor limits the copies made while conversations are loaded or stored whole to
-	// 1/copyMemoryDivisor of the bytes that may be held for callers, in addition to these.
-	copyMemoryDivisor   = 2
 	maxLedgerPrograms   = 8192
 	maxLedgerProgramAge = 3 * time.Minute
 )
