Endpoints: a request that was read completely doesn't give way

Cause: an endpoint's handlers don't say when they have read the whole request, so that it counted as waiting for its client until it was answered. Found by reading the whole change.

Change: endpoints say so at the end of the body, or at once without one (TrackInput).

Evidence: "does not end a request in progress for a new connection" fails without it.

--- a/internal/ingress/limiter.go
+++ b/internal/ingress/limiter.go
@@ -71,12 +71,12 @@
 // Admit wraps a connection that was accepted. headerTimeout is the time for a header from its first
 // byte; maxHeaderBytes is its largest size. Admit closes the connection and returns nil if the limiter is
 // full and no other connection gives way.
-func (d *Limiter) Admit(accepted net.Conn, headerTimeout time.Duration, maxHeaderBytes int) *Conn {
-	conn := &Conn{Conn: accepted, limiter: d, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes, isReadingHeader: !d.options.IsEncrypted}
-	if !d.add(conn) {
-		d.refused.Add(1)
-		d.group.logClosed("ingress: new connection closed because too many are open.", zap.String("listener", d.name),
-			zap.Int("open", d.options.MaxConnections), zap.Int64("soFar", d.refused.Load()))
+func (l *Limiter) Admit(accepted net.Conn, headerTimeout time.Duration, maxHeaderBytes int) *Conn {
+	conn := &Conn{Conn: accepted, limiter: l, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes, isReadingHeader: !l.options.IsEncrypted}
+	if !l.add(conn) {
+		l.refused.Add(1)
+		l.group.logClosed("ingress: new connection closed because too many are open.", zap.String("listener", l.name),
+			zap.Int("open", l.options.MaxConnections), zap.Int64("soFar", l.refused.Load()))
 		_ = accepted.Close()
 		return nil
 	}
@@ -91,9 +91,9 @@
 
 // add adds the connection in stateNew. If the limiter is full, another one gives way; add returns
 // false if none does.
-func (d *Limiter) add(conn *Conn) bool {
+func (l *Limiter) add(conn *Conn) bool {
 	for {
-		added, wait := d.tryAdd(conn)
+		added, wait := l.tryAdd(conn)
 		if wait <= 0 {
 			return added
 		}
@@ -104,16 +104,16 @@
 // tryAdd is like add, but returns how long to wait if the connection that would give way is younger
 // than minAge, or was never read. Its request may have arrived already; further connections wait in the
 // kernel's backlog meanwhile.
-func (d *Limiter) tryAdd(conn *Conn) (added bool, wait time.Duration) {
+func (l *Limiter) tryAdd(conn *Conn) (added bool, wait time.Duration) {
 	now := time.Now()
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.options.MaxConnections <= 0 || d.open < d.options.MaxConnections {
-		d.open++
-		d.enter(conn, stateNew, now)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.options.MaxConnections <= 0 || l.open < l.options.MaxConnections {
+		l.open++
+		l.enter(conn, stateNew, now)
 		return true, 0
 	}
-	victim := d.pickVictim(now)
+	victim := l.pickVictim(now)
 	if victim == nil {
 		return false, 0
 	}
@@ -123,20 +123,20 @@
 	if !victim.wasRead.Load() {
 		return false, readPollInterval
 	}
-	d.leave(victim)
+	l.leave(victim)
 	victim.uncounted = true
-	d.enter(conn, stateNew, now)
-	go d.giveWay(victim, victim.state)
+	l.enter(conn, stateNew, now)
+	go l.giveWay(victim, victim.state)
 	return true, 0
 }
 
 // giveWay closes a connection that has given way to another one.
-func (d *Limiter) giveWay(victim *Conn, state connState) {
-	total := d.evicted[state].Add(1)
-	d.group.logClosed("ingress: connection closed for a new one because too many are open.", zap.String("listener", d.name),
+func (l *Limiter) giveWay(victim *Conn, state connState) {
+	total := l.evicted[state].Add(1)
+	l.group.logClosed("ingress: connection closed for a new one because too many are open.", zap.String("listener", l.name),
 		zap.Stringer("client", victim.RemoteAddr()), zap.Stringer("waitedFor", state), zap.Int64("soFar", total))
 	if state == stateIdle {
-		d.options.CloseIdle(victim.Conn)
+		l.options.CloseIdle(victim.Conn)
 		return
 	}
 	victim.evict()
@@ -148,16 +148,16 @@
 
 // pickVictim returns the connection that gives way to a new one, or nil: the oldest one in the state
 // that most of the connections are in, since a crowd does the same thing everywhere. If most wait for
-// answers, those that were used shortly before are kept. d.mutex must be held.
-func (d *Limiter) pickVictim(now time.Time) *Conn {
-	crowded, listed := &d.lists[stateIdle], 0
-	for index := range d.lists {
-		listed += d.lists[index].length
-		if d.lists[index].length > crowded.length {
-			crowded = &d.lists[index]
+// answers, those that were used shortly before are kept. l.mutex must be held.
+func (l *Limiter) pickVictim(now time.Time) *Conn {
+	crowded, listed := &l.lists[stateIdle], 0
+	for index := range l.lists {
+		listed += l.lists[index].length
+		if l.lists[index].length > crowded.length {
+			crowded = &l.lists[index]
 		}
 	}
-	oldest, serving := crowded.first, d.open-listed
+	oldest, serving := crowded.first, l.open-listed
 	if oldest != nil && crowded.length < serving && now.Sub(oldest.since) < minWait {
 		return nil
 	}
@@ -166,11 +166,11 @@
 
 // largestDebt returns the connection that waits for its client with the largest product of accounted
 // bytes and time.
-func (d *Limiter) largestDebt(now time.Time) (largest *Conn, debt float64) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+func (l *Limiter) largestDebt(now time.Time) (largest *Conn, debt float64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	for _, state := range []connState{stateHeader, stateInput} {
-		for conn := d.lists[state].first; conn != nil; conn = conn.next {
+		for conn := l.lists[state].first; conn != nil; conn = conn.next {
 			owed := float64(conn.reservedBytes()) * now.Sub(conn.since).Seconds()
 			if owed > debt && !conn.isEvicted() {
 				largest, debt = conn, owed
@@ -181,7 +181,7 @@
 }
 
 // OnStateChange is the http.Server.ConnState hook.
-func (d *Limiter) OnStateChange(changed net.Conn, state http.ConnState) {
+func (l *Limiter) OnStateChange(changed net.Conn, state http.ConnState) {
 	conn := FromConn(changed)
 	if conn == nil {
 		return
@@ -189,60 +189,60 @@
 	switch state {
 	case http.StateActive:
 		conn.endHeader()
-		d.move(conn, stateInput)
+		l.move(conn, stateInput)
 	case http.StateIdle:
 		conn.endRequest()
-		d.move(conn, stateIdle)
+		l.move(conn, stateIdle)
 	case http.StateClosed, http.StateHijacked:
 		conn.end()
-		d.remove(conn)
+		l.remove(conn)
 	}
 }
 
 // move puts the connection into a state. A connection that is no longer counted is closed when it is idle.
-func (d *Limiter) move(conn *Conn, state connState) {
-	if d.tryMove(conn, state) || state != stateIdle {
+func (l *Limiter) move(conn *Conn, state connState) {
+	if l.tryMove(conn, state) || state != stateIdle {
 		return
 	}
-	d.options.CloseIdle(conn.Conn) // it was to give way when a request arrived on it
+	l.options.CloseIdle(conn.Conn) // it was to give way when a request arrived on it
 }
 
 // tryMove puts the connection into a state, unless it is no longer counted.
-func (d *Limiter) tryMove(conn *Conn, state connState) bool {
+func (l *Limiter) tryMove(conn *Conn, state connState) bool {
 	now := time.Now()
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	if conn.uncounted {
 		return false
 	}
-	d.leave(conn)
-	d.enter(conn, state, now)
+	l.leave(conn)
+	l.enter(conn, state, now)
 	return true
 }
 
-func (d *Limiter) remove(conn *Conn) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+func (l *Limiter) remove(conn *Conn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	if conn.uncounted {
 		return
 	}
 	conn.uncounted = true
-	d.leave(conn)
-	d.open--
+	l.leave(conn)
+	l.open--
 }
 
-// enter puts the connection at the end of the list of its new state. d.mutex must be held.
-func (d *Limiter) enter(conn *Conn, state connState, now time.Time) {
+// enter puts the connection at the end of the list of its new state. l.mutex must be held.
+func (l *Limiter) enter(conn *Conn, state connState, now time.Time) {
 	conn.state, conn.since = state, now
 	if state != stateServing {
-		d.lists[state].append(conn)
+		l.lists[state].append(conn)
 	}
 }
 
-// leave takes the connection out of its list. d.mutex must be held.
-func (d *Limiter) leave(conn *Conn) {
+// leave takes the connection out of its list. l.mutex must be held.
+func (l *Limiter) leave(conn *Conn) {
 	if conn.state != stateServing {
-		d.lists[conn.state].remove(conn)
+		l.lists[conn.state].remove(conn)
 	}
 }
 
@@ -287,8 +287,8 @@
 }
 
 // Listen returns a listener whose connections the limiter bounds. See Admit.
-func (d *Limiter) Listen(inner net.Listener, headerTimeout time.Duration, maxHeaderBytes int) net.Listener {
-	return &listener{Listener: inner, limiter: d, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes}
+func (l *Limiter) Listen(inner net.Listener, headerTimeout time.Duration, maxHeaderBytes int) net.Listener {
+	return &listener{Listener: inner, limiter: l, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes}
 }
 
 // Accept implements net.Listener.
--- a/internal/process/endpoint.go
+++ b/internal/process/endpoint.go
@@ -88,7 +88,7 @@
 // Serve passes requests to the handler. It returns nil after Shutdown or Close, and
 // otherwise the error for which it ended. It must be called only once.
 func (e *Endpoint) Serve(handler http.Handler) error {
-	e.server.Handler = handler
+	e.server.Handler = ingress.TrackInput(handler)
 	err := e.server.Serve(e.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -74,6 +77,52 @@
 		Eventually(ctx, ended).Should(Receive(BeNil()))
 	})
 
+	// Guards against requests that are canceled in the middle of their work for a new connection.
+	It("does not end a request in progress for a new connection", func() {
+		hold := make(chan struct{})
+		begun := make(chan struct{}, 1)
+		opened, err := process.Listen(process.EndpointOptions{
+			Name: "test", Address: "127.0.0.1:0", Limits: process.EndpointLimits{MaxConnections: 1}, Log: zap.NewNop(),
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(opened.Close)
+		go func() {
+			_ = opened.Serve(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				begun <- struct{}{}
+				select {
+				case <-hold:
+				case <-request.Context().Done():
+					panic(http.ErrAbortHandler)
+				}
+			}))
+		}()
+		for _, body := range []string{"", "body"} {
+			statuses := make(chan int, 1)
+			go func() {
+				response, err := http.Post("http://"+opened.Address(), "text/plain", strings.NewReader(body))
+				if err != nil {
+					statuses <- 0
+					return
+				}
+				_ = response.Body.Close()
+				statuses <- response.StatusCode
+			}()
+			Eventually(begun).Should(Receive())
+			for range 3 {
+				further, err := net.Dial("tcp4", opened.Address())
+				Expect(err).NotTo(HaveOccurred())
+				DeferCleanup(further.Close)
+				Expect(further.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+				_, err = further.Read(make([]byte, 1))
+				Expect(err).To(HaveOccurred())
+			}
+			Expect(statuses).NotTo(Receive())
+			hold <- struct{}{}
+			Eventually(statuses).Should(Receive(Equal(200)))
+		}
+	})
+
 	It("returns an error with its name if it cannot listen at the address", func() {
 		_, err := process.Listen(process.EndpointOptions{Name: "test", Address: "nowhere", Log: zap.NewNop()})
 		Expect(err).To(MatchError(ContainSubstring("listen for test at nowhere")))
