--- a/internal/lab/abuse/process.go
+++ b/internal/lab/abuse/process.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -61,10 +60,7 @@
 
 // startProcess starts the gateway on one processor core.
 func startProcess(options Options, world *world, directory string) (*process, error) {
-	settings, err := newSettings(options.Machine, world.store.Listener.Addr().String())
-	if err != nil {
-		return nil, err
-	}
+	settings := newSettings(options.Machine, world.store.Listener.Addr().String())
 	content, err := yaml.Marshal(settings)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode settings")
@@ -102,24 +98,32 @@
 	return fmt.Sprintf("ulimit -n %d && ", machine.Descriptors)
 }
 
-// newSettings returns settings with free ports.
-func newSettings(machine Machine, store string) (server.Settings, error) {
-	const endpoints = 4
-	addresses := make([]string, endpoints)
-	for index := range addresses {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return server.Settings{}, eris.Wrap(err, "find a free port")
-		}
-		defer func() { _ = listener.Close() }()
-		addresses[index] = listener.Addr().String()
+// Ports of a gateway. Each gateway has a loopback address of its own, so that no connection of a client
+// takes one of them.
+const (
+	portCallers = 8080 + iota
+	portReady
+	portPeers
+	portMetrics
+)
+
+// startedGateways numbers the gateways of this process.
+var startedGateways atomic.Int32
+
+// newSettings returns settings with a loopback address that contains bits of the identifier of this
+// process and the number of the gateway.
+func newSettings(machine Machine, store string) server.Settings {
+	const byteMask = 0xff
+	processID, number := os.Getpid(), startedGateways.Add(1)
+	at := func(port int) string {
+		return fmt.Sprintf("127.%d.%d.%d:%d", 64+(processID>>8)&0x3f, processID&byteMask, 1+number%250, port)
 	}
 	return server.Settings{
 		Machine: "m1", Zone: "z", MemoryMB: machine.MemoryMB, FirstStart: true,
-		Listen:       server.ListenSettings{Callers: addresses[0], Ready: addresses[1], Peers: addresses[2], Metrics: addresses[3]},
+		Listen:       server.ListenSettings{Callers: at(portCallers), Ready: at(portReady), Peers: at(portPeers), Metrics: at(portMetrics)},
 		Store:        server.StoreSettings{Address: store, RowBytes: 65536},
 		GraceSeconds: 8, DrainMillis: 2000, ContactMillis: 3000, LogSuccessesPerSecond: 200,
-	}, nil
+	}
 }
 
 // watchMemory records the peak of the resident memory, and kills the process when it exceeds limit.
