Abuse: engines write large answers in pieces

Seen: test/abuse was ended by the system at its 51st spec, twice, for lack of memory: 23.7 GB. Each engine's answer of 8 MB was a string of its own, and 1,600 of them waited for callers that don't read; without kernel buffers of megabytes they wait longer. Pieces of one shared string take nothing.

--- a/internal/lab/abuse/world.go
+++ b/internal/lab/abuse/world.go
@@ -108,11 +108,15 @@
 	time.Sleep(engineTime)
 	writer.Header().Set("Server-Stamp", "s."+id)
 	writer.Header().Set("Request-Id", requestID)
-	content := "done\n"
-	if strings.HasPrefix(request.URL.Path, pathLarge) {
-		content = strings.Repeat("x", largeAnswer)
+	if !strings.HasPrefix(request.URL.Path, pathLarge) {
+		_, _ = io.WriteString(writer, "done\n") // fails if the gateway gave the request up
+		return
+	}
+	for range largeAnswer / bodyPieceBytes {
+		if _, err := io.WriteString(writer, bodyPiece); err != nil {
+			return // the gateway gave the request up
+		}
 	}
-	_, _ = io.WriteString(writer, content) // fails if the gateway gave the request up
 }
 
 // noteRefusal records a refusal that promises that the request did not run.
