Ingress: a request that has arrived and was not read doesn't give way

Cause, a first one: connections give way because they "wait for their clients", and that was told from their age in a state and from whether their goroutine had begun to read. On a busy core the bytes of a request lie in the kernel's buffer for longer than that: the process owes the client, not the client the process. The same holds for requests that are given up for memory.

Change: before a connection gives way, the kernel is asked whether unread bytes of it are there (peek, only on the path of an eviction). Such a connection keeps its place for at most two seconds, and not while the client has bulk input, which always has unread bytes. Two wrappers tell the connection that they wrap.

Evidence: three specs, which fail without the look at unread bytes (checked on a copy); one fails without its bound.

--- a/internal/ingress/bulk.go
+++ b/internal/ingress/bulk.go
@@ -6,6 +6,7 @@
 // each other would keep the runtime's local run queue full, from which it prefers to run; Gosched lets
 // the goroutines that wait for the processor elsewhere go first.
 func (c *Conn) takeBulkSlot() {
+	c.isBulk.Store(true)
 	if c.hasBulkSlot.Load() {
 		return
 	}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -34,6 +34,7 @@
 	hasBulkSlot     atomic.Bool // also used while a handler writes
 
 	wasRead atomic.Bool // its goroutine has begun to read
+	isBulk  atomic.Bool // reading the header or body in progress needs a bulk slot
 
 	mutex          sync.Mutex
 	deadline       time.Time           // as set by SetReadDeadline
@@ -131,6 +132,7 @@
 // endHeader records that the header was parsed.
 func (c *Conn) endHeader() {
 	c.releaseBulkSlot()
+	c.isBulk.Store(false)
 	c.isReadingHeader = false
 	c.scanner = headerScanner{}
 	c.headerBytes = 0
@@ -140,6 +142,7 @@
 // endRequest records that the request was answered, and releases what was reserved for its header.
 func (c *Conn) endRequest() {
 	c.releaseBulkSlot()
+	c.isBulk.Store(false)
 	c.isReadingHeader = !c.limiter.options.IsEncrypted
 	c.isAhead = len(c.staged) > 0
 	c.scanner = headerScanner{}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -56,27 +56,3 @@
 	}
 	g.log.Warn(message, fields...)
 }
-
-// evictLargest ends the request that owes most among those which wait for their clients, and releases
-// the memory that is accounted for it. It returns false if there is none.
-func (g *Group) evictLargest() bool {
-	g.mutex.Lock()
-	limiters := g.limiters
-	g.mutex.Unlock()
-	now := time.Now()
-	var largest *Conn
-	var largestDebt float64
-	for _, limiter := range limiters {
-		candidate, debt := limiter.largestDebt(now)
-		if candidate != nil && debt > largestDebt {
-			largest, largestDebt = candidate, debt
-		}
-	}
-	if largest == nil || !largest.evict() {
-		return false
-	}
-	largest.limiter.evictedForMemory.Add(1)
-	g.logClosed("ingress: connection closed to make room in memory.", zap.String("listener", largest.limiter.name),
-		zap.Stringer("client", largest.RemoteAddr()), zap.Int64("soFar", largest.limiter.evictedForMemory.Load()))
-	return true
-}
--- a/internal/ingress/limiter.go
+++ b/internal/ingress/limiter.go
@@ -86,7 +86,7 @@
 // minAge is how long a connection stays in a state at least before it gives way.
 const minAge = 100 * time.Millisecond
 
-// readPollInterval is the time after which it is looked up again whether the oldest connection was read.
+// readPollInterval is the time after which it is looked up again whether connections were read.
 const readPollInterval = time.Millisecond
 
 // add adds the connection in stateNew. If the limiter is full, another one gives way; add returns
@@ -101,9 +101,8 @@
 	}
 }
 
-// tryAdd is like add, but returns how long to wait if the connection that would give way is younger
-// than minAge, or was never read. Its request may have arrived already; further connections wait in the
-// kernel's backlog meanwhile.
+// tryAdd is like add, but returns how long to wait if the connections that would give way are younger
+// than minAge, or wait for this process. Further connections wait in the kernel's backlog meanwhile.
 func (l *Limiter) tryAdd(conn *Conn) (added bool, wait time.Duration) {
 	now := time.Now()
 	l.mutex.Lock()
@@ -113,15 +112,9 @@
 		l.enter(conn, stateNew, now)
 		return true, 0
 	}
-	victim := l.pickVictim(now)
+	victim, wait := l.pickVictim(now)
 	if victim == nil {
-		return false, 0
-	}
-	if age := now.Sub(victim.since); age < minAge {
-		return false, minAge - age
-	}
-	if !victim.wasRead.Load() {
-		return false, readPollInterval
+		return false, wait
 	}
 	l.leave(victim)
 	victim.uncounted = true
@@ -146,10 +139,36 @@
 // connections wait for answers.
 const minWait = time.Second
 
-// pickVictim returns the connection that gives way to a new one, or nil: the oldest one in the state
-// that most of the connections are in, since a crowd does the same thing everywhere. If most wait for
-// answers, those that were used shortly before are kept. l.mutex must be held.
-func (l *Limiter) pickVictim(now time.Time) *Conn {
+// maxCandidates is how many connections are examined until one is found that gives way.
+const maxCandidates = 8
+
+// pickVictim returns the connection that gives way to a new one: the oldest one in the crowded state that
+// waits for its client. If there is none, it returns how long to wait for one; 0: there won't be one soon.
+// l.mutex must be held.
+func (l *Limiter) pickVictim(now time.Time) (victim *Conn, wait time.Duration) {
+	candidate := l.oldestOfCrowd(now)
+	if candidate == nil {
+		return nil, 0
+	}
+	for range maxCandidates {
+		if candidate == nil {
+			break
+		}
+		if age := now.Sub(candidate.since); age < minAge {
+			return nil, minAge - age
+		}
+		if !candidate.waitsForProcess(candidate.since, now) {
+			return candidate, 0
+		}
+		candidate = candidate.next
+	}
+	return nil, readPollInterval
+}
+
+// oldestOfCrowd returns the oldest connection in the state that most of the connections are in, since a
+// crowd does the same thing everywhere. If most wait for answers, those that were used shortly before are
+// kept, and it returns nil. l.mutex must be held.
+func (l *Limiter) oldestOfCrowd(now time.Time) *Conn {
 	crowded, listed := &l.lists[stateIdle], 0
 	for index := range l.lists {
 		listed += l.lists[index].length
@@ -164,22 +183,6 @@
 	return oldest
 }
 
-// largestDebt returns the connection that waits for its client with the largest product of accounted
-// bytes and time.
-func (l *Limiter) largestDebt(now time.Time) (largest *Conn, debt float64) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for _, state := range []connState{stateHeader, stateInput} {
-		for conn := l.lists[state].first; conn != nil; conn = conn.next {
-			owed := float64(conn.reservedBytes()) * now.Sub(conn.since).Seconds()
-			if owed > debt && !conn.isEvicted() {
-				largest, debt = conn, owed
-			}
-		}
-	}
-	return largest, debt
-}
-
 // OnStateChange is the http.Server.ConnState hook.
 func (l *Limiter) OnStateChange(changed net.Conn, state http.ConnState) {
 	conn := FromConn(changed)
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -209,6 +209,21 @@
 			return limiter.lists[state].length
 		}
 	}
+	// admit opens a connection through the limiter that no server reads.
+	admit := func(to *Limiter) (admitted *Conn, client net.Conn) {
+		GinkgoHelper()
+		opened, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = opened.Close() }()
+		client, err = net.Dial("tcp4", opened.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(client.Close)
+		accepted, err := opened.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		admitted = to.Admit(accepted, time.Minute, testHeaderBytes)
+		DeferCleanup(admitted.Conn.Close)
+		return admitted, client
+	}
 	const small = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	const unfinished = "GET / HTTP/1.1\r\nHost: h\r\n"
 
@@ -281,6 +296,62 @@
 		Eventually(first.isEvicted).Should(BeTrue())
 	})
 
+	// Guards against ordinary requests that are cut off because a busy process has not read them yet.
+	It("keeps a connection whose request has arrived and was not read", func() {
+		open(LimiterOptions{Name: "test"}, 1<<20, echo)
+		narrow := group.NewLimiter(LimiterOptions{Name: "narrow", MaxConnections: 1})
+		first, client := admit(narrow)
+		_, err := io.WriteString(client, small)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = first.Conn.Read(make([]byte, 1))
+		Expect(err).NotTo(HaveOccurred())
+		first.wasRead.Store(true)
+		admitted := make(chan *Conn, 1)
+		go func() {
+			further, _ := net.Pipe()
+			admitted <- narrow.Admit(further, time.Minute, testHeaderBytes)
+		}()
+		Consistently(admitted, 3*minAge).ShouldNot(Receive())
+		_, err = first.Conn.Read(make([]byte, len(small)))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(admitted).Should(Receive(Not(BeNil())))
+		Expect(first.isEvicted()).To(BeTrue())
+	})
+
+	// Guards against clients that keep others out by bytes which no handler reads.
+	It("doesn't keep a connection for longer because of unread bytes", func() {
+		open(LimiterOptions{Name: "test"}, 1<<20, echo)
+		first, client := admit(group.NewLimiter(LimiterOptions{Name: "narrow", MaxConnections: 1}))
+		_, err := io.WriteString(client, small)
+		Expect(err).NotTo(HaveOccurred())
+		first.wasRead.Store(true)
+		entered := time.Now()
+		Eventually(func() bool { return first.waitsForProcess(entered, entered) }).Should(BeTrue())
+		Expect(first.waitsForProcess(entered, entered.Add(maxUnreadWait+1))).To(BeFalse())
+		first.isBulk.Store(true)
+		Expect(first.waitsForProcess(entered, entered)).To(BeFalse())
+	})
+
+	// Guards against ordinary requests that are given up for others because a busy process has not read them yet.
+	It("doesn't give up a request for memory whose rest has arrived and was not read", func() {
+		open(LimiterOptions{Name: "test"}, 64<<10, echo)
+		behind, client := admit(limiter)
+		Expect(behind.stage([]byte(unfinished))).To(Succeed())
+		behind.wasRead.Store(true)
+		_, err := io.WriteString(client, "\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool { return hasUnread(behind) }).Should(BeTrue())
+		reservation := account.NewReservation("other")
+		defer reservation.Close()
+		Expect(reservation.Grow(memory.Request, 30<<10)).To(Succeed())
+		Expect(reservation.Grow(memory.Request, 1<<10)).NotTo(Succeed())
+		Expect(behind.isEvicted()).To(BeFalse())
+		_, err = behind.Conn.Read(make([]byte, 2))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reservation.Grow(memory.Request, 1<<10)).To(Succeed())
+		Expect(behind.isEvicted()).To(BeTrue())
+	})
+
 	// Guards against requests that are cut off in the middle of their work for new connections.
 	It("closes a new connection if all others wait for answers", func() {
 		hold := make(chan struct{})
--- /dev/null
+++ b/internal/ingress/unread.go
@@ -0,0 +1,56 @@
+package ingress
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// maxUnreadWait is how long a connection that waits for this process keeps its place at least. It bounds
+// the time for which clients keep others out whose bytes no handler reads.
+const maxUnreadWait = 2 * time.Second
+
+// waitsForProcess reports whether bytes of the client have arrived which this process has not read yet, so
+// that the client doesn't owe any. Clients with bulk input always keep some in the kernel; theirs don't
+// count. entered is when the connection entered its state.
+func (c *Conn) waitsForProcess(entered, now time.Time) bool {
+	if now.Sub(entered) > maxUnreadWait || c.isBulk.Load() {
+		return false
+	}
+	return !c.wasRead.Load() || hasUnread(c.Conn)
+}
+
+// hasUnread reports whether the kernel holds received bytes of the connection. It returns false if that
+// can't be told.
+func hasUnread(connection net.Conn) bool {
+	socket := socketOf(connection)
+	if socket == nil {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false // the connection is closed
+	}
+	unread := false
+	peek := func(descriptor uintptr) {
+		var first [1]byte
+		count, _, err := syscall.Recvfrom(int(descriptor), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && count > 0
+	}
+	// Control, unlike Read, doesn't wait for the goroutine that reads.
+	return raw.Control(peek) == nil && unread
+}
+
+// socketOf returns the socket that a connection is or wraps, or nil.
+func socketOf(connection net.Conn) syscall.Conn {
+	for {
+		if socket, ok := connection.(syscall.Conn); ok {
+			return socket
+		}
+		wrapped, ok := connection.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		connection = wrapped.NetConn()
+	}
+}
--- a/internal/server/caller_connections.go
+++ b/internal/server/caller_connections.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// NetConn returns the wrapped connection.
+func (c *callerConnection) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. After the connection was retired, it returns
 // net.ErrClosed instead of bytes that still arrive.
 func (c *callerConnection) Read(buffer []byte) (int, error) {
--- a/internal/writebehind/conn.go
+++ b/internal/writebehind/conn.go
@@ -52,6 +52,9 @@
 	closeWriteRequested bool                // CloseWrite was called
 }
 
+// NetConn returns the wrapped connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // tryWrite writes as many bytes as the kernel accepts without blocking.
 func (c *Conn) tryWrite(descriptor uintptr) bool {
 	for {
