Ingress: a new connection for which there is no place is answered before it is closed

Cause: if most connections wait for answers and no other one gives way, a new one was closed at once. Its request had arrived, so that the kernel sent a reset. A header that gave way ended in the same way.

Change: the first request of such a connection gets 503 `connections` with Retry-After, which promises that it has not run; nothing of it was parsed. At most 64 connections a listener are refused at the same time; further ones wait in the kernel's backlog, and are admitted if a place gets free meanwhile. A header that gives way gets 503 `memory`.

Evidence: the specs of the limiter ask for the answer now and failed before; so do they on copies without the answer to a new connection, without that to a header, and without the bound of 64. The checks of closed connections became stricter: first the answer, then the end.

--- a/internal/ingress/limiter.go
+++ b/internal/ingress/limiter.go
@@ -35,7 +35,8 @@
 	lists [stateCount]connList // oldest connection first; those in stateServing are in no list
 
 	evicted          [stateCount]atomic.Int64 // connections closed for a new one, by their state
-	refused          atomic.Int64             // new connections closed at once
+	refused          atomic.Int64             // new connections refused
+	refusing         atomic.Int64             // of these, those that are not closed yet
 	evictedForMemory atomic.Int64
 }
 
@@ -69,18 +70,23 @@
 }
 
 // Admit wraps a connection that was accepted. headerTimeout is the time for a header from its first
-// byte; maxHeaderBytes is its largest size. Admit closes the connection and returns nil if the limiter is
-// full and no other connection gives way.
+// byte; maxHeaderBytes is its largest size. If the limiter is full and no other connection gives way, Admit
+// refuses the first request of the connection, closes it and returns nil.
 func (l *Limiter) Admit(accepted net.Conn, headerTimeout time.Duration, maxHeaderBytes int) *Conn {
 	conn := &Conn{Conn: accepted, limiter: l, headerTimeout: headerTimeout, maxHeaderBytes: maxHeaderBytes, isReadingHeader: !l.options.IsEncrypted}
-	if !l.add(conn) {
-		l.refused.Add(1)
-		l.group.logClosed("ingress: new connection closed because too many are open.", zap.String("listener", l.name),
-			zap.Int("open", l.options.MaxConnections), zap.Int64("soFar", l.refused.Load()))
-		_ = accepted.Close()
-		return nil
+	for {
+		added, wait := l.tryAdd(conn)
+		if added {
+			return conn
+		}
+		if wait <= 0 {
+			if l.tryRefuse(accepted) {
+				return nil
+			}
+			wait = readPollInterval
+		}
+		time.Sleep(wait)
 	}
-	return conn
 }
 
 // minAge is how long a connection stays in a state at least before it gives way.
@@ -89,20 +95,9 @@
 // readPollInterval is the time after which it is looked up again whether connections were read.
 const readPollInterval = time.Millisecond
 
-// add adds the connection in stateNew. If the limiter is full, another one gives way; add returns
-// false if none does.
-func (l *Limiter) add(conn *Conn) bool {
-	for {
-		added, wait := l.tryAdd(conn)
-		if wait <= 0 {
-			return added
-		}
-		time.Sleep(wait)
-	}
-}
-
-// tryAdd is like add, but returns how long to wait if the connections that would give way are younger
-// than minAge, or wait for this process. Further connections wait in the kernel's backlog meanwhile.
+// tryAdd adds the connection in stateNew. If the limiter is full, another one gives way. If that one is
+// younger than minAge, or waits for this process, tryAdd returns how long to wait; further connections wait
+// in the kernel's backlog meanwhile. It returns 0 if none gives way.
 func (l *Limiter) tryAdd(conn *Conn) (added bool, wait time.Duration) {
 	now := time.Now()
 	l.mutex.Lock()
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -13,7 +13,7 @@
 	evictedDescription = prometheus.NewDesc("thymeloft_ingress_evicted_total",
 		"Connections closed for a new one, by listener and what they waited for.", []string{"listener", "state"}, nil)
 	refusedDescription = prometheus.NewDesc("thymeloft_ingress_refused_total",
-		"New connections closed because too many are open, by listener.", []string{"listener"}, nil)
+		"New connections refused because too many are open, by listener.", []string{"listener"}, nil)
 	memoryDescription = prometheus.NewDesc("thymeloft_ingress_evicted_for_memory_total",
 		"Connections closed to make room in memory, by listener.", []string{"listener"}, nil)
 	headersDescription = prometheus.NewDesc("thymeloft_ingress_headers_refused_total",
--- a/internal/ingress/read_header.go
+++ b/internal/ingress/read_header.go
@@ -1,20 +1,12 @@
 package ingress
 
 import (
-	"errors"
-	"net"
 	"os"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/thymeloft/thymeloft/internal/memory"
 )
 
-// errRefused ends a connection whose header was refused for lack of memory. It is an error for which
-// http.Server closes the connection without an answer of its own.
-var errRefused = &net.OpError{Op: "read", Err: errors.New("no memory for the request header")}
-
 const (
 	// cheapFields is the number of header fields up to which their cost is part of the cost of a connection.
 	cheapFields = 64
@@ -105,7 +97,7 @@
 		}
 		count, err := c.Conn.Read(c.staged[len(c.staged):cap(c.staged)])
 		if count == 0 && err != nil {
-			return err
+			return c.refuseEvicted(err)
 		}
 		received := c.staged[len(c.staged) : len(c.staged)+count]
 		c.staged = c.staged[:len(c.staged)+count]
@@ -129,7 +121,7 @@
 		c.takeBulkSlot()
 	}
 	if c.isEvicted() {
-		return os.ErrDeadlineExceeded
+		return c.refuseEvicted(os.ErrDeadlineExceeded)
 	}
 	return nil
 }
@@ -183,19 +175,3 @@
 	c.mutex.Unlock()
 	return reservation.Grow(memory.Header, bytes)
 }
-
-// refusal is the answer to a request whose header does not fit into memory. The request was not parsed,
-// so that it has not run.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nContent-Length: 18\r\nRetry-After: 1\r\nConnection: close\r\n\r\n{\"error\":\"memory\"}"
-
-// refuse answers that there is no memory for the header, and returns errRefused.
-func (c *Conn) refuse(cause error) error {
-	const writeTimeout = time.Second
-	total := c.limiter.group.refusedHeaders.Add(1)
-	c.limiter.group.logClosed("ingress: request refused because its header does not fit into memory.", zap.String("listener", c.limiter.name),
-		zap.Stringer("client", c.RemoteAddr()), zap.String("cause", cause.Error()), zap.Int64("soFar", total))
-	if c.SetWriteDeadline(time.Now().Add(writeTimeout)) == nil {
-		_, _ = c.Conn.Write([]byte(refusal)) // the connection is closed in any case
-	}
-	return errRefused
-}
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -202,6 +202,11 @@
 			return err
 		}
 	}
+	expectRefused := func(connection net.Conn) {
+		GinkgoHelper()
+		Expect(statusOf(connection)).To(Equal(http.StatusServiceUnavailable))
+		Expect(isClosed(connection)()).To(HaveOccurred())
+	}
 	count := func(state connState) func() int {
 		return func() int {
 			limiter.mutex.Lock()
@@ -255,7 +260,7 @@
 			Eventually(count(stateHeader)).Should(Equal(index + 1))
 		}
 		Expect(statusOf(send(small))).To(Equal(200))
-		Expect(isClosed(crowd[0])()).To(HaveOccurred())
+		expectRefused(crowd[0])
 		_, err := io.WriteString(idle, small)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(statusOf(idle)).To(Equal(200))
@@ -272,7 +277,7 @@
 			Eventually(count(stateHeader)).Should(Equal(index + 1))
 		}
 		Expect(statusOf(send(small))).To(Equal(200))
-		Expect(isClosed(crowd[0])()).To(HaveOccurred())
+		expectRefused(crowd[0])
 		_, err := io.WriteString(slow, small)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(statusOf(slow)).To(Equal(200))
@@ -352,8 +357,9 @@
 		Expect(behind.isEvicted()).To(BeTrue())
 	})
 
-	// Guards against requests that are cut off in the middle of their work for new connections.
-	It("closes a new connection if all others wait for answers", func() {
+	// Guards against requests that are cut off in the middle of their work for new connections, and against
+	// requests on new connections that end without an answer, after which a client can't tell whether they ran.
+	It("refuses the request of a new connection if all others wait for answers", func() {
 		hold := make(chan struct{})
 		DeferCleanup(func() { close(hold) })
 		open(LimiterOptions{Name: "test", MaxConnections: 2}, 1<<20, func(_ http.ResponseWriter, request *http.Request) {
@@ -366,6 +372,27 @@
 		Eventually(func() int { return limiter.Open() - count(stateNew)() - count(stateInput)() }).Should(Equal(2))
 		Expect(isClosed(send(""))()).To(HaveOccurred())
 		Expect(limiter.refused.Load()).To(BeEquivalentTo(1))
+		expectRefused(send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("x", 5000)))
+		Expect(limiter.refused.Load()).To(BeEquivalentTo(2))
+		Eventually(limiter.refusing.Load).Should(BeZero())
+	})
+
+	// Guards against refusals that take memory and descriptors without a bound.
+	It("refuses a bounded number of connections at the same time", func() {
+		hold := make(chan struct{})
+		open(LimiterOptions{Name: "test", MaxConnections: 1}, 1<<20, func(_ http.ResponseWriter, request *http.Request) {
+			FromContext(request.Context()).InputComplete()
+			<-hold
+		})
+		held := send(small)
+		Eventually(func() int { return limiter.Open() - count(stateNew)() - count(stateInput)() }).Should(Equal(1))
+		limiter.refusing.Add(maxRefusing)
+		waiting := send(small)
+		Consistently(limiter.refused.Load, minAge).Should(BeZero())
+		close(hold)
+		Expect(statusOf(held)).To(Equal(http.StatusOK))
+		Expect(statusOf(waiting)).To(Equal(http.StatusOK), "it finds a place when another connection gives way")
+		Expect(limiter.refusing.Load()).To(BeEquivalentTo(maxRefusing))
 	})
 
 	// Guards against memory that stays reserved for headers whose clients have left.
@@ -397,7 +424,7 @@
 		defer reservation.Close()
 		Expect(reservation.Grow(memory.Request, 31<<10)).To(Succeed())
 		Expect(reservation.Grow(memory.Request, 1<<10)).To(Succeed())
-		Expect(isClosed(slow)()).To(HaveOccurred())
+		expectRefused(slow)
 		Expect(limiter.evictedForMemory.Load()).To(BeEquivalentTo(1))
 	})
 
