Abuse: crowds run as processes of their own, so that callers and engines have the processor

What was seen: in the specs that play all kinds at once, eight ordinary callers sent 4 to 16 requests in two seconds, and some began 1.2 s after the crowd (printed in a trial). Some of their requests ended without an answer since the caller had connected and then found no processor to send its request for more than 100 ms.

Cause: the crowd, the callers, the engines and the store were goroutines of one process under the race detector, which made a header of thousands of fields anew for each connection. The test measured itself.

Change: a crowd is a process, `thymeloft-lab crowd` (hidden), built without the race detector, on two cores. The short fields are made once. The largest headers end up to five bytes earlier as their fields are cut at a field.

The crowds of the soak stay within its process: there they are small.

--- a/cmd/thymeloft-lab/abuse.go
+++ b/cmd/thymeloft-lab/abuse.go
@@ -27,11 +27,11 @@
 // Run plays each kind of client at each endpoint and prints what was observed. It returns an error if a
 // guarantee was broken.
 func (c *abuseCommand) Run(ctx context.Context) error {
+	executable, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(err, "find this program's binary")
+	}
 	if c.GatewayBinary == "" {
-		executable, err := os.Executable()
-		if err != nil {
-			return eris.Wrap(err, "find the gateway's binary")
-		}
 		c.GatewayBinary = filepath.Join(filepath.Dir(executable), "thymeloft-gateway")
 	}
 	broken := 0
@@ -40,7 +40,7 @@
 			continue
 		}
 		for _, clients := range c.rounds() {
-			failed, err := c.play(ctx, endpoint, clients)
+			failed, err := c.play(ctx, executable, endpoint, clients)
 			if err != nil {
 				return err
 			}
@@ -68,9 +68,9 @@
 }
 
 // play plays one run and reports whether a guarantee was broken.
-func (c *abuseCommand) play(ctx context.Context, endpoint abuse.Endpoint, clients []abuse.Client) (failed bool, err error) {
+func (c *abuseCommand) play(ctx context.Context, executable string, endpoint abuse.Endpoint, clients []abuse.Client) (failed bool, err error) {
 	report, err := abuse.Run(ctx, abuse.Options{
-		GatewayBinary: c.GatewayBinary, Machine: abuse.Machine{MemoryMB: c.MemoryMB, Descriptors: c.Descriptors},
+		GatewayBinary: c.GatewayBinary, LabBinary: executable, Machine: abuse.Machine{MemoryMB: c.MemoryMB, Descriptors: c.Descriptors},
 		Endpoint: endpoint, Clients: clients, Duration: c.Duration,
 	})
 	if err != nil {
@@ -88,3 +88,11 @@
 	}
 	return len(report.Findings()) > 0, nil
 }
+
+// crowdCommand plays clients for abuseCommand, in a process of their own.
+type crowdCommand struct {
+	Options string `arg:"" help:"What is played, as JSON."`
+}
+
+// Run plays the clients.
+func (c *crowdCommand) Run(ctx context.Context) error { return abuse.PlayCrowd(ctx, c.Options) }
--- a/cmd/thymeloft-lab/main.go
+++ b/cmd/thymeloft-lab/main.go
@@ -20,6 +20,7 @@
 	Experiment experiment.Command `cmd:"" help:"Compare scheduling strategies on emulated fleets."`
 	Soak       soakCommand        `cmd:"" help:"Run gateways as processes under random faults and check the promises."`
 	Abuse      abuseCommand       `cmd:"" help:"Play clients that do not behave against a gateway process."`
+	Crowd      crowdCommand       `cmd:"" hidden:"" help:"Play the clients of the abuse command."`
 	Engine     engineCommand      `cmd:"" help:"Serve a model engine."`
 	Service    serviceCommand     `cmd:"" help:"Serve an application service."`
 	Tool       toolCommand        `cmd:"" help:"Serve a tool."`
--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"sync"
 	"time"
@@ -21,11 +20,13 @@
 // Options configure Run.
 type Options struct {
 	GatewayBinary string
-	Machine       Machine
-	Endpoint      Endpoint
-	Clients       []Client      // clients that do not behave, all at once; none: calm
-	Duration      time.Duration // how long they are played
-	Callers       int           // ordinary callers; 0: defaultCallers
+	// LabBinary is the binary of thymeloft-lab, as which the clients run.
+	LabBinary string
+	Machine   Machine
+	Endpoint  Endpoint
+	Clients   []Client      // clients that do not behave, all at once; none: calm
+	Duration  time.Duration // how long they are played
+	Callers   int           // ordinary callers; 0: defaultCallers
 }
 
 // Report is what was observed during a run.
@@ -55,7 +56,7 @@
 // reports what was observed.
 func Run(ctx context.Context, options Options) (*Report, error) {
 	report := &Report{}
-	process, err := withProcess(ctx, options, func(p *process) { observeRun(ctx, options, p, report) })
+	process, err := withProcess(ctx, options, func(p *process) error { return observeRun(ctx, options, p, report) })
 	if err != nil {
 		return nil, err
 	}
@@ -67,7 +68,7 @@
 
 // withProcess starts a gateway with a store and engines, calls use once it is ready, and ends all of
 // them. It returns the ended process.
-func withProcess(ctx context.Context, options Options, use func(*process)) (*process, error) {
+func withProcess(ctx context.Context, options Options, use func(*process) error) (*process, error) {
 	directory, err := os.MkdirTemp("", "thymeloft-abuse-")
 	if err != nil {
 		return nil, eris.Wrap(err, "create a temporary directory")
@@ -86,13 +87,15 @@
 	if err := process.awaitReady(ctx); err != nil {
 		return nil, err
 	}
-	use(process)
+	if err := use(process); err != nil {
+		return nil, err
+	}
 	process.kill()
 	return process, nil
 }
 
 // observeRun plays the clients, ordinary callers and readiness checks, and then the requests after.
-func observeRun(ctx context.Context, options Options, process *process, report *Report) {
+func observeRun(ctx context.Context, options Options, process *process, report *Report) error {
 	callers := options.Callers
 	if callers == 0 {
 		callers = defaultCallers
@@ -100,13 +103,11 @@
 	const settleTime = 500 * time.Millisecond
 	playing, stop := context.WithTimeout(ctx, options.Duration)
 	defer stop()
-	target := process.target(options.Endpoint)
-	var running sync.WaitGroup
-	for _, each := range options.Clients {
-		for number := range each.Count {
-			running.Go(func() { each.play(playing, target, fmt.Sprintf("%s%d", abusePrefix, number)) })
-		}
+	crowd, err := startCrowd(options, process.target(options.Endpoint))
+	if err != nil {
+		return err
 	}
+	defer crowd.end()
 	var observers sync.WaitGroup
 	observers.Go(func() { report.Ready, report.MaxUnreadyInARow = checkReadiness(playing, process) })
 	results := make([]Served, callers)
@@ -114,12 +115,13 @@
 		observers.Go(func() { results[index] = newOrdinaryCaller(process, index).run(playing) })
 	}
 	observers.Wait()
-	running.Wait()
+	crowd.end()
 	for _, each := range results {
 		report.During.add(each)
 	}
 	pauseFor(ctx, settleTime)
 	report.After = newOrdinaryCaller(process, callers).send(ctx, requestsAfter)
+	return nil
 }
 
 func pauseFor(ctx context.Context, pause time.Duration) {
--- a/internal/lab/abuse/clients.go
+++ b/internal/lab/abuse/clients.go
@@ -20,24 +20,26 @@
 	// IsIncomplete is set if none of its requests is complete and within the limits, so that none runs.
 	IsIncomplete bool
 	// exchange uses one connection until it ends or the context does.
-	exchange func(ctx context.Context, connection net.Conn, to target, id string)
+	exchange func(ctx context.Context, connection net.Conn, to Target, id string)
 }
 
 // Target is where clients send their requests.
 type Target struct {
-	Address string // "ip:port"
-	Host    string // host of the requests
-	Path    string
+	Address   string // "ip:port"
+	Host      string // host of the requests
+	Path      string
+	LargePath string // path with the largest answer; empty: Path
 }
 
 // Play plays this many clients of the kind until the context ends. Their requests have identifiers that
 // begin with the prefix.
 func (c Client) Play(ctx context.Context, at Target, count int, prefix string) {
+	if at.LargePath == "" {
+		at.LargePath = at.Path
+	}
 	var playing sync.WaitGroup
 	for number := range count {
-		playing.Go(func() {
-			c.play(ctx, target{address: at.Address, host: at.Host, path: at.Path, largePath: at.Path}, fmt.Sprintf("%s-%d", prefix, number))
-		})
+		playing.Go(func() { c.play(ctx, at, fmt.Sprintf("%s-%d", prefix, number)) })
 	}
 	playing.Wait()
 }
@@ -46,15 +48,15 @@
 const reconnectPause = 500 * time.Millisecond
 
 // play connects again and again until the context ends.
-func (c Client) play(ctx context.Context, to target, name string) {
+func (c Client) play(ctx context.Context, to Target, name string) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		c.connect(ctx, to, fmt.Sprintf("%s-%s-%d", name, strings.ReplaceAll(c.Name, " ", "-"), attempt))
 		pauseFor(ctx, reconnectPause)
 	}
 }
 
-func (c Client) connect(ctx context.Context, to target, id string) {
-	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.address)
+func (c Client) connect(ctx context.Context, to Target, id string) {
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.Address)
 	if err != nil {
 		return
 	}
@@ -83,30 +85,33 @@
 }
 
 // head returns the beginning of a request header, without the empty line at its end.
-func (t target) head(method, path, id string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", method, path, t.host, id)
+func (t Target) head(method, path, id string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n", method, path, t.Host, id)
 }
 
-// shortFields returns fields of few bytes with different names, of this many bytes in total at most.
-func shortFields(bytes int) string {
+// shortFields are fields of few bytes with different names, in total of the largest size of a header. They
+// are made once, so that the clients leave the processor to the callers and engines of this process.
+var shortFields = newShortFields(maxHeaderBytes)
+
+// shortFieldBytes is the length of each of them.
+const shortFieldBytes = len("abc:\r\n")
+
+func newShortFields(bytes int) string {
 	const letters = "abcdefghijklmnopqrstuvwxyz"
 	var fields strings.Builder
-	for number := 0; ; number++ {
-		name := string([]byte{letters[number/676%26], letters[number/26%26], letters[number%26]})
-		field := name + ":\r\n"
-		if fields.Len()+len(field) > bytes {
-			return fields.String()
-		}
-		fields.WriteString(field)
+	for number := range bytes / shortFieldBytes {
+		fields.WriteString(string([]byte{letters[number/676%26], letters[number/26%26], letters[number%26]}) + ":\r\n")
 	}
+	return fields.String()
 }
 
 // largestHeader returns a header of the maximum size made of short fields. The length of the body
 // follows from the last argument.
-func (t target) largestHeader(id, framing string) string {
-	begin := t.head(http.MethodPost, t.path, id) + framing
+func (t Target) largestHeader(id, framing string) string {
+	begin := t.head(http.MethodPost, t.Path, id) + framing
 	const emptyLine = "\r\n"
-	return begin + shortFields(maxHeaderBytes-len(begin)-len(emptyLine)) + emptyLine
+	space := maxHeaderBytes - len(begin) - len(emptyLine)
+	return begin + shortFields[:space-space%shortFieldBytes] + emptyLine
 }
 
 // drain reads until the connection ends.
@@ -119,7 +124,7 @@
 }
 
 // sendShortFields sends the largest header of short fields, and then nothing of its body.
-func sendShortFields(_ context.Context, connection net.Conn, to target, id string) {
+func sendShortFields(_ context.Context, connection net.Conn, to Target, id string) {
 	if write(connection, to.largestHeader(id, "Content-Length: 1000\r\n")) {
 		drain(connection)
 	}
@@ -130,9 +135,9 @@
 
 const tinyChunksPerWrite = 4 << 10
 
-func sendTinyChunks(_ context.Context, connection net.Conn, to target, id string) {
+func sendTinyChunks(_ context.Context, connection net.Conn, to Target, id string) {
 	answered := readAnswers(connection)
-	if !write(connection, to.head(http.MethodPost, to.path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
+	if !write(connection, to.head(http.MethodPost, to.Path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
 		return
 	}
 	for range maxBodyBytes / tinyChunksPerWrite {
@@ -165,19 +170,19 @@
 
 const bodyPieceBytes = 64 << 10
 
-func sendWholeBody(_ context.Context, connection net.Conn, to target, id string) {
+func sendWholeBody(_ context.Context, connection net.Conn, to Target, id string) {
 	sendPieces(connection, to, id, bodyPiece)
 }
 
-func sendSmallPieces(_ context.Context, connection net.Conn, to target, id string) {
+func sendSmallPieces(_ context.Context, connection net.Conn, to Target, id string) {
 	const smallPiece = 256
 	sendPieces(connection, to, id, bodyPiece[:smallPiece])
 }
 
 // sendPieces sends a body of the maximum size, written in pieces, and reads the answer.
-func sendPieces(connection net.Conn, to target, id, piece string) {
+func sendPieces(connection net.Conn, to Target, id, piece string) {
 	answered := readAnswers(connection)
-	if !write(connection, to.head(http.MethodPost, to.path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) {
+	if !write(connection, to.head(http.MethodPost, to.Path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)) {
 		return
 	}
 	for range maxBodyBytes / len(piece) {
@@ -189,10 +194,10 @@
 }
 
 // sendAhead sends many requests without reading an answer.
-func sendAhead(ctx context.Context, connection net.Conn, to target, id string) {
+func sendAhead(ctx context.Context, connection net.Conn, to Target, id string) {
 	const requests = 2000
 	for number := range requests {
-		if !write(connection, to.head(http.MethodGet, to.path, fmt.Sprintf("%s-%d", id, number))+"\r\n") {
+		if !write(connection, to.head(http.MethodGet, to.Path, fmt.Sprintf("%s-%d", id, number))+"\r\n") {
 			return
 		}
 	}
@@ -200,17 +205,17 @@
 }
 
 // sendHalfBody sends half of a body and stops.
-func sendHalfBody(_ context.Context, connection net.Conn, to target, id string) {
+func sendHalfBody(_ context.Context, connection net.Conn, to Target, id string) {
 	const bytes = 32 << 10
-	if write(connection, to.head(http.MethodPost, to.path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*bytes)+bodyPiece[:bytes]) {
+	if write(connection, to.head(http.MethodPost, to.Path, id)+fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*bytes)+bodyPiece[:bytes]) {
 		drain(connection)
 	}
 }
 
 // sendEndlessBody sends a body without end.
-func sendEndlessBody(ctx context.Context, connection net.Conn, to target, id string) {
+func sendEndlessBody(ctx context.Context, connection net.Conn, to Target, id string) {
 	go drain(connection)
-	if !write(connection, to.head(http.MethodPost, to.path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
+	if !write(connection, to.head(http.MethodPost, to.Path, id)+"Transfer-Encoding: chunked\r\n\r\n") {
 		return
 	}
 	for ctx.Err() == nil && write(connection, fmt.Sprintf("%x\r\n%s\r\n", len(bodyPiece), bodyPiece)) {
@@ -219,7 +224,7 @@
 }
 
 // sendSlowHeader sends a header byte by byte.
-func sendSlowHeader(ctx context.Context, connection net.Conn, to target, id string) {
+func sendSlowHeader(ctx context.Context, connection net.Conn, to Target, id string) {
 	const pause = 100 * time.Millisecond
 	for _, letter := range []byte(to.largestHeader(id, "")) {
 		if ctx.Err() != nil || !write(connection, string(letter)) {
@@ -230,7 +235,7 @@
 }
 
 // sendHalfHeader sends most of the largest header and stops.
-func sendHalfHeader(_ context.Context, connection net.Conn, to target, id string) {
+func sendHalfHeader(_ context.Context, connection net.Conn, to Target, id string) {
 	const missing = 64
 	header := to.largestHeader(id, "")
 	if write(connection, header[:len(header)-missing]) {
@@ -239,19 +244,19 @@
 }
 
 // ignoreAnswer requests the largest answer and does not read it.
-func ignoreAnswer(ctx context.Context, connection net.Conn, to target, id string) {
-	if write(connection, to.head(http.MethodGet, to.largePath, id)+"\r\n") {
+func ignoreAnswer(ctx context.Context, connection net.Conn, to Target, id string) {
+	if write(connection, to.head(http.MethodGet, to.LargePath, id)+"\r\n") {
 		<-ctx.Done()
 	}
 }
 
 // readSlowly requests the largest answer and reads a few bytes of it at a time.
-func readSlowly(ctx context.Context, connection net.Conn, to target, id string) {
+func readSlowly(ctx context.Context, connection net.Conn, to Target, id string) {
 	const (
 		pause = 100 * time.Millisecond
 		bytes = 128
 	)
-	if !write(connection, to.head(http.MethodGet, to.largePath, id)+"\r\n") {
+	if !write(connection, to.head(http.MethodGet, to.LargePath, id)+"\r\n") {
 		return
 	}
 	for buffer := make([]byte, bytes); ctx.Err() == nil; pauseFor(ctx, pause) {
@@ -262,8 +267,8 @@
 }
 
 // stayIdle sends one request, reads the answer and keeps the connection.
-func stayIdle(_ context.Context, connection net.Conn, to target, id string) {
-	if write(connection, to.head(http.MethodGet, to.path, id)+"\r\n") {
+func stayIdle(_ context.Context, connection net.Conn, to Target, id string) {
+	if write(connection, to.head(http.MethodGet, to.Path, id)+"\r\n") {
 		drain(connection)
 	}
 }
--- /dev/null
+++ b/internal/lab/abuse/crowd.go
@@ -0,0 +1,82 @@
+package abuse
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// CrowdCommand is the command of thymeloft-lab that calls PlayCrowd with its argument.
+const CrowdCommand = "crowd"
+
+// crowdProcessors is the number of processor cores that a crowd may use. The others are left to the gateway,
+// the callers and the engines.
+const crowdProcessors = "GOMAXPROCS=2"
+
+// crowdOptions describe a crowd. They are passed to its process as JSON.
+type crowdOptions struct {
+	Target   Target
+	Counts   map[string]int // number of clients, by their kind
+	Prefix   string         // begins the identifiers of requests
+	Duration time.Duration  // after which the crowd ends, if it is not ended before
+}
+
+// PlayCrowd plays the clients that the encoded crowdOptions describe.
+func PlayCrowd(ctx context.Context, encoded string) error {
+	var options crowdOptions
+	if err := json.Unmarshal([]byte(encoded), &options); err != nil {
+		return eris.Wrap(err, "decode the crowd")
+	}
+	ctx, stop := context.WithTimeout(ctx, options.Duration)
+	defer stop()
+	var playing sync.WaitGroup
+	for _, kind := range Clients() {
+		if count := options.Counts[kind.Name]; count > 0 {
+			playing.Go(func() { kind.Play(ctx, options.Target, count, options.Prefix) })
+		}
+	}
+	playing.Wait()
+	return nil
+}
+
+// crowd is a process that plays clients, so that they do not take the processor from the callers and engines
+// of this process.
+type crowd struct {
+	command *exec.Cmd // nil: there are no clients
+	once    sync.Once
+}
+
+// startCrowd starts a process that plays the clients.
+func startCrowd(options Options, at Target) (*crowd, error) {
+	if len(options.Clients) == 0 {
+		return &crowd{}, nil
+	}
+	counts := map[string]int{}
+	for _, each := range options.Clients {
+		counts[each.Name] = each.Count
+	}
+	encoded, err := json.Marshal(crowdOptions{Target: at, Counts: counts, Prefix: abusePrefix, Duration: options.Duration})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode the crowd")
+	}
+	command := exec.Command(options.LabBinary, CrowdCommand, string(encoded))
+	command.Env = append(os.Environ(), crowdProcessors)
+	command.Stderr = os.Stderr
+	return &crowd{command: command}, eris.Wrap(command.Start(), "start the crowd")
+}
+
+// end ends the process and waits for its end.
+func (c *crowd) end() {
+	if c.command == nil {
+		return
+	}
+	c.once.Do(func() {
+		_ = c.command.Process.Kill()
+		_ = c.command.Wait() // it was killed
+	})
+}
--- a/internal/lab/abuse/largest.go
+++ b/internal/lab/abuse/largest.go
@@ -20,12 +20,13 @@
 func RunLargest(ctx context.Context, binary string, machine Machine) (statuses map[string]int, peakMemory int64, err error) {
 	options := Options{GatewayBinary: binary, Machine: machine, Endpoint: EndpointRoute}
 	statuses = map[string]int{}
-	_, err = withProcess(ctx, options, func(p *process) {
+	_, err = withProcess(ctx, options, func(p *process) error {
 		to := p.target(EndpointRoute)
 		for _, each := range largestRequests(to) {
 			statuses[each.name] = sendLargest(ctx, to, each)
 		}
 		peakMemory = p.peakMemory.Load()
+		return nil
 	})
 	return statuses, peakMemory, err
 }
@@ -39,10 +40,10 @@
 	end    string
 }
 
-func largestRequests(to target) []largestRequest {
+func largestRequests(to Target) []largestRequest {
 	length, chunked := fmt.Sprintf("Content-Length: %d\r\n", maxBodyBytes), "Transfer-Encoding: chunked\r\n"
 	sameFields := func(id, framing string) string {
-		begin := to.head(http.MethodPost, to.path, id) + framing
+		begin := to.head(http.MethodPost, to.Path, id) + framing
 		const field, emptyLine = "a:\r\n", "\r\n"
 		return begin + strings.Repeat(field, (maxHeaderBytes-len(begin)-len(emptyLine))/len(field)) + emptyLine
 	}
@@ -61,10 +62,10 @@
 }
 
 // sendLargest sends the request and returns the status of the answer; 0 for none.
-func sendLargest(ctx context.Context, to target, sent largestRequest) int {
+func sendLargest(ctx context.Context, to Target, sent largestRequest) int {
 	ctx, cancel := context.WithTimeout(ctx, largestDeadline)
 	defer cancel()
-	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.address)
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.Address)
 	if err != nil {
 		return 0
 	}
--- a/internal/lab/abuse/process.go
+++ b/internal/lab/abuse/process.go
@@ -36,15 +36,6 @@
 	return []Endpoint{EndpointRoute, EndpointNoRoute, EndpointReady, EndpointMetrics, EndpointPeers}
 }
 
-// target is where clients that do not behave send their requests.
-type target struct {
-	address string
-	host    string
-	path    string
-	// largePath is the path whose answer is largest.
-	largePath string
-}
-
 // process is a gateway process whose memory is watched.
 type process struct {
 	listen     server.ListenSettings
@@ -197,18 +188,18 @@
 	}
 }
 
-func (p *process) target(endpoint Endpoint) target {
+func (p *process) target(endpoint Endpoint) Target {
 	switch endpoint {
 	case EndpointNoRoute:
-		return target{host: ordinaryHost, address: p.listen.Callers, path: "/none/", largePath: "/none/"}
+		return Target{Host: ordinaryHost, Address: p.listen.Callers, Path: "/none/", LargePath: "/none/"}
 	case EndpointReady:
-		return target{host: ordinaryHost, address: p.listen.Ready, path: "/api/ready", largePath: "/api/ready"}
+		return Target{Host: ordinaryHost, Address: p.listen.Ready, Path: "/api/ready", LargePath: "/api/ready"}
 	case EndpointMetrics:
-		return target{host: ordinaryHost, address: p.listen.Metrics, path: "/metrics", largePath: "/metrics"}
+		return Target{Host: ordinaryHost, Address: p.listen.Metrics, Path: "/metrics", LargePath: "/metrics"}
 	case EndpointPeers:
-		return target{host: ordinaryHost, address: p.listen.Peers, path: "/", largePath: "/"}
+		return Target{Host: ordinaryHost, Address: p.listen.Peers, Path: "/", LargePath: "/"}
 	default:
-		return target{host: ordinaryHost, address: p.listen.Callers, path: pathAbused, largePath: pathLarge}
+		return Target{Host: ordinaryHost, Address: p.listen.Callers, Path: pathAbused, LargePath: pathLarge}
 	}
 }
 
--- a/internal/lab/abuse/world.go
+++ b/internal/lab/abuse/world.go
@@ -47,7 +47,7 @@
 	engineTime     = 10 * time.Millisecond
 	largeAnswer    = 8 << 20 // bytes of an answer to a request for pathLarge
 	// abusePrefix begins the identifiers of requests of clients that do not behave.
-	abusePrefix = "abuse-"
+	abusePrefix = "abuse"
 )
 
 // world is what the gateway depends on: a store and engines. It records what the engines ran.
--- a/test/abuse/abuse_test.go
+++ b/test/abuse/abuse_test.go
@@ -22,13 +22,15 @@
 // The smallest and the largest machine of the deployments.
 var smallest, largest = abuse.Machine{MemoryMB: 72, Descriptors: 4100}, abuse.Machine{MemoryMB: 536, Descriptors: 8200}
 
-var gatewayBinary string
+var gatewayBinary, labBinary string
 
 // The race detector multiplies the memory of a process, so that the gateway is built without it.
 var _ = BeforeSuite(func() {
 	var err error
 	gatewayBinary, err = gexec.Build("github.com/thymeloft/thymeloft/cmd/thymeloft-gateway")
 	Expect(err).NotTo(HaveOccurred())
+	labBinary, err = gexec.Build("github.com/thymeloft/thymeloft/cmd/thymeloft-lab")
+	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
 
@@ -42,7 +44,7 @@
 	for index, machine := range machines {
 		playing.Go(func() {
 			reports[index], failures[index] = abuse.Run(ctx, abuse.Options{
-				GatewayBinary: gatewayBinary, Machine: machine, Endpoint: endpoint, Clients: clients, Duration: duration,
+				GatewayBinary: gatewayBinary, LabBinary: labBinary, Machine: machine, Endpoint: endpoint, Clients: clients, Duration: duration,
 			})
 		})
 	}
