--- a/internal/lab/abuse/crowd.go
+++ b/internal/lab/abuse/crowd.go
@@ -16,7 +16,7 @@
 
 // crowdProcessors is the number of processor cores that a crowd may use. The others are left to the gateway,
 // the callers and the engines.
-const crowdProcessors = "GOMAXPROCS=2"
+const crowdProcessors = "GOMAXPROCS=4"
 
 // crowdOptions describe a crowd. They are passed to its process as JSON.
 type crowdOptions struct {
