Abuse: refusals of crowds are checked too

Whether a refusal that promises "not run" is true was checked for the requests of ordinary callers alone, so that the answers to headers, bodies and connections that give way were checked by specs of the connection only.

Change: the process of a crowd writes the identifiers of requests whose first answer has such a status, and they are compared with what the engines ran. The command prints their number.

--- a/cmd/thymeloft-lab/abuse.go
+++ b/cmd/thymeloft-lab/abuse.go
@@ -81,8 +81,8 @@
 		name = "all kinds"
 	}
 	const megabyte = 1 << 20
-	fmt.Printf("%s; %s; %d MB; peak %.1f MB; during %s; after %d of %d; ready %s; ran %d\n",
-		name, endpoint, c.MemoryMB, float64(report.PeakMemory)/megabyte, report.During, report.After.OK, report.After.Sent, report.Ready, report.AbuseServed)
+	fmt.Printf("%s; %s; %d MB; peak %.1f MB; during %s; after %d of %d; ready %s; refused %d; ran %d\n",
+		name, endpoint, c.MemoryMB, float64(report.PeakMemory)/megabyte, report.During, report.After.OK, report.After.Sent, report.Ready, report.Refused, report.AbuseServed)
 	for _, finding := range report.Findings() {
 		fmt.Println("  broken:", finding)
 	}
@@ -95,4 +95,4 @@
 }
 
 // Run plays the clients.
-func (c *crowdCommand) Run(ctx context.Context) error { return abuse.PlayCrowd(ctx, c.Options) }
+func (c *crowdCommand) Run(ctx context.Context) error { return abuse.PlayCrowd(ctx, c.Options, os.Stdout) }
--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -41,6 +41,7 @@
 	// FalseRefusals are requests that were refused with a status which promises that they did not
 	// run, and that an engine ran.
 	FalseRefusals []string
+	Refused       int // requests whose refusal promised that they did not run
 	// AbuseServed is how many requests of the clients that do not behave an engine ran.
 	AbuseServed int
 }
@@ -62,6 +63,7 @@
 	}
 	report.PeakMemory, report.Ended = process.peakMemory.Load(), process.endedHow()
 	report.FalseRefusals = process.world.falseRefusals()
+	report.Refused = process.world.countRefused()
 	report.AbuseServed = process.world.countAbuse()
 	return report, nil
 }
@@ -107,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	defer crowd.end()
+	defer crowd.end(process.world)
 	var observers sync.WaitGroup
 	observers.Go(func() { report.Ready, report.MaxUnreadyInARow = checkReadiness(playing, process) })
 	results := make([]Served, callers)
@@ -115,7 +117,7 @@
 		observers.Go(func() { results[index] = newOrdinaryCaller(process, index).run(playing) })
 	}
 	observers.Wait()
-	crowd.end()
+	crowd.end(process.world)
 	for _, each := range results {
 		report.During.add(each)
 	}
--- a/internal/lab/abuse/clients.go
+++ b/internal/lab/abuse/clients.go
@@ -32,14 +32,18 @@
 }
 
 // Play plays this many clients of the kind until the context ends. Their requests have identifiers that
-// begin with the prefix.
-func (c Client) Play(ctx context.Context, at Target, count int, prefix string) {
+// begin with the prefix. It calls onRefused, unless that is nil, with the identifier of each request whose
+// answer promises that it did not run.
+func (c Client) Play(ctx context.Context, at Target, count int, prefix string, onRefused func(id string)) {
+	if onRefused == nil {
+		onRefused = func(string) {}
+	}
 	if at.LargePath == "" {
 		at.LargePath = at.Path
 	}
 	var playing sync.WaitGroup
 	for number := range count {
-		playing.Go(func() { c.play(ctx, at, fmt.Sprintf("%s-%d", prefix, number)) })
+		playing.Go(func() { c.play(ctx, at, fmt.Sprintf("%s-%d", prefix, number), onRefused) })
 	}
 	playing.Wait()
 }
@@ -48,22 +52,28 @@
 const reconnectPause = 500 * time.Millisecond
 
 // play connects again and again until the context ends.
-func (c Client) play(ctx context.Context, to Target, name string) {
+func (c Client) play(ctx context.Context, to Target, name string, onRefused func(id string)) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		c.connect(ctx, to, fmt.Sprintf("%s-%s-%d", name, strings.ReplaceAll(c.Name, " ", "-"), attempt))
+		id := fmt.Sprintf("%s-%s-%d", name, strings.ReplaceAll(c.Name, " ", "-"), attempt)
+		if promisesNotRun(c.connect(ctx, to, id)) {
+			onRefused(id)
+		}
 		pauseFor(ctx, reconnectPause)
 	}
 }
 
-func (c Client) connect(ctx context.Context, to Target, id string) {
+// connect uses one connection and returns the status of the first answer on it; 0 if none was read.
+func (c Client) connect(ctx context.Context, to Target, id string) int {
 	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.Address)
 	if err != nil {
-		return
+		return 0
 	}
 	defer func() { _ = connection.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
-	c.exchange(ctx, connection, to, id)
+	observed := &statusObserver{Conn: connection}
+	c.exchange(ctx, observed, to, id)
+	return observed.status()
 }
 
 // Clients returns the kinds of clients that do not behave.
--- a/internal/lab/abuse/crowd.go
+++ b/internal/lab/abuse/crowd.go
@@ -1,10 +1,14 @@
 package abuse
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,8 +30,9 @@
 	Duration time.Duration  // after which the crowd ends, if it is not ended before
 }
 
-// PlayCrowd plays the clients that the encoded crowdOptions describe.
-func PlayCrowd(ctx context.Context, encoded string) error {
+// PlayCrowd plays the clients that the encoded crowdOptions describe. It writes the identifiers of requests whose
+// answers promise that they did not run, one a line.
+func PlayCrowd(ctx context.Context, encoded string, refusals io.Writer) error {
 	var options crowdOptions
 	if err := json.Unmarshal([]byte(encoded), &options); err != nil {
 		return eris.Wrap(err, "decode the crowd")
@@ -35,9 +40,15 @@
 	ctx, stop := context.WithTimeout(ctx, options.Duration)
 	defer stop()
 	var playing sync.WaitGroup
+	var mutex sync.Mutex
+	onRefused := func(id string) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		_, _ = fmt.Fprintln(refusals, id) // fails if nobody reads them any more
+	}
 	for _, kind := range Clients() {
 		if count := options.Counts[kind.Name]; count > 0 {
-			playing.Go(func() { kind.Play(ctx, options.Target, count, options.Prefix) })
+			playing.Go(func() { kind.Play(ctx, options.Target, count, options.Prefix, onRefused) })
 		}
 	}
 	playing.Wait()
@@ -47,8 +58,9 @@
 // crowd is a process that plays clients, so that they do not take the processor from the callers and engines
 // of this process.
 type crowd struct {
-	command *exec.Cmd // nil: there are no clients
-	once    sync.Once
+	command  *exec.Cmd // nil: there are no clients
+	refusals bytes.Buffer
+	once     sync.Once
 }
 
 // startCrowd starts a process that plays the clients.
@@ -67,16 +79,23 @@
 	command := exec.Command(options.LabBinary, CrowdCommand, string(encoded))
 	command.Env = append(os.Environ(), crowdProcessors)
 	command.Stderr = os.Stderr
-	return &crowd{command: command}, eris.Wrap(command.Start(), "start the crowd")
+	started := &crowd{command: command}
+	command.Stdout = &started.refusals
+	return started, eris.Wrap(command.Start(), "start the crowd")
 }
 
-// end ends the process and waits for its end.
-func (c *crowd) end() {
+// end ends the process, waits for its end, and notes the requests that were refused.
+func (c *crowd) end(world *world) {
 	if c.command == nil {
 		return
 	}
 	c.once.Do(func() {
 		_ = c.command.Process.Kill()
 		_ = c.command.Wait() // it was killed
+		for line := range strings.Lines(c.refusals.String()) {
+			if id, whole := strings.CutSuffix(line, "\n"); whole {
+				world.noteRefusal(id)
+			}
+		}
 	})
 }
--- a/internal/lab/abuse/world.go
+++ b/internal/lab/abuse/world.go
@@ -137,6 +137,12 @@
 	return broken
 }
 
+func (w *world) countRefused() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.refused)
+}
+
 func (w *world) countAbuse() (count int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/lab/soak/abuse.go
+++ b/internal/lab/soak/abuse.go
@@ -42,7 +42,7 @@
 		client, at := r.drawCrowd(random)
 		count := minCrowdClients + random.IntN(maxCrowdClients-minCrowdClients)
 		r.logEvent("crowd: " + client.Name + " at " + at.Address + at.Path)
-		playing.Go(func() { client.Play(ctx, at, count, "crowd") })
+		playing.Go(func() { client.Play(ctx, at, count, "crowd", nil) })
 	}
 	playing.Wait()
 }
