--- a/cmd/thymeloft-lab/abuse.go
+++ b/cmd/thymeloft-lab/abuse.go
@@ -95,4 +95,6 @@
 }
 
 // Run plays the clients.
-func (c *crowdCommand) Run(ctx context.Context) error { return abuse.PlayCrowd(ctx, c.Options, os.Stdout) }
+func (c *crowdCommand) Run(ctx context.Context) error {
+	return abuse.PlayCrowd(ctx, c.Options, os.Stdout)
+}
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -226,7 +226,7 @@
 		accepted, err := opened.Accept()
 		Expect(err).NotTo(HaveOccurred())
 		admitted = to.Admit(accepted, time.Minute, testHeaderBytes)
-		DeferCleanup(admitted.Conn.Close)
+		DeferCleanup(admitted.Close)
 		return admitted, client
 	}
 	const small = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
