--- a/cmd/thymeloft-lab/abuse.go
+++ b/cmd/thymeloft-lab/abuse.go
@@ -19,9 +19,11 @@
 	MemoryMB      int           `name:"memory-mb" default:"72" help:"Memory of the machine."`
 	Descriptors   int           `default:"4100" help:"Limit of open files of the process."`
 	Duration      time.Duration `default:"6s" help:"How long the clients are played."`
+	Callers       int           `default:"8" help:"Ordinary callers."`
 	Clients       []string      `help:"Only these kinds of clients." placeholder:"NAME"`
 	Endpoints     []string      `help:"Only these endpoints." placeholder:"NAME"`
-	Together      bool          `help:"Play all kinds at the same time, a tenth of each."`
+	Together      bool          `help:"Play all kinds at the same time, a tenth of each." xor:"clients"`
+	Calm          bool          `help:"Play ordinary callers alone, and print what their requests cost." xor:"clients"`
 }
 
 // Run plays each kind of client at each endpoint and prints what was observed. It returns an error if a
@@ -34,6 +36,9 @@
 	if c.GatewayBinary == "" {
 		c.GatewayBinary = filepath.Join(filepath.Dir(executable), "thymeloft-gateway")
 	}
+	if c.Calm {
+		return c.playCalm(ctx)
+	}
 	broken := 0
 	for _, endpoint := range abuse.Endpoints() {
 		if len(c.Endpoints) > 0 && !slices.Contains(c.Endpoints, string(endpoint)) {
@@ -71,7 +76,7 @@
 func (c *abuseCommand) play(ctx context.Context, executable string, endpoint abuse.Endpoint, clients []abuse.Client) (failed bool, err error) {
 	report, err := abuse.Run(ctx, abuse.Options{
 		GatewayBinary: c.GatewayBinary, LabBinary: executable, Machine: abuse.Machine{MemoryMB: c.MemoryMB, Descriptors: c.Descriptors},
-		Endpoint: endpoint, Clients: clients, Duration: c.Duration,
+		Endpoint: endpoint, Clients: clients, Duration: c.Duration, Callers: c.Callers,
 	})
 	if err != nil {
 		return false, err
@@ -89,6 +94,21 @@
 	return len(report.Findings()) > 0, nil
 }
 
+// playCalm plays ordinary callers alone and prints what their requests cost.
+func (c *abuseCommand) playCalm(ctx context.Context) error {
+	report, err := abuse.Run(ctx, abuse.Options{
+		GatewayBinary: c.GatewayBinary, Machine: abuse.Machine{MemoryMB: c.MemoryMB, Descriptors: c.Descriptors},
+		Endpoint: abuse.EndpointRoute, Duration: c.Duration, Callers: c.Callers,
+	})
+	if err != nil {
+		return err
+	}
+	sent := time.Duration(max(report.During.Sent, 1))
+	fmt.Printf("calm; %d MB; %d of %d served; %s a request, %s of the processor\n",
+		c.MemoryMB, report.During.OK, report.During.Sent, report.During.Took/sent, report.ProcessorTime/sent)
+	return nil
+}
+
 // crowdCommand plays clients for abuseCommand, in a process of their own.
 type crowdCommand struct {
 	Options string `arg:"" help:"What is played, as JSON."`
--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -36,6 +36,8 @@
 	During     Served // requests of ordinary callers while the clients were played
 	After      Served // requests of ordinary callers after they had left
 	Ready      Served // readiness checks during the run
+	// ProcessorTime is what the process used of the processor while the clients were played.
+	ProcessorTime time.Duration
 	// MaxUnreadyInARow is the largest number of readiness checks in a row that were not answered 200.
 	MaxUnreadyInARow int
 	// FalseRefusals are requests that were refused with a status which promises that they did not
@@ -103,6 +105,7 @@
 		callers = defaultCallers
 	}
 	const settleTime = 500 * time.Millisecond
+	before := process.processorTime()
 	playing, stop := context.WithTimeout(ctx, options.Duration)
 	defer stop()
 	crowd, err := startCrowd(options, process.target(options.Endpoint))
@@ -117,6 +120,7 @@
 		observers.Go(func() { results[index] = newOrdinaryCaller(process, index).run(playing) })
 	}
 	observers.Wait()
+	report.ProcessorTime = process.processorTime() - before
 	crowd.end(process.world)
 	for _, each := range results {
 		report.During.add(each)
--- a/internal/lab/abuse/caller.go
+++ b/internal/lab/abuse/caller.go
@@ -16,6 +16,7 @@
 	OK       int           // answered 200 within their deadline, in any attempt
 	Quickly  int           // of these, within quickTime
 	Longest  time.Duration // longest time of a request until it was served or given up
+	Took     time.Duration // time of all requests until then
 	Outcomes map[string]int
 }
 
@@ -25,6 +26,7 @@
 func (s *Served) record(ok bool, took time.Duration) {
 	s.Sent++
 	s.Longest = max(s.Longest, took)
+	s.Took += took
 	if !ok {
 		return
 	}
@@ -39,6 +41,7 @@
 	s.OK += other.OK
 	s.Quickly += other.Quickly
 	s.Longest = max(s.Longest, other.Longest)
+	s.Took += other.Took
 	s.countOutcomes(other.Outcomes)
 }
 
--- a/internal/lab/abuse/process.go
+++ b/internal/lab/abuse/process.go
@@ -157,6 +157,30 @@
 	return 0
 }
 
+// processorTime returns the processor time that the process has used so far; 0 if it has ended.
+func (p *process) processorTime() time.Duration {
+	// Times are in ticks of the kernel's user interface; see proc_pid_stat(5).
+	const (
+		tick            = 10 * time.Millisecond
+		userTimeField   = 11 // counted from the one after the name
+		systemTimeField = 12
+	)
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(content[bytes.LastIndexByte(content, ')')+1:]))
+	if len(fields) <= systemTimeField {
+		return 0
+	}
+	user, userErr := strconv.Atoi(fields[userTimeField])
+	system, systemErr := strconv.Atoi(fields[systemTimeField])
+	if userErr != nil || systemErr != nil {
+		return 0
+	}
+	return time.Duration(user+system) * tick
+}
+
 func (p *process) hasEnded() bool {
 	select {
 	case <-p.exited:
