Turns: the largest turn within the limits is served on the smallest machine

Cause: before a turn runs, five times its input is reserved for the copies that saving makes. That is right for a turn that is encoded whole. One that does not fit a commit (some 700 KB) is stored as pieces, four at a time, whose copies don't grow with the turn; it was encoded whole all the same, to find that it doesn't fit.

Change: saving a large turn takes room of the gate that bounds loads and rebased conversations, and waits there; it isn't encoded whole; as many of its pieces are written at a time as the gate has room for, one on 72 MB. Nothing is reserved for it beforehand but its output. What is stored is unchanged.

Turns up to 700 KB take the path that they took.

--- a/internal/gateway/input_test.go
+++ b/internal/gateway/input_test.go
@@ -125,6 +125,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		account := memory.NewAccount(limit)
 		return &execution{
+			gateway:           &Gateway{Options: Options{Turns: records}},
 			memoryReservation: account.NewReservation("one"), route: &routetable.Route{Recorded: true, Streaming: true},
 			history: before, input: make([]byte, input), events: eventReader{collect: true},
 			writer: httptest.NewRecorder(), arrived: time.Now(),
@@ -141,6 +142,15 @@
 		Expect(refusal.Reason).To(Equal(ReasonNoMemory))
 	})
 
+	// Guards against turns within the limits of the configuration that a small machine never serves.
+	It("reserves no memory for saving a large one, whose copies the repository bounds", func(ctx SpecContext) {
+		const large = 800 << 10
+		current, account := newTurn(ctx, 0, large)
+		Expect(current.gateway.Turns.IsLarge(large)).To(BeTrue())
+		Expect(current.reserveTurnMemory()).To(Succeed())
+		Expect(account.Held()).To(BeNumerically("<=", (1+copiesWhileSaving)*outputStepBytes))
+	})
+
 	It("is cut short with ReasonNoMemory before its output exceeds the memory limit", func(ctx SpecContext) {
 		current, account := newTurn(ctx, 0, 0)
 		Expect(current.reserveTurnMemory()).To(Succeed())
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -15,7 +15,8 @@
 	requestOverheadBytes = 36 << 10
 	// copiesWhileSaving is how many copies of a turn's input and output are in memory while the
 	// turn is saved: joined, encoded, as base64 rows (4/3 of the size), and in the message that
-	// carries the rows (4/3), rounded up.
+	// carries the rows (4/3), rounded up. Large turns are saved in pieces instead; see
+	// turn.Repository.IsLarge.
 	copiesWhileSaving = 5
 	// outputStepBytes is the minimum size of output for which memory is reserved at a time. A
 	// typical turn needs a single reservation.
@@ -44,8 +45,8 @@
 func (e *execution) releaseMemory() { e.memoryReservation.Close() }
 
 // reserveTurnMemory reserves memory for the history of a turn and for saving the turn, before
-// it runs, so that a complete turn is never lost because there is no memory to save it. The
-// error is a *Refusal.
+// it runs, so that a complete turn is never lost because there is no memory to save it. The copies of a
+// large turn are bounded while it is saved. The error is a *Refusal.
 func (e *execution) reserveTurnMemory() error {
 	history := int64(e.history.Size())
 	if err := e.memoryReservation.Grow(memory.History, history); err != nil {
@@ -54,8 +55,10 @@
 	if !e.route.Recorded {
 		return nil
 	}
-	if err := e.memoryReservation.Grow(memory.UnsavedTurn, copiesWhileSaving*int64(len(e.input))); err != nil {
-		return memoryRefusal(err)
+	if !e.gateway.Turns.IsLarge(len(e.input)) {
+		if err := e.memoryReservation.Grow(memory.UnsavedTurn, copiesWhileSaving*int64(len(e.input))); err != nil {
+			return memoryRefusal(err)
+		}
 	}
 	if err := e.reserveOutputMemory(outputStepBytes); err != nil {
 		return memoryRefusal(err)
--- a/internal/lab/abuse/largest.go
+++ b/internal/lab/abuse/largest.go
@@ -18,11 +18,25 @@
 // one after the other, without other load. It returns the statuses by the name of the request, 0 for
 // none, and the peak of the process's memory in bytes.
 func RunLargest(ctx context.Context, binary string, machine Machine) (statuses map[string]int, peakMemory int64, err error) {
+	return runCalm(ctx, binary, machine, largestRequests)
+}
+
+// RunLargestTurn is like RunLargest, with the largest turn of a conversation that is recorded.
+func RunLargestTurn(ctx context.Context, binary string, machine Machine) (statuses map[string]int, peakMemory int64, err error) {
+	return runCalm(ctx, binary, machine, func(to Target) []largestRequest {
+		to.Path = pathTurn
+		header := to.head(http.MethodPost, to.Path, "turn-1") + fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)
+		return []largestRequest{{name: "a turn", header: header, body: bodyPiece, repeat: maxBodyBytes / len(bodyPiece)}}
+	})
+}
+
+// runCalm sends the requests one after the other.
+func runCalm(ctx context.Context, binary string, machine Machine, requests func(Target) []largestRequest) (statuses map[string]int, peakMemory int64, err error) {
 	options := Options{GatewayBinary: binary, Machine: machine, Endpoint: EndpointRoute}
 	statuses = map[string]int{}
 	_, err = withProcess(ctx, options, func(p *process) error {
 		to := p.target(EndpointRoute)
-		for _, each := range largestRequests(to) {
+		for _, each := range requests(to) {
 			statuses[each.name] = sendLargest(ctx, to, each)
 		}
 		peakMemory = p.peakMemory.Load()
--- a/internal/lab/abuse/world.go
+++ b/internal/lab/abuse/world.go
@@ -31,13 +31,15 @@
 	pathOrdinarySafe   = "/look/"
 	pathAbused         = "/check/"
 	pathLarge          = "/report/"
+	pathTurn           = "/talk/"
 )
 
 const configuration = `{"version":1,"routes":[
  {"name":"pay","host":"a.example","path_prefix":"/pay/","type":"unsafe","timeout_ms":5000,"target_latency_ms":200,"service":"app","max_attempts":1},
  {"name":"look","host":"a.example","path_prefix":"/look/","type":"safe","timeout_ms":5000,"target_latency_ms":200,"service":"app","max_attempts":3},
  {"name":"check","host":"a.example","path_prefix":"/check/","type":"unsafe","timeout_ms":20000,"service":"app","max_attempts":1},
- {"name":"report","host":"a.example","path_prefix":"/report/","type":"safe","timeout_ms":20000,"service":"app","max_attempts":1}],
+ {"name":"report","host":"a.example","path_prefix":"/report/","type":"safe","timeout_ms":20000,"service":"app","max_attempts":1},
+ {"name":"talk","host":"a.example","path_prefix":"/talk/","type":"streaming","timeout_ms":20000,"service":"app","max_attempts":1,"retained":true,"retention_s":60}],
  "services":[{"name":"app"}],
  "limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
@@ -108,10 +110,18 @@
 	time.Sleep(engineTime)
 	writer.Header().Set("Server-Stamp", "s."+id)
 	writer.Header().Set("Request-Id", requestID)
-	if !strings.HasPrefix(request.URL.Path, pathLarge) {
-		_, _ = io.WriteString(writer, "done\n") // fails if the gateway gave the request up
-		return
+	switch {
+	case strings.HasPrefix(request.URL.Path, pathLarge):
+		writeLargeAnswer(writer)
+	case strings.HasPrefix(request.URL.Path, pathTurn):
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(writer, "id: 1\ndata: done\n\n") // fails if the gateway gave the request up
+	default:
+		_, _ = io.WriteString(writer, "done\n") // the same
 	}
+}
+
+func writeLargeAnswer(writer io.Writer) {
 	for range largeAnswer / bodyPieceBytes {
 		if _, err := io.WriteString(writer, bodyPiece); err != nil {
 			return // the gateway gave the request up
--- a/internal/turn/memory_gate_test.go
+++ b/internal/turn/memory_gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,9 +23,11 @@
 	released chan struct{}
 	waiting  atomic.Int64
 
-	mutex        sync.Mutex
-	parallel     int // reads in progress
-	mostParallel int // the largest value of parallel
+	mutex               sync.Mutex
+	parallel            int // reads in progress
+	mostParallel        int // the largest value of parallel
+	parallelCommits     int // commits in progress
+	mostParallelCommits int // the largest value of parallelCommits
 }
 
 const heldPrefix = "held"
@@ -52,6 +55,21 @@
 	s.mostParallel = max(s.mostParallel, s.parallel)
 }
 
+// Commit implements state.Store. Like Read, it takes a moment.
+func (s *heldStore) Commit(ctx context.Context, commit state.Commit) (state.Version, error) {
+	s.countCommit(1)
+	defer s.countCommit(-1)
+	time.Sleep(time.Millisecond)
+	return s.Store.Commit(ctx, commit)
+}
+
+func (s *heldStore) countCommit(change int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.parallelCommits += change
+	s.mostParallelCommits = max(s.mostParallelCommits, s.parallelCommits)
+}
+
 var _ = Describe("A repository with little memory", func() {
 	const conversationBytes = 30 << 10
 	var (
@@ -168,6 +186,35 @@
 		Expect(<-startLoad(ctx, turn.NewRepository(options), "t")).To(Succeed())
 	}, SpecTimeout(time.Minute))
 
+	// Guards against large turns that are refused because the copies for saving them don't fit, or that exceed the
+	// memory of the process.
+	It("stores a large turn alone, and as many of its pieces at a time as fit", func(ctx SpecContext) {
+		save(ctx, "held", conversationBytes)
+		options.MaxRowBytes = 512
+		random := rand.New(rand.NewPCG(1, 1))
+		content := randomText(random, conversationBytes)
+		repository := turn.NewRepository(options)
+		Expect(repository.IsLarge(len(content))).To(BeTrue())
+		first := startLoad(ctx, repository, "held")
+		Eventually(store.waiting.Load).Should(BeEquivalentTo(1))
+		Expect(repository.Save(impatient(ctx), "t", firstTurn(string(content)), time.Minute)).To(MatchError(turn.ErrNoMemory))
+		close(store.released)
+		Expect(<-first).To(Succeed())
+		store.mostParallelCommits = 0
+		Expect(repository.Save(ctx, "t", firstTurn(string(content)), time.Minute)).To(Succeed())
+		Expect(store.mostParallelCommits).To(BeNumerically(">", 1))
+
+		options.MaxCopyBytes = 1
+		narrow := turn.NewRepository(options)
+		content = randomText(random, conversationBytes)
+		store.mostParallelCommits = 0
+		Expect(narrow.Save(ctx, "t2", firstTurn(string(content)), time.Minute)).To(Succeed())
+		Expect(store.mostParallelCommits).To(Equal(1))
+		loaded, err := turn.NewRepository(options).Load(ctx, "t2", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Size()).To(BeNumerically(">=", len(content)))
+	}, SpecTimeout(time.Minute))
+
 	// Guards against copies of whole conversations that are stored anew after their retention.
 	It("waits before it stores a conversation whole", func(ctx SpecContext) {
 		save(ctx, "held", conversationBytes)
--- a/internal/turn/save.go
+++ b/internal/turn/save.go
@@ -21,10 +21,15 @@
 	// partition that is down does not delay the end of the turn. If it passes, the turn's own
 	// rows hold the bytes. A healthy store answers several times faster.
 	sharedPieceTimeout = 200 * time.Millisecond
-	// maxConcurrentSpills is how many pieces of a large turn are written at the same time.
+	// maxConcurrentSpills is how many pieces of a large turn are written at the same time. Fewer are
+	// written if MaxCopyBytes has no room for the copies of so many.
 	maxConcurrentSpills = 4
 )
 
+// IsLarge reports whether a turn with so many bytes is stored as pieces, since it does not fit one commit.
+// The repository itself bounds the copies that are made while such a turn is saved.
+func (r *Repository) IsLarge(bytes int) bool { return bytes > rowset.Capacity(r.options.MaxRowBytes) }
+
 // Save stores a turn under the identifier and retains it for at least retainFor. If it fails, it may
 // be called again with the same turn, since each call writes all rows of the turn. The error
 // is ErrTooLarge, ErrNoMemory, or an error of the store or of the context.
@@ -34,13 +39,11 @@
 	if added.Previous == nil {
 		shared = r.prefixes.sharedLength(added.Input)
 	}
-	if added.needsRebase(expiry.promised) {
-		passage, err := r.gate.enter(ctx, int64(added.Previous.Size()+len(added.Input)+len(added.Output)))
-		if err != nil {
-			return err
-		}
-		defer passage.leave()
+	passage, err := r.enterGate(ctx, added, expiry.promised)
+	if err != nil {
+		return err
 	}
+	defer passage.leave()
 	planned := newPlan(added, shared, expiry.promised)
 	turn := &Turn{
 		identifier: identifier, owner: added.Tenant, engine: added.Engine,
@@ -63,6 +66,20 @@
 	return nil
 }
 
+// enterGate waits until there is room for the copies of what is stored, if that is a whole conversation or
+// large.
+func (r *Repository) enterGate(ctx context.Context, added Addition, promised int64) (*passage, error) {
+	own := len(added.Input) + len(added.Output)
+	switch {
+	case added.needsRebase(promised):
+		return r.gate.enter(ctx, int64(added.Previous.Size()+own))
+	case r.IsLarge(own):
+		return r.gate.enter(ctx, int64(own))
+	default:
+		return nil, nil
+	}
+}
+
 // storeParts stores the shared segments of the turn as pieces and returns the parts for its rows.
 // If a piece cannot be stored within sharedPieceTimeout, its part holds the bytes instead.
 func (r *Repository) storeParts(ctx context.Context, turn *Turn, expiry expiryTimes) []part {
@@ -97,13 +114,15 @@
 func (r *Repository) encode(ctx context.Context, turn *Turn, parts []part, expiry expiryTimes) ([]byte, error) {
 	capacity := rowset.Capacity(r.options.MaxRowBytes)
 	encoded := body{Engine: turn.engine, Owner: turn.owner, Ancestors: ancestorNames(turn.previous), Parts: parts, Digest: turn.digest}
-	value, err := cbor.Marshal(encoded)
-	if err != nil || len(value) <= capacity {
-		return value, eris.Wrap(err, "encode turn")
+	if !r.IsLarge(ownBytes(parts)) {
+		value, err := cbor.Marshal(encoded)
+		if err != nil || len(value) <= capacity {
+			return value, eris.Wrap(err, "encode turn")
+		}
 	}
 	spilled, contents := spill(parts, capacity)
 	encoded.Parts = spilled
-	value, err = cbor.Marshal(encoded)
+	value, err := cbor.Marshal(encoded)
 	if err == nil && len(value) > capacity {
 		err = ErrTooLarge
 	}
@@ -113,6 +132,14 @@
 	return value, r.storePieces(ctx, contents, expiry.expires)
 }
 
+// ownBytes returns the size of the parts that hold bytes.
+func ownBytes(parts []part) (sum int) {
+	for _, each := range parts {
+		sum += len(each.Bytes)
+	}
+	return sum
+}
+
 // spill replaces parts that hold bytes by references to pieces of at most capacity bytes. It returns
 // the resulting parts and the contents of the new pieces.
 func spill(parts []part, capacity int) (spilled []part, contents [][]byte) {
@@ -135,7 +162,7 @@
 // Unix time in seconds, at which the pieces expire as well.
 func (r *Repository) storePieces(ctx context.Context, contents [][]byte, expires int64) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxConcurrentSpills)
+	group.SetLimit(r.concurrentSpills())
 	for _, content := range contents {
 		group.Go(func() error {
 			stored, err := r.pieces.Ensure(ctx, content, expires, expires)
@@ -146,6 +173,15 @@
 	return eris.Wrap(group.Wait(), "store a piece of a large turn")
 }
 
+// concurrentSpills returns how many pieces are written at the same time.
+func (r *Repository) concurrentSpills() int {
+	if r.options.MaxCopyBytes <= 0 {
+		return maxConcurrentSpills
+	}
+	copies := int64(copiesWhileLoading * rowset.Capacity(r.options.MaxRowBytes))
+	return int(min(max(r.options.MaxCopyBytes/copies, 1), maxConcurrentSpills))
+}
+
 // pendingRows is the encoded content of a turn's rows before they are written.
 type pendingRows struct {
 	identifier string
--- a/test/abuse/abuse_test.go
+++ b/test/abuse/abuse_test.go
@@ -71,20 +71,40 @@
 	}
 })
 
+// expectServed expects that all requests were answered 200, within the memory of the machine.
+func expectServed(machine abuse.Machine, statuses map[string]int, peakMemory int64) {
+	GinkgoHelper()
+	Expect(statuses).NotTo(BeEmpty())
+	for name, status := range statuses {
+		Expect(status).To(Equal(200), name)
+	}
+	const megabyte = 1 << 20
+	Expect(peakMemory).To(BeNumerically("<=", machine.MemoryMB*megabyte))
+}
+
+// machines are the sizes of the deployments' machines.
+var machines = []TableEntry{
+	Entry("on the smallest machine", smallest),
+	Entry("on a small machine", abuse.Machine{MemoryMB: 112, Descriptors: 4100}),
+	Entry("on a medium machine", abuse.Machine{MemoryMB: 254, Descriptors: 8200}),
+	Entry("on the largest machine", largest),
+}
+
 // Guards against limits that a client meets which stays within those of the configuration.
 var _ = DescribeTable("a gateway serves the largest requests that its limits allow, in calm",
 	func(ctx SpecContext, machine abuse.Machine) {
 		statuses, peak, err := abuse.RunLargest(ctx, gatewayBinary, machine)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(statuses).NotTo(BeEmpty())
-		for name, status := range statuses {
-			Expect(status).To(Equal(200), name)
-		}
-		const megabyte = 1 << 20
-		Expect(peak).To(BeNumerically("<=", machine.MemoryMB*megabyte))
+		expectServed(machine, statuses, peak)
 	},
-	Entry("on the smallest machine", smallest),
-	Entry("on a small machine", abuse.Machine{MemoryMB: 112, Descriptors: 4100}),
-	Entry("on a medium machine", abuse.Machine{MemoryMB: 254, Descriptors: 8200}),
-	Entry("on the largest machine", largest),
+	machines,
+)
+
+var _ = DescribeTable("a gateway serves and records the largest turn that its limits allow, in calm",
+	func(ctx SpecContext, machine abuse.Machine) {
+		statuses, peak, err := abuse.RunLargestTurn(ctx, gatewayBinary, machine)
+		Expect(err).NotTo(HaveOccurred())
+		expectServed(machine, statuses, peak)
+	},
+	machines,
 )
