Abuse: crowds are played at a route that is recorded, too

A turn takes memory and calls of the store after its answer, so that such a route is an endpoint of its own: 13 more specs.

--- a/internal/lab/abuse/process.go
+++ b/internal/lab/abuse/process.go
@@ -25,6 +25,7 @@
 // The endpoints of a gateway.
 const (
 	EndpointRoute   Endpoint = "a route"
+	EndpointTurns   Endpoint = "a route that is recorded"
 	EndpointNoRoute Endpoint = "a path without a route"
 	EndpointReady   Endpoint = "ready"
 	EndpointMetrics Endpoint = "metrics"
@@ -33,7 +34,7 @@
 
 // Endpoints returns all endpoints.
 func Endpoints() []Endpoint {
-	return []Endpoint{EndpointRoute, EndpointNoRoute, EndpointReady, EndpointMetrics, EndpointPeers}
+	return []Endpoint{EndpointRoute, EndpointTurns, EndpointNoRoute, EndpointReady, EndpointMetrics, EndpointPeers}
 }
 
 // process is a gateway process whose memory is watched.
@@ -216,6 +217,8 @@
 	switch endpoint {
 	case EndpointNoRoute:
 		return Target{Host: ordinaryHost, Address: p.listen.Callers, Path: "/none/", LargePath: "/none/"}
+	case EndpointTurns:
+		return Target{Host: ordinaryHost, Address: p.listen.Callers, Path: pathTurn, LargePath: pathTurn}
 	case EndpointReady:
 		return Target{Host: ordinaryHost, Address: p.listen.Ready, Path: "/api/ready", LargePath: "/api/ready"}
 	case EndpointMetrics:
