Ingress: a request whose client owes nothing isn't given up, and one that is given up gets its answer

And such a request got no answer: giving it up lets reads fail, also the read by which net/http watches the connection after the body, which cancels the request before its refusal is written.

Change: a connection waits for its client only while its goroutine is in a read of bytes that the client owes, and the kernel holds none. A read after the body waits again, so that the refusal is written, and its answer closes the connection.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -33,12 +33,13 @@
 	inputBytes      int         // bytes of the body that were passed on
 	hasBulkSlot     atomic.Bool // also used while a handler writes
 
-	wasRead atomic.Bool // its goroutine has begun to read
-	isBulk  atomic.Bool // reading the header or body in progress needs a bulk slot
+	isReceiving atomic.Bool // its goroutine waits for bytes that the client owes
+	isBulk      atomic.Bool // reading the header or body in progress needs a bulk slot
 
 	mutex          sync.Mutex
 	deadline       time.Time           // as set by SetReadDeadline
-	evicted        bool                // the client is given up; reads fail
+	evicted        bool                // the client is given up; reads fail, unless tooLate is set
+	tooLate        bool                // evicted was set when the request had been read completely
 	evictedSignal  chan struct{}       // closed when evicted is set; nil: nobody has waited for that
 	inputComplete  bool                // the request in progress was read completely
 	reservation    *memory.Reservation // for the header; nil: nothing is reserved
@@ -68,7 +69,6 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(into []byte) (int, error) {
-	c.wasRead.Store(true)
 	if c.isReadingHeader {
 		return c.readHeader(into)
 	}
@@ -76,6 +76,24 @@
 	return c.readInput(into)
 }
 
+// receive reads bytes that the client owes.
+func (c *Conn) receive(into []byte) (int, error) {
+	c.isReceiving.Store(true)
+	defer c.isReceiving.Store(false)
+	return c.Conn.Read(into)
+}
+
+// keepForAnswer lets reads of a client that was given up wait again, after its request was read completely
+// nevertheless. A read that fails would make http.Server cancel the request before it is answered.
+func (c *Conn) keepForAnswer() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.evicted && !c.tooLate {
+		c.tooLate = true
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed already
+	}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(content []byte) (int, error) {
 	c.releaseBulkSlot() // the client may be slow
@@ -95,7 +113,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.deadline = deadline
-	if c.evicted {
+	if c.evicted && !c.tooLate {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(deadline)
@@ -119,9 +137,13 @@
 		c.consume(count)
 		return count, nil
 	}
-	count, err := c.Conn.Read(into)
 	const backgroundRead = 1 // http.Server waits for the end of such a read after the handler
-	if len(into) == backgroundRead || c.limiter.options.IsEncrypted {
+	if len(into) == backgroundRead {
+		c.keepForAnswer()
+		return c.Conn.Read(into)
+	}
+	count, err := c.receive(into)
+	if c.limiter.options.IsEncrypted {
 		return count, err
 	}
 	if c.inputBytes += count; c.inputBytes > bulkBytes && err == nil {
--- a/internal/ingress/read_header.go
+++ b/internal/ingress/read_header.go
@@ -29,7 +29,7 @@
 		return c.deliverHeader(into), nil
 	}
 	if len(c.staged) == 0 {
-		count, err := c.Conn.Read(into)
+		count, err := c.receive(into)
 		if count == 0 {
 			return 0, err
 		}
@@ -95,7 +95,7 @@
 				return err
 			}
 		}
-		count, err := c.Conn.Read(c.staged[len(c.staged):cap(c.staged)])
+		count, err := c.receive(c.staged[len(c.staged):cap(c.staged)])
 		if count == 0 && err != nil {
 			return c.refuseEvicted(err)
 		}
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -310,7 +310,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		_, err = first.Conn.Read(make([]byte, 1))
 		Expect(err).NotTo(HaveOccurred())
-		first.wasRead.Store(true)
+		first.isReceiving.Store(true)
 		admitted := make(chan *Conn, 1)
 		go func() {
 			further, _ := net.Pipe()
@@ -329,7 +329,7 @@
 		first, client := admit(group.NewLimiter(LimiterOptions{Name: "narrow", MaxConnections: 1}))
 		_, err := io.WriteString(client, small)
 		Expect(err).NotTo(HaveOccurred())
-		first.wasRead.Store(true)
+		first.isReceiving.Store(true)
 		entered := time.Now()
 		Eventually(func() bool { return first.waitsForProcess(entered, entered) }).Should(BeTrue())
 		Expect(first.waitsForProcess(entered, entered.Add(maxUnreadWait+1))).To(BeFalse())
@@ -342,7 +342,7 @@
 		open(LimiterOptions{Name: "test"}, 64<<10, echo)
 		behind, client := admit(limiter)
 		Expect(behind.stage([]byte(unfinished))).To(Succeed())
-		behind.wasRead.Store(true)
+		behind.isReceiving.Store(true)
 		_, err := io.WriteString(client, "\r\n")
 		Expect(err).NotTo(HaveOccurred())
 		Eventually(func() bool { return hasUnread(behind) }).Should(BeTrue())
@@ -450,6 +450,38 @@
 		Expect(<-results).To(BeFalse())
 	})
 
+	// Guards against requests that are given up although their clients owe nothing, since a handler waits.
+	It("doesn't give up a request for memory that nobody reads at the moment", func() {
+		hold, arrived := make(chan struct{}), make(chan struct{})
+		open(LimiterOptions{Name: "test"}, 64<<10, func(writer http.ResponseWriter, request *http.Request) {
+			close(arrived)
+			<-hold
+			echo(writer, request)
+		})
+		waiting := send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+		<-arrived
+		reservation := account.NewReservation("other")
+		defer reservation.Close()
+		Expect(reservation.Grow(memory.Request, 32<<10)).To(Succeed())
+		Expect(reservation.Grow(memory.Request, 1<<10)).NotTo(Succeed())
+		close(hold)
+		Expect(statusOf(waiting)).To(Equal(http.StatusOK))
+	})
+
+	// Guards against requests that end without an answer since they were given up when their last byte had come.
+	It("lets a request be refused that was given up when it had been read completely", func() {
+		open(LimiterOptions{Name: "test"}, 1<<20, func(writer http.ResponseWriter, request *http.Request) {
+			caller := FromContext(request.Context())
+			Expect(caller.evict()).To(BeTrue())
+			_, err := io.Copy(io.Discard, request.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(caller.InputComplete()).To(BeFalse())
+			Consistently(request.Context().Done(), minAge).ShouldNot(BeClosed())
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		})
+		Expect(statusOf(send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"))).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	// Guards against many large headers or bodies that keep the processor from ordinary requests.
 	It("lets large headers, large bodies and requests sent ahead wait for a bulk slot, and others not", func() {
 		open(LimiterOptions{Name: "test"}, 1<<20, echo)
--- a/internal/ingress/unread.go
+++ b/internal/ingress/unread.go
@@ -6,18 +6,18 @@
 	"time"
 )
 
-// maxUnreadWait is how long a connection that waits for this process keeps its place at least. It bounds
+// maxUnreadWait is how long a connection that waits for this process keeps its place at most. It bounds
 // the time for which clients keep others out whose bytes no handler reads.
 const maxUnreadWait = 2 * time.Second
 
-// waitsForProcess reports whether bytes of the client have arrived which this process has not read yet, so
-// that the client doesn't owe any. Clients with bulk input always keep some in the kernel; theirs don't
+// waitsForProcess reports whether the client owes nothing at the moment: nobody reads from the connection, or
+// bytes have arrived that were not read yet. Clients with bulk input, which wait for the process in turn, don't
 // count. entered is when the connection entered its state.
 func (c *Conn) waitsForProcess(entered, now time.Time) bool {
 	if now.Sub(entered) > maxUnreadWait || c.isBulk.Load() {
 		return false
 	}
-	return !c.wasRead.Load() || hasUnread(c.Conn)
+	return !c.isReceiving.Load() || hasUnread(c.Conn)
 }
 
 // hasUnread reports whether the kernel holds received bytes of the connection. It returns false if that
--- a/internal/server/caller_connections.go
+++ b/internal/server/caller_connections.go
@@ -167,7 +167,7 @@
 // WriteHeader implements http.ResponseWriter.
 func (w *responseWriter) WriteHeader(status int) {
 	w.headerWritten = true
-	if w.connections.isClosing() {
+	if w.connections.isClosing() || ingress.FromContext(w.request.Context()).IsEvicted() {
 		w.Header().Set("Connection", "close")
 	}
 	if socket := w.socket(); socket != nil && w.endsWithConnection(status) {
