Soak: the time for which a gateway is suspended doesn't count as time to stop

Its trace: the faults "pause" and "stop" overlap; g2 was suspended for 3.5 s when SIGTERM was sent, logged "draining" at the moment of SIGCONT, 08:17:50.9, and was killed at 08:17:55.4, 8 s after the signal and 4.5 s after it could receive it. A process that is suspended can't act on a signal, so the case is allowed. The check counts the time for which the process is not suspended now, with the same bound.

--- a/internal/lab/soak/gateway.go
+++ b/internal/lab/soak/gateway.go
@@ -36,6 +36,7 @@
 	command         *exec.Cmd
 	exited          chan struct{}
 	exitExpected    bool         // the soak sent the process a signal to end
+	isSuspended     atomic.Bool  // the process received SIGSTOP, and no SIGCONT since
 	disturbedAt     atomic.Int64 // unix nanoseconds of the last start, or signal that ends or stops the process
 }
 
@@ -139,6 +140,7 @@
 		return eris.Wrapf(err, "start gateway %s", g.name)
 	}
 	g.command, g.exited, g.exitExpected = command, make(chan struct{}), false
+	g.isSuspended.Store(false)
 	go g.awaitExit(command, g.exited)
 	return nil
 }
@@ -200,6 +202,9 @@
 	if sent != syscall.SIGHUP {
 		g.disturbedAt.Store(time.Now().UnixNano())
 	}
+	if sent == syscall.SIGSTOP || sent == syscall.SIGCONT {
+		g.isSuspended.Store(sent == syscall.SIGSTOP)
+	}
 	_ = g.command.Process.Signal(sent) // fails if the process has ended
 	return g.exited
 }
@@ -208,15 +213,27 @@
 func (g *gateway) kill() { <-g.signal(syscall.SIGKILL) }
 
 // stop stops the process gracefully, with SIGTERM. If that takes longer than the grace
-// period and schedulingSlack, it reports a finding and kills the process.
+// period and schedulingSlack, it reports a finding and kills the process. The time for which the process is
+// suspended does not count, since it can't receive the signal then.
 func (g *gateway) stop() {
+	const pollInterval = 20 * time.Millisecond
 	exited := g.signal(syscall.SIGTERM)
-	select {
-	case <-exited:
-	case <-time.After(gracePeriod + schedulingSlack):
-		g.run.evidence.addFinding("process: %s did not stop within %s", g.name, gracePeriod+schedulingSlack)
-		g.kill()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	last := time.Now()
+	for remaining := gracePeriod + schedulingSlack; remaining > 0; {
+		select {
+		case <-exited:
+			return
+		case now := <-ticker.C:
+			if !g.isSuspended.Load() {
+				remaining -= now.Sub(last)
+			}
+			last = now
+		}
 	}
+	g.run.evidence.addFinding("process: %s did not stop within %s", g.name, gracePeriod+schedulingSlack)
+	g.kill()
 }
 
 func (g *gateway) close() {
