--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -38,8 +38,8 @@
 
 	mutex          sync.Mutex
 	deadline       time.Time           // as set by SetReadDeadline
-	evicted        bool                // the client is given up; reads fail, unless tooLate is set
-	tooLate        bool                // evicted was set when the request had been read completely
+	evicted        bool                // the client is given up; reads fail, unless keptForAnswer is set
+	keptForAnswer  bool                // the request of an evicted client was read completely, and is to be answered
 	evictedSignal  chan struct{}       // closed when evicted is set; nil: nobody has waited for that
 	inputComplete  bool                // the request in progress was read completely
 	reservation    *memory.Reservation // for the header; nil: nothing is reserved
@@ -88,8 +88,8 @@
 func (c *Conn) keepForAnswer() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.evicted && !c.tooLate {
-		c.tooLate = true
+	if c.evicted && !c.keptForAnswer {
+		c.keptForAnswer = true
 		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed already
 	}
 }
@@ -113,7 +113,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.deadline = deadline
-	if c.evicted && !c.tooLate {
+	if c.evicted && !c.keptForAnswer {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(deadline)
