Abuse: a crowd that fails fails its run

A crowd whose process ended at once would have left its spec without clients, and passed. With another program in its place the run ends with "the crowd failed" now.

--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	defer crowd.end(process.world)
+	defer func() { _ = crowd.end(process.world) }()
 	var observers sync.WaitGroup
 	observers.Go(func() { report.Ready, report.MaxUnreadyInARow = checkReadiness(playing, process) })
 	results := make([]Served, callers)
@@ -121,7 +121,9 @@
 	}
 	observers.Wait()
 	report.ProcessorTime = process.processorTime() - before
-	crowd.end(process.world)
+	if err := crowd.end(process.world); err != nil {
+		return err
+	}
 	for _, each := range results {
 		report.During.add(each)
 	}
--- a/internal/lab/abuse/crowd.go
+++ b/internal/lab/abuse/crowd.go
@@ -60,7 +60,7 @@
 type crowd struct {
 	command  *exec.Cmd // nil: there are no clients
 	refusals bytes.Buffer
-	once     sync.Once
+	ended    bool
 }
 
 // startCrowd starts a process that plays the clients.
@@ -84,18 +84,22 @@
 	return started, eris.Wrap(command.Start(), "start the crowd")
 }
 
-// end ends the process, waits for its end, and notes the requests that were refused.
-func (c *crowd) end(world *world) {
-	if c.command == nil {
-		return
+// end ends the process, waits for its end, and notes the requests that were refused. It returns an error if the
+// process had failed.
+func (c *crowd) end(world *world) error {
+	if c.command == nil || c.ended {
+		return nil
 	}
-	c.once.Do(func() {
-		_ = c.command.Process.Kill()
-		_ = c.command.Wait() // it was killed
-		for line := range strings.Lines(c.refusals.String()) {
-			if id, whole := strings.CutSuffix(line, "\n"); whole {
-				world.noteRefusal(id)
-			}
+	c.ended = true
+	_ = c.command.Process.Kill() // fails if it has ended by itself
+	_ = c.command.Wait()         // the process state contains the result
+	if state := c.command.ProcessState; state.Exited() && !state.Success() {
+		return eris.Errorf("the crowd failed: %s", state)
+	}
+	for line := range strings.Lines(c.refusals.String()) {
+		if id, whole := strings.CutSuffix(line, "\n"); whole {
+			world.noteRefusal(id)
 		}
-	})
+	}
+	return nil
 }
