Answers: a reset that the writer was told of is told to the reader too

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part and reset the connection. The caller got the part as a complete answer.

Cause: the kernel reports a reset once, to whichever of writer and reader asks first. If the writer took it, the reader found an ordinary end of the connection, which is the end of an answer that nothing else frames. The writer's error was only looked at to decide whether the connection is used again.

Evidence: on 30 of the 78 new specs fail (each route, answers without framing of HTTP/1.0 and 1.1, with and without a body; reset at once, closed with unread bytes, reset after half of the body; 4 bytes to 4 MiB). None with a length or chunks fails, nor do whole early answers.

Fix: answer.Connection remembers the first error of a write. A reader that finds the end of the input waits for the writer and gets that error in its place, so that the ending is broken. Time-outs of a write are no evidence of a reset, since an engine may answer and no longer read. A request's body that is still being written when the engine closes counts too: the close is a reset as soon as the rest arrives. Ruled out: looking at the writer's result at the end of the body alone, which holds for one reader of answers and not for the others.

After: all of the specs pass.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -126,6 +126,7 @@
 
 func (e *exchange) run(outgoing *OutgoingRequest) (*Reply, error) {
 	request, bodyBytes := buildRequest(outgoing)
+	e.connection.BeginRequest()
 	if bodyBytes <= maxInlineWriteBytes {
 		e.write(request)
 	} else {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/thymeloft/thymeloft/internal/answer"
 )
 
 // Parameters of connections to instances.
@@ -24,7 +26,7 @@
 
 // connection is a TCP connection that carries one request at a time.
 type connection struct {
-	net.Conn
+	*answer.Connection
 	bounded            *boundedReader // what reader reads from
 	reader             *bufio.Reader
 	completedExchanges int
@@ -143,9 +145,10 @@
 	if err != nil {
 		return nil, err
 	}
-	bounded := newBoundedReader(opened)
+	guarded := answer.NewConnection(opened)
+	bounded := newBoundedReader(guarded)
 	return &connection{
-		Conn:        opened,
+		Connection:  guarded,
 		bounded:     bounded,
 		reader:      bufio.NewReaderSize(bounded, readBufferBytes),
 		idleTimeout: defaultIdleTimeout,
@@ -168,13 +171,9 @@
 	if idle.reader.Buffered() > 0 {
 		return false
 	}
-	syscallConn, ok := idle.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := syscallConn.SyscallConn()
+	raw, err := idle.SyscallConn()
 	if err != nil {
-		return false
+		return errors.Is(err, errors.ErrUnsupported)
 	}
 	reusable := false
 	err = raw.Read(func(descriptor uintptr) bool {
--- a/internal/backend/sending.go
+++ b/internal/backend/sending.go
@@ -26,7 +26,8 @@
 // instance stops reading before it responds, write closes the connection; a response that has
 // begun is still read.
 func (e *exchange) write(request *http.Request) {
-	writer := &stallTimeoutWriter{connection: e.connection.Conn, stallTimeout: writeStallTimeout}
+	defer e.connection.EndRequest()
+	writer := &stallTimeoutWriter{connection: e.connection, stallTimeout: writeStallTimeout}
 	var err error
 	if strings.HasPrefix(request.URL.Opaque, "//") {
 		err = request.Write(&opaqueTargetWriter{writer: writer, methodBytes: len(request.Method)})
