--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/thymeloft/thymeloft/internal/answer"
 	"github.com/thymeloft/thymeloft/internal/platform"
 	"github.com/thymeloft/thymeloft/internal/platform/client"
 	"github.com/thymeloft/thymeloft/internal/settings"
@@ -12,6 +13,7 @@
 const (
 	platformTimeout            = 5 * time.Second
 	maxIdlePlatformConnections = 4 // per host
+	maxPlatformHeadBytes       = 64 << 10
 )
 
 // platformServices are the clients of the platform's services. A client is nil
@@ -24,8 +26,10 @@
 
 func newPlatformServices(urls settings.Platform) *platformServices {
 	services := &platformServices{http: &http.Client{
-		Timeout:   platformTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConnections, IdleConnTimeout: time.Minute},
+		Timeout: platformTimeout,
+		Transport: answer.NewTransport(&http.Transport{
+			MaxIdleConnsPerHost: maxIdlePlatformConnections, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxPlatformHeadBytes,
+		}),
 	}}
 	if urls.Machines != "" {
 		services.machines = client.NewMachineList(urls.Machines, services.http)
--- a/internal/dispatch/connection.go
+++ b/internal/dispatch/connection.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/thymeloft/thymeloft/internal/answer"
 )
 
 const (
@@ -64,7 +66,7 @@
 func (t *sentTrace) gotConnection(info httptrace.GotConnInfo) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	guarded, ok := info.Conn.(*guardedConnection)
+	guarded, ok := guardedConnectionOf(info.Conn)
 	if !ok || t.connection != nil {
 		t.uncertain = true
 		return
@@ -73,6 +75,16 @@
 	t.writtenBefore = guarded.Written()
 }
 
+// guardedConnectionOf returns the guardedConnection that answer.Transport uses. There is none with TLS.
+func guardedConnectionOf(connection net.Conn) (*guardedConnection, bool) {
+	outer, ok := connection.(*answer.Connection)
+	if !ok {
+		return nil, false
+	}
+	guarded, ok := outer.Conn.(*guardedConnection)
+	return guarded, ok
+}
+
 // mayHaveSent reports whether any byte may have been sent. It must be called
 // after the request has failed, and closes the connection, so that nothing is
 // sent later either.
@@ -108,7 +120,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &http.Client{
-		Transport:     transport,
+		Transport:     answer.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,10 +12,12 @@
 	"github.com/rotisserie/eris"
 
 	enginev1 "github.com/thymeloft/thymeloft/api/engine/v1"
+	"github.com/thymeloft/thymeloft/internal/answer"
 )
 
 const (
 	maxReplyBytes           = 8 << 20
+	maxHeadBytes            = 64 << 10
 	idleConnectionTimeout   = 30 * time.Second
 	maxConnectionsPerEngine = 4
 )
@@ -27,12 +29,13 @@
 func newHTTPClient(settings Settings) *http.Client {
 	return &http.Client{
 		Timeout: settings.CallTimeout,
-		Transport: &http.Transport{
-			MaxConnsPerHost:     maxConnectionsPerEngine,
-			MaxIdleConnsPerHost: 1,
-			IdleConnTimeout:     idleConnectionTimeout,
-			DisableCompression:  true,
-		},
+		Transport: answer.NewTransport(&http.Transport{
+			MaxConnsPerHost:        maxConnectionsPerEngine,
+			MaxIdleConnsPerHost:    1,
+			IdleConnTimeout:        idleConnectionTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -77,7 +80,7 @@
 }
 
 // do sends body as JSON unless it is nil, and decodes the reply into target unless that is nil.
-// The reply is read up to maxReplyBytes.
+// A reply of more than maxReplyBytes is an error.
 func (c *client) do(ctx context.Context, method, path string, body, target any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
