Administration, platform: a reply beyond its bound is an error

What was seen: an engine's administration that sent a body without end had carried out a call without a result, such as a release, once 8 MiB were read; the rest was dropped. thymeloftd read 64 MiB of a reply of the platform's services, as much as a small machine has.

Cause: a reader stopped at its bound as if the body had ended there.

Evidence: on two of the six new specs fail (a body, chunks).

Fix: one byte more than the bound is an error, in both clients. The platform's replies are bounded by 8 MiB; a list of all machines of the target has less than one.

--- a/internal/engine/broken_reply_test.go
+++ b/internal/engine/broken_reply_test.go
@@ -65,4 +65,29 @@
 		Entry("status 000", "HTTP/1.1 000 X\r\n"),
 		Entry("a blank in a name", "HTTP/1.1 200 OK\r\nA B: c\r\n"),
 	)
+
+	// Guards against a daemon whose memory is used up by one engine, or that takes a part for the whole.
+	DescribeTable("without end has not carried out a call", func(ctx SpecContext, start, filler string) {
+		closed := make(chan struct{}, 2)
+		administration := rawAdministration(func(connection *net.TCPConn) {
+			text := start
+			for err := error(nil); err == nil; {
+				_, err = io.WriteString(connection, text)
+				text = filler
+			}
+			closed <- struct{}{}
+		})
+		_, err := administration.getState(ctx)
+		Expect(err).To(HaveOccurred())
+		Eventually(closed).WithTimeout(administration.timeout).Should(Receive())
+		Expect(administration.release(ctx, []string{"p"})).NotTo(Succeed())
+		Eventually(closed).WithTimeout(administration.timeout).Should(Receive())
+	},
+		Entry("noise", "", strings.Repeat("x", 4<<10)),
+		Entry("one header", "HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 4<<10)),
+		Entry("many headers", "HTTP/1.1 200 OK\r\n", "A: "+strings.Repeat("x", 4<<10)+"\r\n"),
+		Entry("informational answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+		Entry("a body", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat(" ", 4<<10)),
+		Entry("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n"+strings.Repeat(" ", 4<<10)+"\r\n"),
+	)
 })
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -93,10 +93,13 @@
 		return eris.Wrapf(err, "%s %s at engine %s", method, path, c.name)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
 		return eris.Wrapf(err, "read reply of %s at engine %s", path, c.name)
 	}
+	if len(data) > maxReplyBytes {
+		return eris.Errorf("read reply of %s at engine %s: it is larger than %d bytes", path, c.name, maxReplyBytes)
+	}
 	return c.decode(response.StatusCode, path, data, target)
 }
 
--- a/internal/platform/client/transport.go
+++ b/internal/platform/client/transport.go
@@ -15,8 +15,9 @@
 	"github.com/thymeloft/thymeloft/internal/platform"
 )
 
-// maxReplyBytes is the largest part of a response body that is read.
-const maxReplyBytes = 64 << 20
+// maxReplyBytes is the largest response body. The largest one, the machine list, has a few hundred bytes for
+// each of some thousand machines.
+const maxReplyBytes = 8 << 20
 
 // Option configures a client.
 type Option func(*service)
@@ -86,7 +87,10 @@
 		return nil, lostReplyError(spec.isWrite && sent.Load(), err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = eris.Errorf("the response is larger than %d bytes", maxReplyBytes)
+	}
 	if err != nil {
 		return nil, lostReplyError(spec.isWrite, err)
 	}
