Planned stop: a request is taken only if it can end before the rest is cut

What callers saw: of requests that came on open connections 2 to 3 s after the signal, with work of 5 s and a grace of 8 s, the later ones were passed on and cut at 7.5 s without an answer, their engine at work, among them requests that may not be repeated.

Cause: a process that stops took each request as in calm; nothing compared what is left with what the request may take.

Fix: once a stop has begun, a request that was not sent yet goes to an engine only if its own time ends before the cut, or if requests of its route have lately taken less than what is left, with a reserve. All others get 503 'stopping' at once, which is true, with a delay after which another gateway serves them. Of a route that was not used lately nothing is known, so that its requests are refused too. Ruled out: refusing everything from the signal on (the platform sends callers for 2.5 s more, most of whose requests are short), and the route's time alone, which refuses nearly all where it is as long as the grace.

Not changed: a request that was under way at the signal and outlasts the grace is still cut.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,6 +85,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := e.refuseIfStopping(); err != nil {
+			return nil, err
+		}
 		e.tries++
 		excluded = append(excluded, instance.ID)
 		reply, err := e.sendTo(ctx, instance)
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -158,6 +158,9 @@
 	if err != nil {
 		return &Refusal{Status: http.StatusBadRequest, Reason: ReasonMalformed, Err: err}
 	}
+	if err := e.refuseIfStopping(); err != nil {
+		return err
+	}
 	if err := e.reserveMemory(); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,9 @@
 	// MaxConfigurationAge is the maximum age of the configuration for denying what it does not
 	// contain: an unknown route with status 404, or an unknown key with status 401.
 	MaxConfigurationAge time.Duration
+	// CutsAt returns whether the process is stopping, and when it cuts the requests that are left; nil means
+	// that it never stops.
+	CutsAt func() (at time.Time, isStopping bool)
 	// InstancesAge returns how long ago the list of instances was last confirmed by the store, and
 	// whether it has been at all.
 	InstancesAge func() (age time.Duration, isConfirmed bool)
@@ -76,6 +79,7 @@
 	Options
 	recentPrograms *recentPrograms
 	recentAnswers  recentAnswers
+	durations      durations
 	lossWatches    atomic.Int64 // instances that are being watched; see watchLoss
 	placementSeed  uint64       // random for each process; see backend.PlacementRequest.Seed
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -48,6 +48,7 @@
 	ReasonCallerDisconnected Reason = "caller-left"
 	ReasonTurnNotRecorded    Reason = "turn-not-recorded"
 	ReasonStreamBroken       Reason = "stream-broken"
+	ReasonStopping           Reason = "stopping" // the process stops before the request could end
 )
 
 // Refusal is the gateway's own final answer to a request, given instead of an engine's answer.
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -11,6 +11,9 @@
 func (e *execution) report(err error) {
 	took := time.Since(e.arrived)
 	reason, status := reasonOf(err), e.callerStatus(err)
+	if e.tries > 0 {
+		e.gateway.durations.record(e.routeName(), took, time.Now())
+	}
 	e.gateway.Metrics.observeRequest(e.routeName(), status, reason, took)
 	if e.hasReply {
 		e.gateway.Metrics.observeAnswer(e.framing, e.ending)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -61,8 +61,9 @@
 	instancesRead       atomic.Bool   // the table of instances was read at least once
 	instancesVersion    atomic.Uint64 // version up to which the list of instances is complete
 	activeRequests      atomic.Int64
-	graceNanos          atomic.Int64   // the grace period, in nanoseconds
-	rateLog             rate.Sometimes // limits the log lines of logLoweredRate
+	graceNanos          atomic.Int64              // the grace period, in nanoseconds
+	cutsAt              atomic.Pointer[time.Time] // when a planned stop cuts the requests that are left; nil: none has begun
+	rateLog             rate.Sometimes            // limits the log lines of logLoweredRate
 	lastInstancesAnswer watch.AnswerTime
 }
 
@@ -200,9 +201,19 @@
 		DisabledMechanisms:  s.Settings.Disabled,
 		MaxConfigurationAge: s.Settings.maxConfigurationAge(),
 		InstancesAge:        s.lastInstancesAnswer.Age,
+		CutsAt:              s.requestsCutAt,
 	}
 }
 
+// requestsCutAt returns whether a planned stop has begun, and when it cuts the requests that are left.
+func (s *Server) requestsCutAt() (at time.Time, isStopping bool) {
+	cutsAt := s.cutsAt.Load()
+	if cutsAt == nil {
+		return time.Time{}, false
+	}
+	return *cutsAt, true
+}
+
 // instanceGrace returns how long an instance that is leaving may still get new
 // requests. It is half of the drain period, as a margin for delays.
 func (s *Server) instanceGrace() time.Duration {
@@ -264,15 +275,17 @@
 	stopPollInterval = 250 * time.Millisecond
 )
 
-// stop makes the process not ready, serves the requests that still arrive, and
+// stop makes the process not ready, serves the requests that still arrive and can end in time, and
 // returns when no request is active or the grace period is nearly over. Requests
 // that are then still active are not an error.
 func (s *Server) stop(c *components) error {
 	start := time.Now()
+	cutsAt := start.Add(s.grace() - graceMargin)
+	s.cutsAt.Store(&cutsAt)
 	s.lifecycle.MarkDraining()
 	s.Log.Info("server: stopping.", zap.Int64("underWay", s.activeRequests.Load()))
 	s.callerServer.CloseIdle()
-	ctx, cancel := context.WithTimeout(context.Background(), s.grace()-graceMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), cutsAt)
 	defer cancel()
 	for ctx.Err() == nil && !s.canStop(time.Since(start)) {
 		c.releaseBudgets(ctx)
