Soak: answers that are reset before the request is read, and heads that are none

One request to a service in forty has a body of 256 KiB; half of those are answered and reset before they are read, by an answer that nothing frames. One answer in a hundred has a malformed head: a status of 000 or 999, a blank in a name. Callers never get such an answer, and in calm times they get one of the gateway.

Two rows of the table of spoiled evidence stand for the new check. Bytes without end are not played.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -75,9 +75,10 @@
 	maxTurns         = 6
 	maxTokensPerTurn = maxEvents * tokensPerEvent
 	maxRetainedTurns = 30
-	continueOneIn    = 4 // one in this number of programs continues a turn of another program
-	forkOneIn        = 3 // one in this number of turns starts sub-agents
-	loopOneIn        = 6 // one in this number of programs makes turns until its budget is used up
+	continueOneIn    = 4  // one in this number of programs continues a turn of another program
+	forkOneIn        = 3  // one in this number of turns starts sub-agents
+	largeOneIn       = 40 // one in this number of requests to services is large
+	loopOneIn        = 6  // one in this number of programs makes turns until its budget is used up
 )
 
 // runProgram runs one program: turns, calls to services and sub-agents. Some programs
@@ -193,6 +194,9 @@
 	for range c.drawInt(3) {
 		a := c.newAttempt(kinds[c.drawInt(len(kinds))])
 		a.input = fmt.Sprintf("payload %d", c.drawInt(1<<20))
+		if rand.IntN(largeOneIn) == 0 { // not of the seed, whose callers stay what they were
+			a.input = largeInput(a.input)
+		}
 		a.prompt = a.input
 		c.send(a)
 		if ctx.Err() != nil {
--- a/internal/lab/soak/checks_test.go
+++ b/internal/lab/soak/checks_test.go
@@ -74,6 +74,13 @@
 		all["r1"].content, all["r1"].claim, all["r1"].complete = "", claimEnded, false
 		e.deliveries["r1"] = []delivery{{content: all["r1"].expectedContent()}}
 	}, "ends:"),
+	Entry("an answer though every head of it was malformed", func(e *evidence, all map[string]*attempt) {
+		e.malformed["r1"] = len(e.executions["r1"])
+	}, "heads:"),
+	Entry("no answer at all after a malformed head", func(e *evidence, all map[string]*attempt) {
+		all["r1"].status, all["r1"].complete = 0, false
+		e.malformed["r1"] = len(e.executions["r1"])
+	}, "heads:"),
 	Entry("a whole answer that is broken off", func(e *evidence, all map[string]*attempt) {
 		all["r1"].content, all["r1"].complete = "", false
 		e.deliveries["r1"] = []delivery{{content: all["r1"].expectedContent(), whole: true}}
--- a/internal/lab/soak/evidence.go
+++ b/internal/lab/soak/evidence.go
@@ -74,6 +74,7 @@
 	version   string
 	path      string
 	prompt    string
+	isUnread  bool // the instance began an answer before it read the prompt
 	startedAt time.Time
 }
 
@@ -94,6 +95,7 @@
 	attempts         []*attempt
 	executions       map[string][]execution
 	deliveries       map[string][]delivery
+	malformed        map[string]int  // number of answers with a malformed head, by attempt
 	lateCopies       map[string]bool // requests of whose rejection a second copy was sent
 	configurations   []configuration
 	departures       map[string]departure
@@ -107,7 +109,7 @@
 }
 
 func newEvidence(calm *calmTracker) *evidence {
-	return &evidence{executions: map[string][]execution{}, deliveries: map[string][]delivery{}, lateCopies: map[string]bool{}, departures: map[string]departure{}, lifetimes: map[string]*lifetime{}, calm: calm, daemonsCalm: newCalmTracker()}
+	return &evidence{executions: map[string][]execution{}, deliveries: map[string][]delivery{}, malformed: map[string]int{}, lateCopies: map[string]bool{}, departures: map[string]departure{}, lifetimes: map[string]*lifetime{}, calm: calm, daemonsCalm: newCalmTracker()}
 }
 
 func (e *evidence) recordAttempt(a *attempt) {
@@ -122,6 +124,12 @@
 	e.executions[id] = append(e.executions[id], executed)
 }
 
+func (e *evidence) recordMalformed(id string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.malformed[id]++
+}
+
 func (e *evidence) recordDelivery(id string, sent delivery) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
