--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -24,9 +24,10 @@
 	LabBinary string
 	Machine   Machine
 	Endpoint  Endpoint
-	Clients   []Client      // clients that do not behave, all at once; none: calm
-	Duration  time.Duration // how long they are played
-	Callers   int           // ordinary callers; 0: defaultCallers
+	Clients   []Client       // clients that do not behave, all at once; none: calm
+	Duration  time.Duration  // how long they are played
+	Endless   *EndlessAnswer // what a faulty engine sends whose callers are played, too; nil: there is none
+	Callers   int            // ordinary callers; 0: defaultCallers
 }
 
 // Report is what was observed during a run.
@@ -78,7 +79,7 @@
 		return nil, eris.Wrap(err, "create a temporary directory")
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	world, err := newWorld()
+	world, err := newWorld(options.Endless)
 	if err != nil {
 		return nil, err
 	}
@@ -115,6 +116,9 @@
 	defer func() { _ = crowd.end(process.world) }()
 	var observers sync.WaitGroup
 	observers.Go(func() { report.Ready, report.MaxUnreadyInARow = checkReadiness(playing, process) })
+	if options.Endless != nil {
+		observers.Go(func() { callEndless(playing, process) })
+	}
 	results := make([]Served, callers)
 	for index := range callers {
 		observers.Go(func() { results[index] = newOrdinaryCaller(process, index).run(playing) })
--- a/internal/lab/abuse/world.go
+++ b/internal/lab/abuse/world.go
@@ -32,6 +32,8 @@
 	pathAbused         = "/check/"
 	pathLarge          = "/report/"
 	pathTurn           = "/talk/"
+	pathEndless        = "/endless/"
+	pathEndlessTurn    = "/endless-talk/"
 )
 
 const configuration = `{"version":1,"routes":[
@@ -39,8 +41,10 @@
  {"name":"look","host":"a.example","path_prefix":"/look/","type":"safe","timeout_ms":5000,"target_latency_ms":200,"service":"app","max_attempts":3},
  {"name":"check","host":"a.example","path_prefix":"/check/","type":"unsafe","timeout_ms":20000,"service":"app","max_attempts":1},
  {"name":"report","host":"a.example","path_prefix":"/report/","type":"safe","timeout_ms":20000,"service":"app","max_attempts":1},
- {"name":"talk","host":"a.example","path_prefix":"/talk/","type":"streaming","timeout_ms":20000,"service":"app","max_attempts":1,"retained":true,"retention_s":60}],
- "services":[{"name":"app"}],
+ {"name":"talk","host":"a.example","path_prefix":"/talk/","type":"streaming","timeout_ms":20000,"service":"app","max_attempts":1,"retained":true,"retention_s":60},
+ {"name":"endless","host":"a.example","path_prefix":"/endless/","type":"safe","timeout_ms":2000,"target_latency_ms":200,"service":"endless","max_attempts":3},
+ {"name":"endless-talk","host":"a.example","path_prefix":"/endless-talk/","type":"streaming","timeout_ms":2000,"service":"endless","max_attempts":1,"retained":true,"retention_s":60}],
+ "services":[{"name":"app"},{"name":"endless"}],
  "limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 const (
@@ -56,6 +60,7 @@
 type world struct {
 	store   *httptest.Server
 	engines []*httptest.Server
+	endless *endlessEngine // nil: there is none
 
 	mutex sync.Mutex
 	ran   map[string]struct{} // identifiers of the requests that an engine ran
@@ -63,7 +68,8 @@
 	refused map[string]struct{}
 }
 
-func newWorld() (*world, error) {
+// newWorld starts the world, with an engine that sends the answer if there is one.
+func newWorld(endless *EndlessAnswer) (*world, error) {
 	w := &world{ran: map[string]struct{}{}, refused: map[string]struct{}{}}
 	memory := memorystore.New()
 	w.store = httptest.NewServer(&platformstore.Handler{Store: memory})
@@ -78,6 +84,17 @@
 			engine.Listener.Addr().String(), slotsPerEngine)
 		puts = append(puts, state.Put{Key: state.Key{Table: "servers", Name: id}, Value: value})
 	}
+	if endless != nil {
+		faulty, err := startEndlessEngine(endless)
+		if err != nil {
+			w.close()
+			return nil, eris.Wrap(err, "start the faulty engine")
+		}
+		w.endless = faulty
+		value := fmt.Appendf(nil, `{"service":"endless","address":%q,"zone":"z","version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":0}`,
+			faulty.listener.Addr().String(), slotsPerEngine)
+		puts = append(puts, state.Put{Key: state.Key{Table: "servers", Name: "i-endless"}, Value: value})
+	}
 	for _, put := range puts {
 		if _, err := memory.Commit(context.Background(), state.Commit{Puts: []state.Put{put}}); err != nil {
 			w.close()
@@ -92,6 +109,9 @@
 		each.CloseClientConnections()
 		each.Close()
 	}
+	if w.endless != nil {
+		_ = w.endless.listener.Close()
+	}
 }
 
 // serveEngine runs a request like an engine.
--- a/test/abuse/abuse_test.go
+++ b/test/abuse/abuse_test.go
@@ -71,6 +71,18 @@
 	}
 })
 
+// Guards against an engine that ends a gateway, or leaves the callers of others unserved, by bytes without end.
+var _ = Describe("a gateway stays within its memory beside an engine that sends without end", func() {
+	for _, answer := range abuse.EndlessAnswers() {
+		It(answer.Name, func(ctx SpecContext) {
+			report, err := abuse.Run(ctx, abuse.Options{GatewayBinary: gatewayBinary, Machine: smallest, Endless: &answer, Duration: 4 * time.Second})
+			Expect(err).NotTo(HaveOccurred())
+			GinkgoWriter.Printf("%+v\n", *report)
+			Expect(report.Findings()).To(BeEmpty())
+		})
+	}
+})
+
 // expectServed expects that all requests were answered 200, within the memory of the machine.
 func expectServed(machine abuse.Machine, statuses map[string]int, peakMemory int64) {
 	GinkgoHelper()
