Planned stop: what is left at the end of the grace gets an answer instead of a cut

What callers saw: a request that outlasted the grace of a planned stop ended with its connection, without an answer and without a line in the log, whether it was still waiting or an engine was at work on it.

Cause: the process ended while the handlers were waiting; nothing told them.

Fix: half a second before the grace ends, where the process gave up before, the contexts of the requests that are left end, with a cause of their own. Whoever has got nothing yet gets 502 'cut-by-stop', or 503 'stopping' if the request was never sent, within 250 ms; a stream that has begun is broken off.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -225,6 +225,7 @@
 	"engines-lost":        "as many engines as may had ended while they ran earlier attempts at the same work (the lines 'request: engine lost.' name them); this attempt did not run",
 	"other-attempt":       "engines had ended under earlier attempts at the same work, and others were under way that might end further ones; this attempt did not run",
 	"stopping":            "its gateway was about to stop, before the request could be expected to end; it did not run",
+	"cut-by-stop":         "its gateway stopped while an engine was at work on it: it may have run, and must not be repeated",
 	"engines-unreachable": "no connection could be made to any engine that it was offered to; it did not run",
 	"deadline":            "the time that the caller or the route allows had passed",
 	"answer-lost":         "it was sent to an engine and no answer came: it may have run, and must not be repeated",
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -331,18 +331,23 @@
 	}
 }
 
-// endedError returns the final error of a request that ran out of time or whose caller has
-// disconnected. The result is an *AbortedError if the caller has disconnected, and otherwise a
+// endedError returns the final error of a request that ran out of time, whose caller has
+// disconnected, or that the stop of the process cuts. The result is an *AbortedError if the caller has disconnected, and otherwise a
 // *Refusal.
 func (e *execution) endedError(err error) error {
-	if e.request.Context().Err() != nil {
+	if e.callerHasLeft() {
 		return &AbortedError{Reason: ReasonCallerDisconnected, Err: err}
 	}
-	if e.runs == 0 {
-		var lost *backend.LostError
-		if !errors.As(err, &lost) {
-			return notRunRefusal(ReasonDeadline, 0, err)
-		}
+	var lost *backend.LostError
+	mayHaveRun := e.runs > 0 || errors.As(err, &lost)
+	switch {
+	case isCut(e.request.Context()) && mayHaveRun:
+		return unknownOutcomeRefusal(ReasonCutByStop, err)
+	case isCut(e.request.Context()):
+		return notRunRefusal(ReasonStopping, shortRetryAfter, err)
+	case mayHaveRun:
+		return unknownOutcomeRefusal(ReasonDeadline, err)
+	default:
+		return notRunRefusal(ReasonDeadline, 0, err)
 	}
-	return unknownOutcomeRefusal(ReasonDeadline, err)
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -350,7 +350,7 @@
 		return notRunRefusal(ReasonCutOff, e.gateway.Connectivity.RetryAfter(), err)
 	case errors.Is(err, budget.ErrSpent):
 		return &Refusal{Status: http.StatusPaymentRequired, Reason: ReasonBudgetSpent, Err: err}
-	case e.request.Context().Err() != nil:
+	case e.callerHasLeft():
 		return &AbortedError{Reason: ReasonCallerDisconnected, Err: err}
 	case errors.Is(err, state.ErrFull):
 		return notRunRefusal(ReasonStoreFull, fullStoreRetryAfter(e.gateway.StoreSpace.FullDuration()), err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,5 +135,8 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return ReasonDeadline
 	}
+	if isCut(ctx) {
+		return ReasonCutByStop
+	}
 	return callerEndReason(ctx)
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -47,7 +47,7 @@
 	if errors.As(err, &exceeded) {
 		return nil, &Refusal{Status: http.StatusTooManyRequests, Reason: ReasonQuotaExceeded, RetryAfter: exceeded.RetryAfter, Err: err}
 	}
-	if err != nil && e.request.Context().Err() != nil {
+	if err != nil && e.callerHasLeft() {
 		return nil, &AbortedError{Reason: ReasonCallerDisconnected, Err: err}
 	}
 	if err != nil {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -48,7 +48,8 @@
 	ReasonCallerDisconnected Reason = "caller-left"
 	ReasonTurnNotRecorded    Reason = "turn-not-recorded"
 	ReasonStreamBroken       Reason = "stream-broken"
-	ReasonStopping           Reason = "stopping" // the process stops before the request could end
+	ReasonStopping           Reason = "stopping"    // the process stops before the request could end
+	ReasonCutByStop          Reason = "cut-by-stop" // the process has stopped while the request was under way
 )
 
 // Refusal is the gateway's own final answer to a request, given instead of an engine's answer.
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,19 @@
 	return usual+usual/reserveDivisor+answerMargin <= left
 }
 
+// ErrCut is the cause with which the context of a request ends when the process stops before the request has
+// ended.
+var ErrCut = eris.New("the process has stopped before the request has ended")
+
+// isCut reports whether the context has ended because the process stops.
+func isCut(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrCut) }
+
+// callerHasLeft reports whether the caller has closed its connection, as far as is known.
+func (e *execution) callerHasLeft() bool {
+	ctx := e.request.Context()
+	return ctx.Err() != nil && !isCut(ctx)
+}
+
 // refuseIfStopping returns a *Refusal for a request that has not been sent and that the stop of the process
 // would cut.
 func (e *execution) refuseIfStopping() error {
--- a/internal/server/caller_server.go
+++ b/internal/server/caller_server.go
@@ -25,6 +25,8 @@
 	connections *callerConnections
 	buffers     *writebehind.Group // buffers responses to slow callers; nil disables it
 	limiter     *ingress.Limiter
+	requests    context.Context // of which the contexts of all requests are made
+	cut         context.CancelCauseFunc
 
 	mutex       sync.Mutex
 	limits      routetable.Limits
@@ -46,6 +48,7 @@
 // limit.
 func newCallerServer(listener net.Listener, handler http.Handler, buffers *writebehind.Group, group *ingress.Group, maxConnections int, errorLog *log.Logger) *callerServer {
 	s := &callerServer{listener: listener, errors: errorLog, connections: newCallerConnections(), buffers: buffers}
+	s.requests, s.cut = context.WithCancelCause(context.Background())
 	s.limiter = group.NewLimiter(ingress.LimiterOptions{Name: "callers", MaxConnections: maxConnections, CloseIdle: retireConnection})
 	s.handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		response := &responseWriter{ResponseWriter: writer, request: request, connections: s.connections}
@@ -76,6 +79,7 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ErrorLog:          s.errors,
 		ConnState:         s.onStateChange,
+		BaseContext:       func(net.Listener) context.Context { return s.requests },
 		ConnContext:       withCallerConn,
 
 		DisableGeneralOptionsHandler: true, // else net/http answers OPTIONS * with 200
@@ -172,6 +176,13 @@
 	return errors.Join(failures...)
 }
 
+// Cut ends the contexts of the requests that are left after Stop, and waits until they are answered or the
+// context ends.
+func (s *callerServer) Cut(ctx context.Context, cause error) error {
+	s.cut(cause)
+	return s.Stop(ctx)
+}
+
 // connectionQueue is a net.Listener whose Accept returns the connections passed to
 // deliver.
 type connectionQueue struct {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -273,6 +273,8 @@
 	// after waiting for requests.
 	graceMargin      = 500 * time.Millisecond
 	stopPollInterval = 250 * time.Millisecond
+	// finalAnswerTime is the part of graceMargin in which the requests that are left get an answer.
+	finalAnswerTime = 250 * time.Millisecond
 )
 
 // stop makes the process not ready, serves the requests that still arrive and can end in time, and
@@ -292,6 +294,9 @@
 		pause.Sleep(ctx, stopPollInterval)
 	}
 	err := s.callerServer.Stop(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = s.cutRequests()
+	}
 	c.releaseBudgets(ctx)
 	c.engineLosses.HandOver(ctx)
 	c.endLease()
@@ -303,6 +308,15 @@
 	return err
 }
 
+// cutRequests ends the requests that are left. Those of which the callers have got nothing yet are answered,
+// that they may have run or that they have not.
+func (s *Server) cutRequests() error {
+	s.Log.Warn("server: cutting requests.", zap.Int64("underWay", s.activeRequests.Load()))
+	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTime)
+	defer cancel()
+	return s.callerServer.Cut(ctx, gateway.ErrCut)
+}
+
 // canStop reports whether a planned stop that has lasted for the elapsed time may
 // close the listener: callers are no longer sent here, and either no request is
 // active or half of the grace period has elapsed.
