--- a/internal/answer/connection.go
+++ b/internal/answer/connection.go
@@ -55,8 +55,8 @@
 }
 
 // BeginRequest is called before a request is written, and EndRequest after it. In between, Read does not
-// report the end of the input: a peer may close its side early and read on, or may have broken the connection
-// off, which the rest of the request will show.
+// report the end of the input. The peer may have closed its side early and read on, or have broken the
+// connection off, which the rest of the request will show.
 func (c *Connection) BeginRequest() { c.requests.Lock() }
 
 // EndRequest ends what BeginRequest has begun.
@@ -73,7 +73,7 @@
 	return count, err
 }
 
-// Read implements net.Conn. The end of the input is reported once no request is being written.
+// Read implements net.Conn. It reports the end of the input only once no request is being written.
 func (c *Connection) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
 	if errors.Is(err, io.EOF) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -331,9 +331,9 @@
 	}
 }
 
-// endedError returns the final error of a request that ran out of time, whose caller has
-// disconnected, or that the stop of the process cuts. The result is an *AbortedError if the caller has disconnected, and otherwise a
-// *Refusal.
+// endedError returns the final error of a request that ran out of time, whose caller has disconnected, or
+// that the stop of the process cuts. The result is an *AbortedError if the caller has disconnected, and
+// otherwise a *Refusal.
 func (e *execution) endedError(err error) error {
 	if e.callerHasLeft() {
 		return &AbortedError{Reason: ReasonCallerDisconnected, Err: err}
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -13,8 +13,8 @@
 // While the process stops, a request is sent to an instance only if it can be expected to end before the
 // requests that are left are cut. Others are refused at once, so that their callers go to another daemon.
 
-// canEndBeforeStop reports whether the request ends before the process cuts what is left: by its time limit,
-// or because requests of its route usually take less time than is left.
+// canEndBeforeStop reports whether the request can be expected to end before the process cuts what is left: by its
+// time limit, or because no request of its route has lately taken as long as is left.
 func (e *execution) canEndBeforeStop() bool {
 	if e.gateway.CutsAt == nil {
 		return true
@@ -24,15 +24,15 @@
 		return true
 	}
 	left := time.Until(cutsAt)
-	usual, isKnown := e.gateway.durations.usual(e.route.Name, time.Now())
-	return e.remaining() <= left || isKnown && fitsInto(left, usual)
+	longest, isKnown := e.gateway.durations.longest(e.route.Name, time.Now())
+	return e.remaining() <= left || isKnown && fitsInto(left, longest)
 }
 
-// fitsInto reports whether a request whose like usually take at most the given time ends within the time that
-// is left, with a part of it in reserve.
-func fitsInto(left, usual time.Duration) bool {
+// fitsInto reports whether a request whose like have taken at most the given time ends within the time that is
+// left, even if it takes somewhat longer.
+func fitsInto(left, longest time.Duration) bool {
 	const reserveDivisor = 4
-	return usual+usual/reserveDivisor+answerMargin <= left
+	return longest+longest/reserveDivisor+answerMargin <= left
 }
 
 // ErrCut is the cause with which the context of a request ends when the process stops before the request has
@@ -70,8 +70,8 @@
 	recent.(*recentMaximum).record(took, now)
 }
 
-// usual returns the longest time that a request of the route has lately taken, and whether there was one.
-func (d *durations) usual(route string, now time.Time) (time.Duration, bool) {
+// longest returns the longest time that a request of the route has lately taken, and whether there was one.
+func (d *durations) longest(route string, now time.Time) (time.Duration, bool) {
 	recent, found := d.byRoute.Load(route)
 	if !found {
 		return 0, false
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -11,8 +11,8 @@
 func TestWorkFitsOnlyIfItsLikeEndsBefore(t *testing.T) {
 	g := NewWithT(t)
 	for _, each := range []struct {
-		left, usual time.Duration
-		fits        bool
+		left, longest time.Duration
+		fits          bool
 	}{
 		{5500 * time.Millisecond, 300 * time.Millisecond, true},
 		{4600 * time.Millisecond, 3 * time.Second, true},
@@ -21,7 +21,7 @@
 		{200 * time.Millisecond, time.Millisecond, false},
 		{-time.Second, time.Millisecond, false},
 	} {
-		g.Expect(fitsInto(each.left, each.usual)).To(Equal(each.fits), "%+v", each)
+		g.Expect(fitsInto(each.left, each.longest)).To(Equal(each.fits), "%+v", each)
 	}
 }
 
@@ -30,7 +30,7 @@
 	g := NewWithT(t)
 	var recent durations
 	start := time.Unix(0, 0).Add(1000 * maximumPeriod)
-	_, isKnown := recent.usual("a", start)
+	_, isKnown := recent.longest("a", start)
 	g.Expect(isKnown).To(BeFalse())
 	recent.record("a", 5*time.Second, start)
 	recent.record("a", time.Second, start)
@@ -46,7 +46,7 @@
 		{"a", 2 * maximumPeriod, 0},
 		{"b", 5 * maximumPeriod, 0},
 	} {
-		longest, isKnown := recent.usual(each.route, start.Add(each.after))
+		longest, isKnown := recent.longest(each.route, start.Add(each.after))
 		g.Expect(longest).To(Equal(each.longest), "%+v", each)
 		g.Expect(isKnown).To(Equal(each.longest > 0), "%+v", each)
 	}
--- a/internal/lab/abuse/endless.go
+++ b/internal/lab/abuse/endless.go
@@ -19,7 +19,7 @@
 	filler string // sent again and again
 }
 
-// EndlessAnswers returns all kinds of them.
+// EndlessAnswers returns all kinds of endless answers.
 func EndlessAnswers() []EndlessAnswer {
 	const signed = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
 	const chunked = signed + "Transfer-Encoding: chunked\r\n\r\n"
@@ -74,7 +74,7 @@
 	}
 }
 
-// endlessCallers is the number of callers of the faulty engine, half of them on a route that is recorded.
+// endlessCallers is the number of callers of the faulty engine. Half of them use a route that is recorded.
 const endlessCallers = 12
 
 // callEndless sends requests to the faulty engine and reads the answers, until the context ends.
--- a/internal/lab/faultproxy/faultproxy.go
+++ b/internal/lab/faultproxy/faultproxy.go
@@ -195,8 +195,7 @@
 
 // copyOneWay forwards one direction. It passes on an end of the stream with
 // CloseWrite, and resets the other connection after any other error, among them a reset that only the other
-// direction was told of. Once the passage is silent, it
-// passes nothing on.
+// direction was told of. Once the passage is silent, it passes nothing on.
 func (l *Link) copyOneWay(forwarded *passage, from, to *answer.Connection, isHeld func(Condition) bool) {
 	const bufferBytes = 16 << 10
 	buffer := make([]byte, bufferBytes)
