--- a/internal/backend/benchmark_test.go
+++ b/internal/backend/benchmark_test.go
@@ -28,7 +28,7 @@
 	for b.Loop() {
 		reply, err := instance.Exchange(b.Context(), &OutgoingRequest{
 			Method: http.MethodPost, Target: "/pay/", Host: "a.example", Body: body,
-			Header:          http.Header{"Request-Id": {"9c41d07be2a35f68"}, "Deadline-Ms": {"4000"}, "Expect-Instance": {"i"}},
+			Header:          http.Header{"Request-Id": {"9c41d07be2a35f68"}, "Time-Left": {"4000"}, "Expected-Id": {"i"}},
 			MatchesResponse: func(header http.Header) bool { return header.Get("Request-Id") == "9c41d07be2a35f68" },
 		})
 		if err != nil {
@@ -47,7 +47,7 @@
 		return
 	}
 	defer func() { _ = connection.Close() }()
-	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: 9c41d07be2a35f68\r\nServer-Stamp: 5f2a9c\r\nContent-Type: application/json\r\n"+
+	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: 9c41d07be2a35f68\r\nSignature: 5f2a9c1\r\nContent-Type: application/json\r\n"+
 		"Date: Mon, 07 Dec 2026 10:00:00 GMT\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	reader := bufio.NewReader(connection)
 	for {
