--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -23,7 +23,13 @@
 			return
 		}
 		defer func() { _ = connection.Close() }()
-		_, _ = connection.Read(make([]byte, 1)) // the call has begun
+		received, piece := "", make([]byte, 1)
+		for !strings.Contains(received, "Echo.Repeat") { // the preamble comes before the call
+			if _, err := connection.Read(piece); err != nil {
+				return
+			}
+			received += string(piece)
+		}
 		_, err = io.WriteString(connection, start)
 		for err == nil {
 			_, err = io.WriteString(connection, filler)
